--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+export {};
--- /dev/null
+++ b/packages/config/src/index.ts
@@ -0,0 +1,2 @@
+/** The file set: schema, references, canonical form, digest, diff. */
+export * from './resource.js';
--- /dev/null
+++ b/packages/distribution/src/index.ts
@@ -0,0 +1,2 @@
+/** Publication, certification, versions, deltas, snapshots, push tree, anti-entropy. */
+export {};
--- /dev/null
+++ b/packages/membership/src/index.ts
@@ -0,0 +1,2 @@
+/** Failure detection, roles, server announcements, drain. */
+export {};
--- /dev/null
+++ b/packages/node/src/index.ts
@@ -0,0 +1,2 @@
+/** The node binary: sockets, tasks, settings, wiring. */
+export {};
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,2 @@
+/** Client of the log service. */
+export * from './log-client.js';
--- /dev/null
+++ b/packages/testkit/src/index.ts
@@ -0,0 +1,2 @@
+/** Stand-ins, scenario language, benchmarks. */
+export {};
--- /dev/null
+++ b/packages/utils/src/clock.ts
@@ -0,0 +1,28 @@
+/** Time sources. Decisions receive the time as an argument and never read it. */
+
+/** A source of the current time in milliseconds since the Unix epoch. */
+export interface Clock {
+  now(): number;
+}
+
+/** The clock of the host. */
+export class SystemClock implements Clock {
+  now(): number {
+    return Date.now();
+  }
+}
+
+/** A clock that moves only when told to. */
+export class ManualClock implements Clock {
+  constructor(private currentMs = 0) {}
+
+  now(): number {
+    return this.currentMs;
+  }
+
+  /** Moves the clock forward by `ms` and returns the new time. */
+  advance(ms: number): number {
+    this.currentMs += ms;
+    return this.currentMs;
+  }
+}
--- /dev/null
+++ b/packages/utils/src/histogram.ts
@@ -0,0 +1,60 @@
+/** Latency histograms for each label, such as a customer or a class. */
+
+import {build, type Histogram} from 'hdr-histogram-js';
+
+/** Largest latency that is told apart, in microseconds. */
+const HIGHEST_LATENCY_US = 600_000_000;
+
+/** Figures of one histogram; latencies in milliseconds. */
+export interface LatencySummary {
+  count: number;
+  meanMs: number;
+  p50Ms: number;
+  p90Ms: number;
+  p99Ms: number;
+  p999Ms: number;
+  maxMs: number;
+}
+
+/** One latency histogram for each label. */
+export class LatencyHistograms {
+  private readonly histograms = new Map<string, Histogram>();
+
+  record(label: string, latencyMs: number): void {
+    let histogram = this.histograms.get(label);
+    if (!histogram) {
+      histogram = build({
+        highestTrackableValue: HIGHEST_LATENCY_US,
+        numberOfSignificantValueDigits: 2,
+        autoResize: true,
+        bitBucketSize: 32,
+      });
+      this.histograms.set(label, histogram);
+    }
+    const valueUs = Math.max(0, Math.round(latencyMs * 1000));
+    histogram.recordValue(Math.min(valueUs, HIGHEST_LATENCY_US));
+  }
+
+  /** Summaries by label, in label order. */
+  summaries(): Record<string, LatencySummary> {
+    const labels = [...this.histograms.keys()].sort();
+    return Object.fromEntries(
+      labels.map(label => [label, this.summaryOf(label)]),
+    );
+  }
+
+  summaryOf(label: string): LatencySummary {
+    const histogram = this.histograms.get(label);
+    const at = (percentile: number) =>
+      (histogram?.getValueAtPercentile(percentile) ?? 0) / 1000;
+    return {
+      count: histogram?.totalCount ?? 0,
+      meanMs: (histogram?.mean ?? 0) / 1000,
+      p50Ms: at(50),
+      p90Ms: at(90),
+      p99Ms: at(99),
+      p999Ms: at(99.9),
+      maxMs: at(100),
+    };
+  }
+}
--- /dev/null
+++ b/packages/utils/src/index.ts
@@ -0,0 +1,20 @@
+/** Results, clocks, randomness, findings, checked JSON, state charts. */
+export {ManualClock, SystemClock, type Clock} from './clock.js';
+export {
+  compareFindings,
+  formatFinding,
+  type Finding,
+  type Place,
+} from './finding.js';
+export {LatencyHistograms, type LatencySummary} from './histogram.js';
+export {JsonDocument, type JsonPath} from './json-document.js';
+export {RandomSource, SeededRandom, SystemRandom} from './random.js';
+export {hash32, rendezvousTop} from './rendezvous.js';
+export {Err, Ok, type Result} from './result.js';
+export {SchemaCheck} from './schema-check.js';
+export {
+  readChart,
+  StateChart,
+  type ChartEvent,
+  type ChartGuard,
+} from './state-chart.js';
--- /dev/null
+++ b/packages/utils/src/schema-check.ts
@@ -0,0 +1,78 @@
+/** Validation of a JSON document against a JSON Schema, with places. */
+
+import {Ajv, type ErrorObject, type ValidateFunction} from 'ajv';
+import {closest, distance} from 'fastest-levenshtein';
+
+import type {Finding} from './finding.js';
+import type {JsonDocument, JsonPath} from './json-document.js';
+import {Err, Ok, type Result} from './result.js';
+
+/** Largest edit distance at which a known name is offered as a suggestion. */
+const MAX_SUGGESTION_DISTANCE = 4;
+
+/** A compiled schema that reports every finding with its place. */
+export class SchemaCheck<T> {
+  private readonly validate: ValidateFunction<T>;
+
+  constructor(schema: object) {
+    const ajv = new Ajv({allErrors: true, verbose: true, useDefaults: true});
+    this.validate = ajv.compile<T>(schema);
+  }
+
+  /** Returns the typed value with defaults filled in, or all findings. */
+  check(document: JsonDocument): Result<T, Finding[]> {
+    const value = structuredClone(document.value);
+    if (this.validate(value)) return Ok(value);
+    const errors = this.validate.errors ?? [];
+    return Err(errors.map(err => toFinding(document, err)));
+  }
+}
+
+function toFinding(document: JsonDocument, err: ErrorObject): Finding {
+  const path = toPath(document.value, err.instancePath);
+  if (err.keyword === 'additionalProperties') {
+    return unknownField(document, path, err);
+  }
+  const subject = path.length > 0 ? `"${path.join('.')}" ` : '';
+  const allowed = Array.isArray(err.params['allowedValues'])
+    ? `: ${err.params['allowedValues'].join(', ')}`
+    : '';
+  return {
+    code: err.keyword === 'required' ? 'missing-field' : 'invalid-value',
+    message: `${subject}${err.message ?? 'is invalid'}${allowed}`,
+    place: document.placeOf(path),
+  };
+}
+
+function unknownField(
+  document: JsonDocument,
+  path: JsonPath,
+  err: ErrorObject,
+): Finding {
+  const name = String(err.params['additionalProperty']);
+  const known = Object.keys((err.parentSchema?.['properties'] ?? {}) as object);
+  const finding: Finding = {
+    code: 'unknown-field',
+    message: `Unknown field "${name}".`,
+    place: document.placeOfName([...path, name]),
+  };
+  if (known.length === 0) return finding;
+  const suggestion = closest(name, known);
+  if (distance(name, suggestion) <= MAX_SUGGESTION_DISTANCE) {
+    finding.suggestion = suggestion;
+  }
+  return finding;
+}
+
+/** Converts a JSON pointer to a path; array indexes become numbers. */
+function toPath(root: unknown, pointer: string): JsonPath {
+  const path: JsonPath = [];
+  let value = root;
+  for (const part of pointer.split('/').slice(1)) {
+    const name = part.replaceAll('~1', '/').replaceAll('~0', '~');
+    const key = Array.isArray(value) ? Number(name) : name;
+    path.push(key);
+    value = (value as Record<string | number, unknown> | undefined)?.[key];
+  }
+  return path;
+}
--- /dev/null
+++ b/packages/wire/src/frame.ts
@@ -0,0 +1,108 @@
+/**
+ * Frames: a 4-byte big-endian length, then the CBOR array `[id, body]`. A UDP
+ * datagram holds the array alone.
+ */
+
+import {Encoder} from 'cbor-x';
+
+import {Err, Ok, type Result} from '@turmericmill/utils';
+
+import {
+  MESSAGE_IDS,
+  messageName,
+  type Message,
+  type MessageName,
+  type MessageOf,
+} from './message-table.js';
+
+/** Largest frame in bytes, without its length. */
+export const MAX_FRAME_BYTES = 4 * 1024 * 1024;
+
+const LENGTH_BYTES = 4;
+
+export type FrameErrorCode =
+  'frame-too-large' | 'malformed' | 'unknown-message';
+
+export interface FrameError {
+  code: FrameErrorCode;
+  message: string;
+}
+
+const encoder = new Encoder({
+  useRecords: false,
+  mapsAsObjects: true,
+  tagUint8Array: false,
+});
+
+/** Encodes a message without its length, as sent in one datagram. */
+export function encodeMessage<K extends MessageName>(
+  message: MessageOf<K>,
+): Buffer {
+  return encoder.encode([MESSAGE_IDS[message.type], message.body]);
+}
+
+/** Encodes a message with its length, as sent over TCP. */
+export function encodeFrame<K extends MessageName>(
+  message: MessageOf<K>,
+): Buffer {
+  const payload = encodeMessage(message);
+  const frame = Buffer.allocUnsafe(LENGTH_BYTES + payload.length);
+  frame.writeUInt32BE(payload.length, 0);
+  payload.copy(frame, LENGTH_BYTES);
+  return frame;
+}
+
+/** Decodes one message. The body's fields are not checked one by one. */
+export function decodeMessage(
+  payload: Uint8Array,
+): Result<Message, FrameError> {
+  let value: unknown;
+  try {
+    value = encoder.decode(payload);
+  } catch (err) {
+    return Err({code: 'malformed', message: String(err)});
+  }
+  if (!Array.isArray(value) || value.length !== 2) {
+    return Err({code: 'malformed', message: 'Not an array of id and body.'});
+  }
+  const [id, body] = value as [unknown, unknown];
+  const type = typeof id === 'number' ? messageName(id) : undefined;
+  if (type === undefined) {
+    return Err({code: 'unknown-message', message: `No message ${String(id)}.`});
+  }
+  if (typeof body !== 'object' || body === null) {
+    return Err({code: 'malformed', message: `${type} without a body.`});
+  }
+  return Ok({type, body} as Message);
+}
+
+/** Cuts a byte stream into messages. One instance serves one connection. */
+export class FrameReader {
+  private pending: Buffer = Buffer.alloc(0);
+
+  /** Takes received bytes and returns all messages that are now complete. */
+  push(chunk: Buffer): Result<Message[], FrameError> {
+    this.pending =
+      this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
+    const messages: Message[] = [];
+    let offset = 0;
+    while (this.pending.length - offset >= LENGTH_BYTES) {
+      const length = this.pending.readUInt32BE(offset);
+      if (length > MAX_FRAME_BYTES) return tooLarge(length);
+      const end = offset + LENGTH_BYTES + length;
+      if (this.pending.length < end) break;
+      const payload = this.pending.subarray(offset + LENGTH_BYTES, end);
+      const decoded = decodeMessage(payload);
+      if (decoded.isErr()) return decoded;
+      messages.push(decoded.value);
+      offset = end;
+    }
+    this.pending = this.pending.subarray(offset);
+    return Ok(messages);
+  }
+}
+
+function tooLarge(length: number): Result<never, FrameError> {
+  const message = `Frame of ${length} bytes; at most ${MAX_FRAME_BYTES}.`;
+  return Err({code: 'frame-too-large', message});
+}
--- /dev/null
+++ b/packages/wire/src/message-table.ts
@@ -0,0 +1,98 @@
+/** The table of all messages between nodes, with their ids on the wire. */
+
+import type * as calls from './messages/calls.js';
+import type * as claims from './messages/claims.js';
+import type * as configuration from './messages/configuration.js';
+import type * as membership from './messages/membership.js';
+import type * as operations from './messages/operations.js';
+import type * as session from './messages/session.js';
+
+/** Lowest and highest version of the protocol that this build speaks. */
+export const MIN_PROTOCOL_VERSION = 1;
+export const MAX_PROTOCOL_VERSION = 1;
+
+/** The body type of each message. */
+export interface MessageBodies {
+  hello: session.Hello;
+  goodbye: session.Goodbye;
+  ping: session.Ping;
+  pong: session.Pong;
+  probe: membership.Probe;
+  probeRequest: membership.ProbeRequest;
+  probeAck: membership.ProbeAck;
+  memberSync: membership.MemberSync;
+  configHave: configuration.ConfigHave;
+  configFetch: configuration.ConfigFetch;
+  configDelta: configuration.ConfigDelta;
+  configSnapshotPart: configuration.ConfigSnapshotPart;
+  configBusy: configuration.ConfigBusy;
+  versionReport: configuration.VersionReport;
+  callStart: calls.CallStart;
+  callData: calls.CallData;
+  callWindow: calls.CallWindow;
+  callCancel: calls.CallCancel;
+  answerStart: calls.AnswerStart;
+  answerData: calls.AnswerData;
+  answerWindow: calls.CallWindow;
+  answerFailed: calls.AnswerFailed;
+  claimRequest: claims.ClaimRequest;
+  claimReply: claims.ClaimReply;
+  claimOutcome: claims.ClaimOutcome;
+  crashReport: operations.CrashReport;
+  quarantine: operations.Quarantine;
+  usageReport: operations.UsageReport;
+  usageTotals: operations.UsageTotals;
+}
+
+export type MessageName = keyof MessageBodies;
+
+/** Ids are part of the protocol: never reuse one. */
+export const MESSAGE_IDS: Readonly<Record<MessageName, number>> = {
+  hello: 1,
+  goodbye: 2,
+  ping: 3,
+  pong: 4,
+  probe: 10,
+  probeRequest: 11,
+  probeAck: 12,
+  memberSync: 13,
+  configHave: 20,
+  configFetch: 21,
+  configDelta: 22,
+  configSnapshotPart: 23,
+  configBusy: 24,
+  versionReport: 25,
+  callStart: 30,
+  callData: 31,
+  callWindow: 32,
+  callCancel: 33,
+  answerStart: 34,
+  answerData: 35,
+  answerWindow: 36,
+  answerFailed: 37,
+  claimRequest: 40,
+  claimReply: 41,
+  claimOutcome: 42,
+  crashReport: 50,
+  quarantine: 51,
+  usageReport: 60,
+  usageTotals: 61,
+};
+
+/** A message of type `K`. */
+export interface MessageOf<K extends MessageName> {
+  type: K;
+  body: MessageBodies[K];
+}
+
+/** Any message, told apart by `type`. */
+export type Message = {[K in MessageName]: MessageOf<K>}[MessageName];
+
+const NAMES_BY_ID = new Map<number, MessageName>(
+  Object.entries(MESSAGE_IDS).map(([name, id]) => [id, name as MessageName]),
+);
+
+/** The message with this id, or undefined when there is none. */
+export function messageName(id: number): MessageName | undefined {
+  return NAMES_BY_ID.get(id);
+}
--- /dev/null
+++ b/packages/wire/src/messages/calls.ts
@@ -0,0 +1,96 @@
+/** Messages of one call from its entry node to the node beside the server. */
+
+/** Header names and values in the order received, flattened. */
+export type FlatHeaders = string[];
+
+/** Opens a call. `callId` is unique within the connection. */
+export interface CallStart {
+  callId: number;
+  /** The backend server's name at the receiving node, and its incarnation. */
+  serverId: string;
+  serverIncarnation: number;
+  /** Backend server group as `team/name`. */
+  group: string;
+  method: string;
+  path: string;
+  headers: FlatHeaders;
+  customer: string;
+  class: string;
+  priority: 'interactive' | 'bulk';
+  /** Time left in ms until the deadline; clocks of hosts differ. */
+  remainingMs: number;
+  /** Nodes that the call has passed, from the first caller on. */
+  hops: number;
+  /** Identifies the request for quarantine. */
+  fingerprint: string;
+  /** True when this message carries the whole body. */
+  end: boolean;
+  body: Uint8Array;
+}
+
+/** A part of a request's body. */
+export interface CallData {
+  callId: number;
+  chunk: Uint8Array;
+  end: boolean;
+  trailers: FlatHeaders;
+}
+
+/** Allows the receiver to send `bytes` more of this call's body. */
+export interface CallWindow {
+  callId: number;
+  bytes: number;
+}
+
+/** The sender has no more interest in the call. */
+export interface CallCancel {
+  callId: number;
+}
+
+/** State of a backend server, as its node sees it; goes with each answer. */
+export interface ServerLoad {
+  inFlight: number;
+  queued: number;
+  limit: number;
+}
+
+export interface AnswerStart {
+  callId: number;
+  status: number;
+  headers: FlatHeaders;
+  load: ServerLoad;
+  end: boolean;
+  body: Uint8Array;
+}
+
+export interface AnswerData {
+  callId: number;
+  chunk: Uint8Array;
+  end: boolean;
+  trailers: FlatHeaders;
+}
+
+/** `not-run` only if no byte of the request reached the backend server. */
+export type Outcome = 'not-run' | 'unknown';
+
+export type FailureReason =
+  | 'overload'
+  | 'deadline'
+  | 'draining'
+  | 'no-server'
+  | 'quarantined'
+  | 'server-failed'
+  | 'server-unreachable'
+  | 'connection-lost'
+  | 'claimed'
+  | 'claims-unavailable'
+  | 'balance-used-up'
+  | 'cancelled';
+
+export interface AnswerFailed {
+  callId: number;
+  outcome: Outcome;
+  reason: FailureReason;
+  detail: string;
+  load: ServerLoad;
+}
--- /dev/null
+++ b/packages/wire/src/messages/claims.ts
@@ -0,0 +1,45 @@
+/** Messages of calls with an idempotency key. */
+
+import type {FlatHeaders} from './calls.js';
+
+/** Asks the writer of the key's partition for the right to run a request. */
+export interface ClaimRequest {
+  requestId: number;
+  partition: number;
+  /** Customer and idempotency key. */
+  key: string;
+  /** Digest of method, path and body: the same key must mean the same. */
+  requestDigest: string;
+  remainingMs: number;
+}
+
+/** An answer that was kept for later tries. */
+export interface KeptAnswer {
+  status: number;
+  headers: FlatHeaders;
+  body: Uint8Array;
+}
+
+/** `granted`: run it now, once. The others: do not run. */
+export type ClaimVerdict =
+  | 'granted'
+  | 'answered'
+  | 'claimed'
+  | 'mismatch'
+  | 'unavailable'
+  | 'not-writer';
+
+export interface ClaimReply {
+  requestId: number;
+  verdict: ClaimVerdict;
+  /** Present when the verdict is `answered`. */
+  answer?: KeptAnswer;
+}
+
+/** The end of a granted request; `released` when it was provably not run. */
+export interface ClaimOutcome {
+  partition: number;
+  key: string;
+  outcome: 'answered' | 'released';
+  answer?: KeptAnswer;
+}
--- /dev/null
+++ b/packages/wire/src/messages/configuration.ts
@@ -0,0 +1,49 @@
+/** Messages that distribute configuration between nodes. */
+
+import type {ResourceWrite} from '@turmericmill/config';
+
+/** Anti-entropy: what the sender has in force. */
+export interface ConfigHave {
+  version: number;
+  digest: string;
+}
+
+/** Asks for all changes after `have`; -1 asks for the whole set. */
+export interface ConfigFetch {
+  have: number;
+}
+
+/**
+ * All changes in (`from`, `to`]. A receiver at any version in
+ * `from <= version < to` ends at `to`; its digest then has to be `digest`.
+ */
+export interface ConfigDelta {
+  from: number;
+  to: number;
+  digest: string;
+  writes: ResourceWrite[];
+  /** Time in ms at which the accepted record was first read from the log. */
+  acceptedAtMs: number;
+}
+
+/** One part of the whole set at `version`. */
+export interface ConfigSnapshotPart {
+  version: number;
+  digest: string;
+  part: number;
+  parts: number;
+  writes: ResourceWrite[];
+}
+
+/** The sender cannot serve a fetch now; try another peer, not before. */
+export interface ConfigBusy {
+  retryAfterMs: number;
+}
+
+/** Versions in force below the sender in the push tree. */
+export interface VersionReport {
+  /** Number of nodes by data centre, then by version. */
+  counts: Record<string, Record<string, number>>;
+  /** Some of the nodes that are behind, named. */
+  laggards: string[];
+}
--- /dev/null
+++ b/packages/wire/tests/frame.test.ts
@@ -0,0 +1,82 @@
+import {expect} from 'chai';
+
+import {
+  decodeMessage,
+  encodeFrame,
+  encodeMessage,
+  FrameReader,
+  MAX_FRAME_BYTES,
+  MESSAGE_IDS,
+  type Message,
+} from '../src/index.js';
+
+const PING: Message = {type: 'ping', body: {nonce: 7}};
+const START: Message = {
+  type: 'answerStart',
+  body: {
+    callId: 3,
+    status: 200,
+    headers: ['content-type', 'text/plain'],
+    load: {inFlight: 1, queued: 0, limit: 12},
+    end: true,
+    body: Buffer.from('on'),
+  },
+};
+
+describe('frame', () => {
+  const valid: {name: string; cuts: number[]}[] = [
+    {name: 'one chunk', cuts: []},
+    {name: 'a cut inside the length', cuts: [2]},
+    {name: 'a cut after the length', cuts: [4]},
+    {name: 'cuts inside both frames', cuts: [1, 9, 20, 40]},
+  ];
+  for (const {name, cuts} of valid) {
+    it(`reads two messages from ${name}`, () => {
+      const bytes = Buffer.concat([encodeFrame(PING), encodeFrame(START)]);
+      const reader = new FrameReader();
+      const messages: Message[] = [];
+      let from = 0;
+      for (const to of [...cuts, bytes.length]) {
+        messages.push(...reader.push(bytes.subarray(from, to)).unwrap());
+        from = to;
+      }
+      expect(messages).to.deep.equal([PING, START]);
+    });
+  }
+
+  const invalid: {name: string; payload: Buffer; code: string}[] = [
+    {name: 'an empty payload', payload: Buffer.alloc(0), code: 'malformed'},
+    {name: 'no array', payload: Buffer.from([0x01]), code: 'malformed'},
+    {
+      name: 'an unknown id',
+      payload: Buffer.from([0x82, 0x18, 0xfa, 0xa0]),
+      code: 'unknown-message',
+    },
+    {
+      name: 'a body that is a number',
+      payload: Buffer.from([0x82, 0x03, 0x01]),
+      code: 'malformed',
+    },
+    {
+      name: 'a truncated payload',
+      payload: encodeMessage(START).subarray(0, 9),
+      code: 'malformed',
+    },
+  ];
+  for (const {name, payload, code} of invalid) {
+    it(`refuses ${name}`, () => {
+      expect(decodeMessage(payload).unwrapErr().code).to.equal(code);
+    });
+  }
+
+  it('refuses a frame over the limit before it has arrived', () => {
+    const length = Buffer.alloc(4);
+    length.writeUInt32BE(MAX_FRAME_BYTES + 1);
+    const err = new FrameReader().push(length).unwrapErr();
+    expect(err.code).to.equal('frame-too-large');
+  });
+
+  it('keeps the ids of the protocol', () => {
+    expect(MESSAGE_IDS).toMatchSnapshot();
+  });
+});
