--- /dev/null
+++ b/packages/routing/src/balancing/balancer.ts
@@ -0,0 +1,82 @@
+/** Choice of a backend server for a call. */
+
+import type {RandomSource} from '@turmericmill/utils';
+import type {ServerLoad, ServerState} from '@turmericmill/wire';
+
+/** A backend server that may take a call, as membership announces it. */
+export interface Candidate {
+  /** Node beside the server. */
+  nodeId: string;
+  /** The server's own name; unique together with the node. */
+  serverId: string;
+  /** Grows with each start of the server. */
+  incarnation: number;
+  /** Backend server group as `team/name`. */
+  group: string;
+  dataCentre: string;
+  state: ServerState;
+  slots: number;
+  /** Time in ms since the epoch at which the server became ready. */
+  readySinceMs: number;
+}
+
+/** Identifies a server over its restarts. */
+export function candidateKey(candidate: Candidate): string {
+  return `${candidate.nodeId}/${candidate.serverId}`;
+}
+
+/**
+ * How a call to a server ended. `refused`: not run, the server's node had no
+ * place for it. `failed`: connection or server failed. `cancelled`: the caller
+ * left. `timed-out`: the deadline passed without an answer.
+ */
+export type CallOutcome =
+  | 'answered'
+  | 'server-error'
+  | 'refused'
+  | 'failed'
+  | 'timed-out'
+  | 'cancelled';
+
+/** The end of a call, as its entry node saw it. */
+export interface CallResult {
+  outcome: CallOutcome;
+  /** Time in ms from sending the call to the first byte of the answer. */
+  latencyMs: number;
+  /** The load that the server's node sent with its answer. */
+  load?: ServerLoad;
+}
+
+/** A balancing policy with its evidence; one instance for each entry node. */
+export abstract class Balancer {
+  /** Name of the policy, for benchmarks and metrics. */
+  abstract readonly name: string;
+
+  /**
+   * Chooses among the candidates. Returns undefined when no candidate is
+   * ready. Callers leave out servers that the call has already tried.
+   */
+  abstract choose(
+    candidates: readonly Candidate[],
+    nowMs: number,
+    random: RandomSource,
+  ): Candidate | undefined;
+
+  /** A call was sent to the candidate. */
+  abstract started(candidate: Candidate, nowMs: number): void;
+
+  /** A call that was started has ended; called once for each start. */
+  abstract finished(
+    candidate: Candidate,
+    result: CallResult,
+    nowMs: number,
+  ): void;
+}
+
+/** Candidates that take new calls. */
+export function readyCandidates(
+  candidates: readonly Candidate[],
+): readonly Candidate[] {
+  if (candidates.every(({state}) => state === 'ready')) return candidates;
+  return candidates.filter(({state}) => state === 'ready');
+}
--- /dev/null
+++ b/packages/routing/src/routes/matched-route.ts
@@ -0,0 +1,86 @@
+/** What a route means for a call, with all references resolved. */
+
+import {resolveReference} from '@turmericmill/config';
+import type {
+  BackendServerGroupSpec,
+  ClassPriority,
+  ClassSpec,
+  Repetition,
+  Resource,
+  ResourceKey,
+  ResourceMap,
+  ResourceOf,
+  ServiceSpec,
+} from '@turmericmill/config';
+
+/** A route with its service, class and group. Immutable. */
+export interface MatchedRoute {
+  route: ResourceKey;
+  service: ResourceKey;
+  class: ResourceKey;
+  priority: ClassPriority;
+  /** Share of slots among classes of the same priority; at least 1. */
+  weight: number;
+  /** Backend server group as `team/name`. */
+  group: string;
+  groupSpec: BackendServerGroupSpec;
+  /** Time in ms within which the call has to be answered. */
+  timeoutMs: number;
+  repetition: Repetition;
+  /** Retries allowed for each hundred first tries to the service. */
+  retryBudgetPercent: number;
+}
+
+/** The group key `team/name` of a resource key `team/kind/name`. */
+export function groupKey(key: ResourceKey): string {
+  const parts = key.split('/');
+  return `${parts[0] ?? ''}/${parts[2] ?? ''}`;
+}
+
+function find(
+  resources: ResourceMap,
+  team: string,
+  kind: 'service' | 'class' | 'backendServerGroup',
+  reference: string,
+): Resource | undefined {
+  return resources.get(resolveReference(team, kind, reference));
+}
+
+function combine(
+  route: ResourceOf<'route'>,
+  service: Resource & {spec: ServiceSpec},
+  cls: Resource & {spec: ClassSpec},
+  group: Resource & {spec: BackendServerGroupSpec},
+): MatchedRoute {
+  return {
+    route: route.key,
+    service: service.key,
+    class: cls.key,
+    priority: cls.spec.priority,
+    weight: cls.spec.weight,
+    group: groupKey(group.key),
+    groupSpec: group.spec,
+    timeoutMs: route.spec.timeoutMs ?? service.spec.timeoutMs,
+    repetition: route.spec.repetition,
+    retryBudgetPercent: service.spec.retryBudgetPercent,
+  };
+}
+
+/** Resolves a route; undefined when a reference leads nowhere. */
+export function resolveRoute(
+  resources: ResourceMap,
+  route: ResourceOf<'route'>,
+): MatchedRoute | undefined {
+  const {team, spec} = route;
+  const service = find(resources, team, 'service', spec.service);
+  const cls = find(resources, team, 'class', spec.class);
+  if (service?.kind !== 'service' || cls?.kind !== 'class') return undefined;
+  const group = find(
+    resources,
+    service.team,
+    'backendServerGroup',
+    service.spec.backendServerGroup,
+  );
+  if (group?.kind !== 'backendServerGroup') return undefined;
+  return combine(route, service, cls, group);
+}
