--- /dev/null
+++ b/packages/node/src/calls/call-leg.ts
@@ -0,0 +1,71 @@
+/** The two sides of one try of a call, whatever lies between them. */
+
+import type {
+  FailureReason,
+  FlatHeaders,
+  Outcome,
+  ServerLoad,
+} from '@turmericmill/wire';
+
+/** Bytes of a body that may be under way before the receiver grants more. */
+export const INITIAL_WINDOW_BYTES = 256 * 1024;
+
+/** What a call asks for, apart from its body. */
+export interface CallHead {
+  serverId: string;
+  serverIncarnation: number;
+  group: string;
+  method: string;
+  path: string;
+  headers: FlatHeaders;
+  customer: string;
+  class: string;
+  priority: 'interactive' | 'bulk';
+  /** Time in ms since the epoch, by this host's clock. */
+  deadlineMs: number;
+  hops: number;
+  fingerprint: string;
+}
+
+/** Why a try brought no answer, and whether the request may have run. */
+export interface CallFailure {
+  outcome: Outcome;
+  reason: FailureReason;
+  detail: string;
+  load: ServerLoad;
+}
+
+/** The load to report when nothing is known. */
+export const NO_LOAD: Readonly<ServerLoad> = {inFlight: 0, queued: 0, limit: 0};
+
+/** What the caller's side hears; nothing after `answerEnd` or `failed`. */
+export interface CallEvents {
+  /** `bytes` more of the request's body may be sent. */
+  credit(bytes: number): void;
+  answerStart(status: number, headers: FlatHeaders, load: ServerLoad): void;
+  answerData(chunk: Uint8Array): void;
+  answerEnd(trailers: FlatHeaders): void;
+  failed(failure: CallFailure): void;
+}
+
+/** The caller's side's hold on a running try. */
+export interface CallLeg {
+  data(chunk: Uint8Array): void;
+  end(trailers: FlatHeaders): void;
+  /** `bytes` more of the answer's body may be sent. */
+  credit(bytes: number): void;
+  /** Ends the try; no event follows. */
+  cancel(): void;
+}
+
+/** The body as far as it is known when a call starts. */
+export interface FirstBody {
+  chunk: Uint8Array;
+  /** True when the chunk is the whole body. */
+  end: boolean;
+}
+
+/** Runs calls on backend servers. */
+export abstract class CallRunner {
+  abstract run(head: CallHead, body: FirstBody, events: CallEvents): CallLeg;
+}
--- /dev/null
+++ b/packages/node/src/calls/headers.ts
@@ -0,0 +1,45 @@
+/** Headers as flat lists, and which of them concern one connection only. */
+
+import type {FlatHeaders} from '@turmericmill/wire';
+
+const HOP_BY_HOP: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'transfer-encoding',
+  'upgrade',
+  'expect',
+]);
+
+/** The headers without those of the connection that brought them. */
+export function endToEndHeaders(headers: FlatHeaders): FlatHeaders {
+  const dropped = new Set(connectionOptions(headers));
+  const kept: FlatHeaders = [];
+  for (let i = 0; i + 1 < headers.length; i += 2) {
+    const name = headers[i] as string;
+    const lower = name.toLowerCase();
+    if (HOP_BY_HOP.has(lower) || dropped.has(lower)) continue;
+    kept.push(name, headers[i + 1] as string);
+  }
+  return kept;
+}
+
+/** Flattens raw headers, which may hold Latin-1 bytes. */
+export function flatten(raw: readonly (Buffer | string)[]): FlatHeaders {
+  return raw.map(item =>
+    typeof item === 'string' ? item : item.toString('latin1'),
+  );
+}
+
+function connectionOptions(headers: FlatHeaders): string[] {
+  const options: string[] = [];
+  for (let i = 0; i + 1 < headers.length; i += 2) {
+    if (headers[i]?.toLowerCase() !== 'connection') continue;
+    const names = (headers[i + 1] ?? '').split(',');
+    options.push(...names.map(name => name.trim().toLowerCase()));
+  }
+  return options;
+}
--- /dev/null
+++ b/packages/node/src/calls/remote-runner.ts
@@ -0,0 +1,124 @@
+/** Runs calls on backend servers beside other nodes. */
+
+import type {Clock} from '@turmericmill/utils';
+import type {MessageName, MessageOf} from '@turmericmill/wire';
+
+import type {Bus, Peer} from '../bus.js';
+import {
+  NO_LOAD,
+  type CallEvents,
+  type CallHead,
+  type CallLeg,
+  type FirstBody,
+} from './call-leg.js';
+
+interface PendingCall {
+  nodeId: string;
+  events: CallEvents;
+}
+
+/** Sends calls to other nodes and hands their answers to the right call. */
+export class RemoteRunner {
+  private readonly pending = new Map<number, PendingCall>();
+  private nextCallId = 1;
+
+  constructor(
+    private readonly bus: Bus,
+    private readonly clock: Clock,
+  ) {
+    bus.onPeerMessage('answerStart', ({body, peer}) => {
+      const call = this.find(body.callId, peer);
+      call?.events.answerStart(body.status, body.headers, body.load);
+      if (body.body.length > 0) call?.events.answerData(body.body);
+      if (body.end) this.finish(body.callId, peer)?.events.answerEnd([]);
+    });
+    bus.onPeerMessage('answerData', ({body, peer}) => {
+      const call = this.find(body.callId, peer);
+      if (body.chunk.length > 0) call?.events.answerData(body.chunk);
+      if (body.end) {
+        this.finish(body.callId, peer)?.events.answerEnd(body.trailers);
+      }
+    });
+    bus.onPeerMessage('callWindow', ({body, peer}) => {
+      this.find(body.callId, peer)?.events.credit(body.bytes);
+    });
+    bus.onPeerMessage('answerFailed', ({body, peer}) => {
+      const {callId, ...failure} = body;
+      this.finish(callId, peer)?.events.failed(failure);
+    });
+    bus.subscribe('peer-lost', ({nodeId, opened}) => {
+      this.failAll(nodeId, opened);
+    });
+  }
+
+  run(
+    nodeId: string,
+    head: CallHead,
+    body: FirstBody,
+    events: CallEvents,
+  ): CallLeg {
+    const callId = this.nextCallId;
+    this.nextCallId += 1;
+    this.pending.set(callId, {nodeId, events});
+    const {deadlineMs, ...rest} = head;
+    const remainingMs = deadlineMs - this.clock.now();
+    this.send(nodeId, {
+      type: 'callStart',
+      body: {...rest, callId, remainingMs, end: body.end, body: body.chunk},
+    });
+    return this.legOf(nodeId, callId);
+  }
+
+  private legOf(nodeId: string, callId: number): CallLeg {
+    const send = <K extends MessageName>(message: MessageOf<K>) => {
+      if (this.pending.has(callId)) this.send(nodeId, message);
+    };
+    return {
+      data: chunk => {
+        const body = {callId, chunk, end: false, trailers: []};
+        send({type: 'callData', body});
+      },
+      end: trailers => {
+        const body = {callId, chunk: new Uint8Array(), end: true, trailers};
+        send({type: 'callData', body});
+      },
+      credit: bytes => send({type: 'answerWindow', body: {callId, bytes}}),
+      cancel: () => {
+        send({type: 'callCancel', body: {callId}});
+        this.pending.delete(callId);
+      },
+    };
+  }
+
+  private send<K extends MessageName>(
+    nodeId: string,
+    message: MessageOf<K>,
+  ): void {
+    this.bus.publish('send-peer', {nodeId, message: message as never});
+  }
+
+  /** An answer counts only when it comes from the node that was asked. */
+  private find(callId: number, peer: Peer): PendingCall | undefined {
+    const call = this.pending.get(callId);
+    return call?.nodeId === peer.nodeId ? call : undefined;
+  }
+
+  private finish(callId: number, peer: Peer): PendingCall | undefined {
+    const call = this.find(callId, peer);
+    if (call) this.pending.delete(callId);
+    return call;
+  }
+
+  private failAll(nodeId: string, opened: boolean): void {
+    for (const [callId, call] of [...this.pending]) {
+      if (call.nodeId !== nodeId) continue;
+      this.pending.delete(callId);
+      call.events.failed({
+        outcome: opened ? 'unknown' : 'not-run',
+        reason: 'connection-lost',
+        detail: `The connection to node ${nodeId} was lost.`,
+        load: {...NO_LOAD},
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/node/src/calls/server-exchange.ts
@@ -0,0 +1,173 @@
+/** One HTTP exchange with a backend server. */
+
+import {Readable} from 'node:stream';
+
+import type {FlatHeaders, ServerLoad} from '@turmericmill/wire';
+import type {Dispatcher} from 'undici';
+
+import {
+  INITIAL_WINDOW_BYTES,
+  type CallEvents,
+  type CallFailure,
+  type CallHead,
+  type CallLeg,
+  type FirstBody,
+} from './call-leg.js';
+import {endToEndHeaders, flatten} from './headers.js';
+
+/** What an exchange needs of its surroundings. */
+export interface ExchangeHooks {
+  load(): ServerLoad;
+  /** Called once, when the exchange no longer holds a slot. */
+  ended(): void;
+}
+
+type Controller = Dispatcher.DispatchController;
+
+/** Sends the request, streams both bodies, keeps to the windows. */
+export class ServerExchange implements CallLeg {
+  private controller: Controller | undefined;
+  private requestBody: Readable | undefined;
+  private started = false;
+  private done = false;
+  private window = INITIAL_WINDOW_BYTES;
+  private readonly timer: NodeJS.Timeout;
+
+  constructor(
+    dispatcher: Dispatcher,
+    head: CallHead,
+    body: FirstBody,
+    private readonly events: CallEvents,
+    private readonly hooks: ExchangeHooks,
+  ) {
+    const remainingMs = Math.max(0, head.deadlineMs - Date.now());
+    this.timer = setTimeout(() => this.expire(), remainingMs);
+    dispatcher.dispatch(
+      {
+        method: head.method as Dispatcher.HttpMethod,
+        path: head.path,
+        headers: endToEndHeaders(head.headers),
+        body: this.bodyOf(body),
+      },
+      {
+        onRequestStart: controller => this.start(controller),
+        onResponseStart: (controller, status) => {
+          this.answerStart(controller, status);
+        },
+        onResponseData: (unused, chunk) => this.answerData(chunk),
+        onResponseEnd: controller => this.answerEnd(controller),
+        onResponseError: (unused, err) => this.fail(err),
+      },
+    );
+  }
+
+  data(chunk: Uint8Array): void {
+    this.requestBody?.push(chunk);
+  }
+
+  end(unusedTrailers: FlatHeaders): void {
+    this.requestBody?.push(null);
+  }
+
+  credit(bytes: number): void {
+    const wasShut = this.window <= 0;
+    this.window += bytes;
+    if (wasShut && this.window > 0) this.controller?.resume();
+  }
+
+  cancel(): void {
+    if (this.done) return;
+    this.finish();
+    this.abort('The caller left.');
+  }
+
+  /** A body known in whole is sent as it is; else it is streamed. */
+  private bodyOf({chunk, end}: FirstBody): Uint8Array | Readable | null {
+    if (end) return chunk.length > 0 ? chunk : null;
+    let unread = 0;
+    const stream = new Readable({
+      highWaterMark: INITIAL_WINDOW_BYTES,
+      read: () => {
+        if (unread > 0) this.events.credit(unread);
+        unread = 0;
+      },
+    });
+    const push = stream.push.bind(stream);
+    stream.push = (part: Uint8Array | null, ...rest) => {
+      if (part) unread += part.length;
+      const more = push(part, ...rest);
+      if (more && unread > 0) {
+        this.events.credit(unread);
+        unread = 0;
+      }
+      return more;
+    };
+    if (chunk.length > 0) push(chunk);
+    this.requestBody = stream;
+    return stream;
+  }
+
+  private start(controller: Controller): void {
+    this.controller = controller;
+    this.started = true;
+    if (this.done) this.abort('The call has ended.');
+  }
+
+  private answerStart(controller: Controller, status: number): void {
+    if (this.done || status < 200) return;
+    const raw = controller.rawHeaders as Buffer[];
+    const headers = endToEndHeaders(flatten(raw));
+    this.events.answerStart(status, headers, this.hooks.load());
+  }
+
+  private answerData(chunk: Buffer): void {
+    if (this.done) return;
+    this.window -= chunk.length;
+    if (this.window <= 0) this.controller?.pause();
+    this.events.answerData(chunk);
+  }
+
+  private answerEnd(controller: Controller): void {
+    if (this.done) return;
+    this.finish();
+    const raw = (controller.rawTrailers ?? []) as Buffer[];
+    this.events.answerEnd(flatten(raw));
+  }
+
+  /** Without a connection nothing was sent; after that, all is possible. */
+  private fail(err: Error): void {
+    if (this.done) return;
+    this.finish();
+    const failure: CallFailure = this.started
+      ? this.failure('unknown', 'server-failed', err.message)
+      : this.failure('not-run', 'server-unreachable', err.message);
+    this.events.failed(failure);
+  }
+
+  private expire(): void {
+    if (this.done) return;
+    const outcome = this.started ? 'unknown' : 'not-run';
+    this.finish();
+    this.abort('The deadline passed.');
+    this.events.failed(this.failure(outcome, 'deadline', 'Deadline passed.'));
+  }
+
+  private failure(
+    outcome: CallFailure['outcome'],
+    reason: CallFailure['reason'],
+    detail: string,
+  ): CallFailure {
+    return {outcome, reason, detail, load: this.hooks.load()};
+  }
+
+  private abort(message: string): void {
+    this.requestBody?.destroy();
+    this.controller?.abort(new Error(message));
+  }
+
+  private finish(): void {
+    this.done = true;
+    clearTimeout(this.timer);
+    this.hooks.ended();
+  }
+}
--- /dev/null
+++ b/packages/node/src/transport/peer-connection.ts
@@ -0,0 +1,188 @@
+/** One TCP connection between two nodes: handshake, frames, heartbeats. */
+
+import type {Socket} from 'node:net';
+
+import {
+  encodeFrame,
+  FrameReader,
+  MAX_PROTOCOL_VERSION,
+  MIN_PROTOCOL_VERSION,
+  type GoodbyeReason,
+  type Hello,
+  type Message,
+} from '@turmericmill/wire';
+
+import type {Peer} from '../bus.js';
+
+/** Interval in ms between heartbeats. */
+export const HEARTBEAT_INTERVAL_MS = 1000;
+/** A connection that brought nothing for this long in ms is replaced. */
+export const SILENCE_TIMEOUT_MS = 3000;
+/** Frames kept in bytes until the handshake is done. */
+const MAX_UNSENT_BYTES = 16 * 1024 * 1024;
+
+/** What a connection tells its owner. */
+export interface ConnectionEvents {
+  opened(connection: PeerConnection): void;
+  message(connection: PeerConnection, message: Message): void;
+  closed(connection: PeerConnection, reason: string): void;
+}
+
+/** Exact counts of bytes on control messages and on calls. */
+export interface TrafficCounts {
+  controlBytesOut: number;
+  callBytesOut: number;
+  messagesOut: number;
+}
+
+const CALL_TYPES: ReadonlySet<string> = new Set([
+  'callStart',
+  'callData',
+  'callWindow',
+  'callCancel',
+  'answerStart',
+  'answerData',
+  'answerWindow',
+  'answerFailed',
+]);
+
+/** A connection; `peer` is known once the other side's hello has arrived. */
+export class PeerConnection {
+  peer: Peer | undefined;
+  /** Called when the connection ends before the handshake was done. */
+  onceFailed: (() => void) | undefined;
+  private readonly reader = new FrameReader();
+  private unsent: Buffer[] = [];
+  private unsentBytes = 0;
+  private corked = false;
+  private closed = false;
+  private silentAtMs: number;
+  private nonce = 0;
+
+  constructor(
+    private readonly socket: Socket,
+    own: Hello,
+    private readonly events: ConnectionEvents,
+    private readonly counts: TrafficCounts,
+    nowMs: number,
+  ) {
+    this.silentAtMs = nowMs + SILENCE_TIMEOUT_MS;
+    socket.setNoDelay(true);
+    socket.on('data', chunk => this.receive(chunk));
+    socket.on('error', err => this.finish(err.message));
+    socket.on('close', () => this.finish('closed'));
+    this.write(encodeFrame({type: 'hello', body: own}));
+  }
+
+  /** Queues a message until the handshake is done, then sends it. */
+  send(message: Message): void {
+    if (this.closed) return;
+    const frame = encodeFrame(message);
+    this.count(message, frame.length);
+    if (this.peer) {
+      this.write(frame);
+      return;
+    }
+    this.unsent.push(frame);
+    this.unsentBytes += frame.length;
+    if (this.unsentBytes > MAX_UNSENT_BYTES) this.close('overload', 'No hello');
+  }
+
+  /** Sends a heartbeat and finds out whether the other side went silent. */
+  heartbeat(nowMs: number): void {
+    if (nowMs > this.silentAtMs) {
+      this.socket.destroy();
+      this.finish('silent');
+      return;
+    }
+    this.nonce += 1;
+    if (this.peer) this.send({type: 'ping', body: {nonce: this.nonce}});
+  }
+
+  /** Notes that something arrived, by the owner's clock. */
+  heard(nowMs: number): void {
+    this.silentAtMs = nowMs + SILENCE_TIMEOUT_MS;
+  }
+
+  /** Says why and closes once all is sent. */
+  close(reason: GoodbyeReason, detail: string): void {
+    if (this.closed) return;
+    this.write(encodeFrame({type: 'goodbye', body: {reason, detail}}));
+    this.socket.end();
+    this.finish(`${reason}: ${detail}`);
+  }
+
+  private receive(chunk: Buffer): void {
+    if (this.closed) return;
+    const messages = this.reader.push(chunk);
+    if (messages.isErr()) {
+      this.close('malformed', messages.error.message);
+      return;
+    }
+    for (const message of messages.value) this.take(message);
+  }
+
+  private take(message: Message): void {
+    if (this.closed) return;
+    if (!this.peer) {
+      this.greet(message);
+    } else if (message.type === 'ping') {
+      this.send({type: 'pong', body: message.body});
+      this.events.message(this, message);
+    } else if (message.type === 'goodbye') {
+      this.socket.end();
+      this.finish(`goodbye: ${message.body.reason}: ${message.body.detail}`);
+    } else {
+      this.events.message(this, message);
+    }
+  }
+
+  private greet(message: Message): void {
+    if (message.type === 'goodbye') {
+      this.socket.end();
+      this.finish(`refused: ${message.body.reason}: ${message.body.detail}`);
+      return;
+    }
+    if (message.type !== 'hello') {
+      this.close('malformed', `Got ${message.type} before hello.`);
+      return;
+    }
+    const {minVersion, maxVersion, ...peer} = message.body;
+    if (minVersion > MAX_PROTOCOL_VERSION || maxVersion < MIN_PROTOCOL_VERSION) {
+      const range = `${MIN_PROTOCOL_VERSION} to ${MAX_PROTOCOL_VERSION}`;
+      this.close('version', `This node speaks versions ${range}.`);
+      return;
+    }
+    this.peer = peer;
+    for (const frame of this.unsent) this.write(frame);
+    this.unsent = [];
+    this.events.opened(this);
+  }
+
+  /** Frames of one turn of the event loop leave in one segment. */
+  private write(frame: Buffer): void {
+    if (!this.corked) {
+      this.corked = true;
+      this.socket.cork();
+      process.nextTick(() => {
+        this.corked = false;
+        this.socket.uncork();
+      });
+    }
+    this.socket.write(frame);
+  }
+
+  private count(message: Message, bytes: number): void {
+    this.counts.messagesOut += 1;
+    if (CALL_TYPES.has(message.type)) this.counts.callBytesOut += bytes;
+    else this.counts.controlBytesOut += bytes;
+  }
+
+  private finish(reason: string): void {
+    if (this.closed) return;
+    this.closed = true;
+    this.unsent = [];
+    this.events.closed(this, reason);
+    if (!this.peer) this.onceFailed?.();
+  }
+}
--- /dev/null
+++ b/packages/node/src/transport/transport-task.ts
@@ -0,0 +1,224 @@
+/** Owns the node's TCP and UDP sockets towards other nodes. */
+
+import {createSocket, type Socket as UdpSocket} from 'node:dgram';
+import {connect, createServer, type AddressInfo, type Socket} from 'node:net';
+
+import type {Clock} from '@turmericmill/utils';
+import {
+  decodeMessage,
+  encodeMessage,
+  type Hello,
+  type MemberRecord,
+  type Message,
+} from '@turmericmill/wire';
+import type Logger from 'bunyan';
+
+import type {Bus, Peer} from '../bus.js';
+import {Task} from '../task.js';
+import {
+  HEARTBEAT_INTERVAL_MS,
+  PeerConnection,
+  type ConnectionEvents,
+  type TrafficCounts,
+} from './peer-connection.js';
+
+/** What the transport needs to know of its node. */
+export interface TransportOptions {
+  /** IP number and port for TCP and UDP; port 0 picks a free one. */
+  address: string;
+  port: number;
+  hello: Hello;
+}
+
+/** Sends and receives messages; one connection for each other node. */
+export class TransportTask extends Task implements ConnectionEvents {
+  readonly counts: TrafficCounts = {
+    controlBytesOut: 0,
+    callBytesOut: 0,
+    messagesOut: 0,
+  };
+  /** The port in use, once started. */
+  port = 0;
+  private readonly server = createServer(socket => this.accept(socket));
+  private readonly udp: UdpSocket = createSocket('udp4');
+  private readonly connections = new Set<PeerConnection>();
+  private readonly byNode = new Map<string, PeerConnection>();
+  private readonly byAddress = new Map<string, PeerConnection>();
+  private members = new Map<string, MemberRecord>();
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly options: TransportOptions,
+    private readonly bus: Bus,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+  ) {
+    super();
+    bus.subscribe('send-peer', ({nodeId, incarnation, message}) => {
+      this.sendPeer(nodeId, message, incarnation);
+    });
+    bus.subscribe('send-address', ({address, port, message}) => {
+      this.connectTo(address, port).send(message);
+    });
+    bus.subscribe('send-datagram', ({address, port, message}) => {
+      this.sendDatagram(address, port, message);
+    });
+    bus.subscribe('view-changed', ({members}) => {
+      this.members = new Map(members.map(member => [member.id, member]));
+    });
+  }
+
+  override async start(): Promise<void> {
+    const {address, port} = this.options;
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, address, resolve);
+    });
+    this.port = (this.server.address() as AddressInfo).port;
+    await new Promise<void>((resolve, reject) => {
+      this.udp.once('error', reject);
+      this.udp.bind(this.port, address, resolve);
+    });
+    this.udp.on('error', err => this.logger.warn({err}, 'datagram error'));
+    this.udp.on('message', (payload, from) => {
+      const message = decodeMessage(payload);
+      if (message.isErr()) {
+        this.logger.warn({from, err: message.error}, 'malformed datagram');
+        return;
+      }
+      this.bus.publish('datagram', {
+        address: from.address,
+        port: from.port,
+        message: message.value,
+      });
+    });
+    this.timer = setInterval(() => this.heartbeat(), HEARTBEAT_INTERVAL_MS);
+  }
+
+  override async stop(): Promise<void> {
+    clearInterval(this.timer);
+    for (const connection of [...this.connections]) {
+      connection.close('shutdown', 'The node is stopping.');
+    }
+    await new Promise<void>(resolve => this.udp.close(() => resolve()));
+    await new Promise(resolve => this.server.close(resolve));
+  }
+
+  opened(connection: PeerConnection): void {
+    const {peer} = connection;
+    if (!peer) return;
+    const known = this.byNode.get(peer.nodeId)?.peer;
+    if (known && known.incarnation > peer.incarnation) {
+      connection.close('unexpected', 'A later incarnation is connected.');
+      return;
+    }
+    this.byNode.set(peer.nodeId, connection);
+    this.logger.debug({peer}, 'peer connected');
+  }
+
+  message(connection: PeerConnection, message: Message): void {
+    connection.heard(this.clock.now());
+    if (connection.peer) this.bus.publishPeerMessage(connection.peer, message);
+  }
+
+  closed(connection: PeerConnection, reason: string): void {
+    this.connections.delete(connection);
+    for (const [key, value] of this.byAddress) {
+      if (value === connection) this.byAddress.delete(key);
+    }
+    const {peer} = connection;
+    if (!peer) return;
+    const {nodeId} = peer;
+    this.logger.info({nodeId, reason}, 'peer connection closed');
+    this.closeTwins(peer);
+    const current = this.byNode.get(nodeId)?.peer;
+    if (current?.incarnation === peer.incarnation) this.byNode.delete(nodeId);
+    this.bus.publish('peer-lost', {nodeId, opened: true});
+  }
+
+  /**
+   * Two nodes that connect to each other at once hold two connections, and
+   * calls may have gone over either: they end together, so that no call waits
+   * for an answer that cannot come.
+   */
+  private closeTwins(lost: Peer): void {
+    for (const connection of [...this.connections]) {
+      const {peer} = connection;
+      if (peer?.nodeId !== lost.nodeId) continue;
+      if (peer.incarnation !== lost.incarnation) continue;
+      connection.close('unexpected', 'Its twin connection was lost.');
+    }
+  }
+
+  private accept(socket: Socket): void {
+    this.adopt(socket);
+  }
+
+  private adopt(socket: Socket): PeerConnection {
+    const {hello} = this.options;
+    const now = this.clock.now();
+    const connection = new PeerConnection(
+      socket,
+      hello,
+      this,
+      this.counts,
+      now,
+    );
+    this.connections.add(connection);
+    return connection;
+  }
+
+  private sendPeer(
+    nodeId: string,
+    message: Message,
+    incarnation?: number,
+  ): void {
+    const open = this.byNode.get(nodeId);
+    if (incarnation !== undefined && open?.peer?.incarnation !== incarnation) {
+      return;
+    }
+    if (open) {
+      open.send(message);
+      return;
+    }
+    const member = this.members.get(nodeId);
+    if (!member) {
+      this.bus.publish('peer-lost', {nodeId, opened: false});
+      return;
+    }
+    this.connectTo(member.address, member.port, nodeId).send(message);
+  }
+
+  private connectTo(
+    address: string,
+    port: number,
+    nodeId?: string,
+  ): PeerConnection {
+    const key = `${address}:${port}`;
+    const open = this.byAddress.get(key);
+    if (open) return open;
+    const connection = this.adopt(connect(port, address));
+    this.byAddress.set(key, connection);
+    if (nodeId !== undefined) this.expectPeer(connection, nodeId);
+    return connection;
+  }
+
+  /** A connection that fails before its hello is lost for its node, too. */
+  private expectPeer(connection: PeerConnection, nodeId: string): void {
+    connection.onceFailed = () => {
+      this.bus.publish('peer-lost', {nodeId, opened: false});
+    };
+  }
+
+  private sendDatagram(address: string, port: number, message: Message): void {
+    const payload = encodeMessage(message);
+    this.counts.messagesOut += 1;
+    this.counts.controlBytesOut += payload.length;
+    this.udp.send(payload, port, address);
+  }
+
+  private heartbeat(): void {
+    const now = this.clock.now();
+    for (const connection of [...this.connections]) connection.heartbeat(now);
+  }
+}
