--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,2 +1,2 @@
-/** The node binary: sockets, tasks, settings, wiring. */
-export {};
+/** The node: sockets, tasks, settings, wiring. */
+export * from './settings/index.js';
