--- a/packages/node/src/bus.ts
+++ b/packages/node/src/bus.ts
@@ -36,7 +36,7 @@
    */
   'peer-lost': {nodeId: string; opened: boolean};
   /** From transport: a datagram arrived. */
-  'datagram': {address: string; port: number; message: Message};
+  datagram: {address: string; port: number; message: Message};
   /** To transport. */
   'send-datagram': {address: string; port: number; message: Message};
   /**
@@ -53,7 +53,7 @@
   /** From announce: the backend servers beside this node. */
   'local-servers': {servers: readonly LocalServer[]};
   /** From administration: start or end the drain of a local server. */
-  'drain': {serverId: string; draining: boolean};
+  drain: {serverId: string; draining: boolean};
 }
 
 export type TopicName = keyof Topics;
--- /dev/null
+++ b/packages/node/src/calls/caller-exchange.ts
@@ -0,0 +1,143 @@
+/** One call as its caller sees it: request in, answer or refusal out. */
+
+import type {IncomingMessage, ServerResponse} from 'node:http';
+
+import type {FlatHeaders, ServerLoad} from '@turmericmill/wire';
+
+import type {CallEvents, CallFailure, CallLeg, FirstBody} from './call-leg.js';
+import {endToEndHeaders} from './headers.js';
+import {refusalStatus} from './refusal.js';
+import {RequestBody} from './request-body.js';
+
+/** Header that tells whether a failed call may have run. */
+export const OUTCOME_HEADER = 'x-turmericmill-outcome';
+/** Header that tells why a call was refused. */
+export const REASON_HEADER = 'x-turmericmill-reason';
+/** Bytes of an answer that are written before more are granted. */
+const CREDIT_STEP_BYTES = 64 * 1024;
+
+/** How a try ended for the caller's side. */
+export type TryEnd =
+  | {kind: 'answered'; status: number; load: ServerLoad}
+  | {kind: 'failed'; failure: CallFailure}
+  | {kind: 'cut'; failure: CallFailure}
+  | {kind: 'left'};
+
+/** Joins the caller's request and response to one try after the other. */
+export class CallerExchange {
+  private readonly body: RequestBody;
+  private leg: CallLeg | undefined;
+  private answered = false;
+  private left = false;
+  private streaming = false;
+
+  constructor(
+    readonly req: IncomingMessage,
+    private readonly res: ServerResponse,
+  ) {
+    this.body = new RequestBody(req);
+  }
+
+  firstBody(): Promise<FirstBody> {
+    return this.body.first();
+  }
+
+  /** True while nothing of the answer went out and the body can be resent. */
+  get canRetry(): boolean {
+    return !this.answered && !this.left && !this.streaming;
+  }
+
+  /** Runs one try; resolves when it has ended. */
+  runTry(
+    first: FirstBody,
+    start: (events: CallEvents) => CallLeg,
+  ): Promise<TryEnd> {
+    return new Promise(resolve => {
+      const events = this.eventsOf(resolve);
+      const onClose = () => {
+        if (this.res.writableFinished) return;
+        this.left = true;
+        this.leg?.cancel();
+        resolve({kind: 'left'});
+      };
+      if (this.res.destroyed) {
+        onClose();
+        return;
+      }
+      this.res.once('close', onClose);
+      const leg = start(events);
+      this.leg = leg;
+      if (first.end) return;
+      this.streaming = true;
+      this.body.streamTo(leg);
+    });
+  }
+
+  /** Answers the caller that the call was refused or its outcome is open. */
+  refuse(failure: CallFailure): void {
+    if (this.left || this.res.headersSent) return;
+    const text = JSON.stringify({
+      error: {
+        code: failure.reason,
+        outcome: failure.outcome,
+        message: failure.detail,
+      },
+    });
+    this.res.writeHead(refusalStatus(failure), {
+      'content-type': 'application/json',
+      'content-length': Buffer.byteLength(text),
+      [OUTCOME_HEADER]: failure.outcome,
+      [REASON_HEADER]: failure.reason,
+    });
+    this.res.end(text);
+  }
+
+  private eventsOf(resolve: (end: TryEnd) => void): CallEvents {
+    let status = 0;
+    let load: ServerLoad;
+    let uncredited = 0;
+    return {
+      credit: bytes => this.body.credit(bytes),
+      answerStart: (code, headers, serverLoad) => {
+        status = code;
+        load = serverLoad;
+        this.answerStart(code, headers);
+      },
+      answerData: chunk => {
+        this.res.write(chunk, () => {
+          uncredited += chunk.length;
+          if (uncredited < CREDIT_STEP_BYTES) return;
+          this.leg?.credit(uncredited);
+          uncredited = 0;
+        });
+      },
+      answerEnd: trailers => {
+        this.answerEnd(trailers);
+        resolve({kind: 'answered', status, load});
+      },
+      failed: failure => {
+        if (!this.answered) {
+          resolve({kind: 'failed', failure});
+          return;
+        }
+        // A caller must not take part of an answer for the whole.
+        this.res.destroy();
+        resolve({kind: 'cut', failure});
+      },
+    };
+  }
+
+  private answerStart(status: number, headers: FlatHeaders): void {
+    this.answered = true;
+    this.res.writeHead(status, endToEndHeaders(headers));
+  }
+
+  private answerEnd(trailers: FlatHeaders): void {
+    for (let i = 0; i + 1 < trailers.length; i += 2) {
+      this.res.addTrailers([
+        [trailers[i] as string, trailers[i + 1] as string],
+      ]);
+    }
+    this.res.end();
+  }
+}
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,2 +1,3 @@
 /** The node: sockets, tasks, settings, wiring. */
 export * from './settings/index.js';
+export {Node, type NodePorts} from './node.js';
--- /dev/null
+++ b/packages/node/src/node.ts
@@ -0,0 +1,139 @@
+/** One node: its tasks, wired together. */
+
+import {HttpLogClient} from '@turmericmill/platform';
+import {RoundRobinBalancer} from '@turmericmill/routing';
+import {SystemClock, SystemRandom} from '@turmericmill/utils';
+import type {MemberRecord} from '@turmericmill/wire';
+import {MAX_PROTOCOL_VERSION, MIN_PROTOCOL_VERSION} from '@turmericmill/wire';
+import type Logger from 'bunyan';
+
+import {Bus} from './bus.js';
+import {CandidateIndex} from './calls/candidate-index.js';
+import {Dispatcher} from './calls/dispatcher.js';
+import {IncomingCalls} from './calls/incoming-calls.js';
+import {LocalRunner} from './calls/local-runner.js';
+import {RemoteRunner} from './calls/remote-runner.js';
+import type {NodeSettings} from './settings/index.js';
+import {AnnounceTask} from './tasks/announce-task.js';
+import {ConfigTask} from './tasks/config-task.js';
+import {IngressTask} from './tasks/ingress-task.js';
+import {MembershipTask} from './tasks/membership-task.js';
+import {TransportTask} from './transport/transport-task.js';
+
+/** Ports in use, for those settings that left the choice to the platform. */
+export interface NodePorts {
+  mesh: number;
+  calls: number;
+  announce: number;
+  admin: number;
+}
+
+/** A running node. */
+export class Node {
+  readonly bus = new Bus();
+  readonly transport: TransportTask;
+  readonly announce: AnnounceTask;
+  readonly config: ConfigTask;
+  readonly ingress: IngressTask;
+  readonly local: LocalRunner;
+  private membership: MembershipTask | undefined;
+  private readonly log: HttpLogClient;
+  private readonly clock = new SystemClock();
+  private readonly random = new SystemRandom();
+  private readonly incarnation = this.clock.now();
+  private candidates = new CandidateIndex();
+
+  constructor(
+    private readonly settings: NodeSettings,
+    logger: Logger,
+  ) {
+    const {bus, clock, random} = this;
+    const {nodeId, dataCentre, region} = settings;
+    this.log = new HttpLogClient(settings.log);
+    const hello = {
+      minVersion: MIN_PROTOCOL_VERSION,
+      maxVersion: MAX_PROTOCOL_VERSION,
+      nodeId,
+      incarnation: this.incarnation,
+      dataCentre,
+      region,
+    };
+    const mesh = {...settings.mesh, hello};
+    this.transport = new TransportTask(mesh, bus, clock, logger);
+    this.announce = new AnnounceTask(settings.announce, bus, clock, logger);
+    this.config = new ConfigTask(this.log, bus, random, logger);
+    this.local = new LocalRunner(bus);
+    new IncomingCalls(bus, this.local, clock);
+    bus.subscribe('view-changed', ({members}) => {
+      this.candidates = new CandidateIndex(members);
+    });
+    const dispatcher = new Dispatcher({
+      nodeId,
+      local: this.local,
+      remote: new RemoteRunner(bus, clock),
+      balancer: new RoundRobinBalancer(),
+      clock,
+      random,
+      candidates: group => this.candidates.ofGroup(group),
+    });
+    this.ingress = new IngressTask(
+      settings.calls,
+      settings.limits,
+      dispatcher,
+      bus,
+      clock,
+      logger,
+    );
+  }
+
+  /** Starts all tasks; callers are served last. */
+  async start(): Promise<NodePorts> {
+    await this.transport.start();
+    await this.announce.start();
+    this.membership = new MembershipTask(
+      {self: this.ownRecord(), seeds: this.settings.seeds},
+      this.bus,
+      this.clock,
+    );
+    this.membership.start();
+    this.config.start();
+    await this.ingress.start();
+    return {
+      mesh: this.transport.port,
+      calls: this.ingress.port,
+      announce: this.announce.port,
+      admin: 0,
+    };
+  }
+
+  /** Ends calls in flight in good order, then all tasks. */
+  async stop(): Promise<void> {
+    const grace = setTimeout(
+      () => this.ingress.abort(),
+      this.settings.limits.shutdownGraceMs,
+    );
+    await this.ingress.stop();
+    clearTimeout(grace);
+    this.config.stop();
+    this.membership?.stop();
+    await this.announce.stop();
+    await this.transport.stop();
+    await this.local.close();
+    await this.log.close();
+  }
+
+  private ownRecord(): MemberRecord {
+    const {nodeId, dataCentre, region, mesh} = this.settings;
+    return {
+      id: nodeId,
+      incarnation: this.incarnation,
+      status: 'alive',
+      address: mesh.address,
+      port: this.transport.port,
+      dataCentre,
+      region,
+      servers: [],
+      revision: 0,
+    };
+  }
+}
--- /dev/null
+++ b/packages/node/src/tasks/ingress-task.ts
@@ -0,0 +1,163 @@
+/** Owns the HTTP socket at which callers' requests arrive. */
+
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+import type {MatchedRoute, RoutingTable} from '@turmericmill/routing';
+import {LatencyHistograms, type Clock} from '@turmericmill/utils';
+import type Logger from 'bunyan';
+
+import type {Bus} from '../bus.js';
+import {NO_LOAD, type CallFailure} from '../calls/call-leg.js';
+import {CallerExchange, type TryEnd} from '../calls/caller-exchange.js';
+import type {CallDemand, Dispatcher} from '../calls/dispatcher.js';
+import type {ListenAddress, NodeLimits} from '../settings/index.js';
+import {Task} from '../task.js';
+
+/** Names the customer on whose account a call is made. */
+const CUSTOMER_HEADER = 'x-customer';
+/** Customer of calls that name none. */
+const NO_CUSTOMER = 'none';
+
+/** Exact counts of calls by how they ended. */
+export interface CallCounts {
+  answered: number;
+  refused: number;
+  unknown: number;
+  left: number;
+}
+
+/** Takes callers' requests, matches routes, has them dispatched. */
+export class IngressTask extends Task {
+  readonly histograms = new LatencyHistograms();
+  readonly counts: CallCounts = {answered: 0, refused: 0, unknown: 0, left: 0};
+  port = 0;
+  private inFlight = 0;
+  private table: RoutingTable | undefined;
+  private readonly server;
+
+  constructor(
+    private readonly listen: ListenAddress,
+    limits: NodeLimits,
+    private readonly dispatcher: Dispatcher,
+    bus: Bus,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+  ) {
+    super();
+    this.server = createServer({maxHeaderSize: limits.maxHeaderBytes});
+    this.server.maxConnections = limits.maxCallerConnections;
+    this.server.requestTimeout = 0;
+    this.server.on('request', (req, res) => void this.serve(req, res));
+    this.server.on('checkContinue', (req, res) => {
+      res.writeContinue();
+      void this.serve(req, res);
+    });
+    bus.subscribe('config-in-force', ({table}) => {
+      this.table = table;
+    });
+  }
+
+  /** Calls of callers that have not ended. */
+  get callsInFlight(): number {
+    return this.inFlight;
+  }
+
+  override async start(): Promise<void> {
+    const {address, port} = this.listen;
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, address, resolve);
+    });
+    this.port = (this.server.address() as AddressInfo).port;
+  }
+
+  /** Takes no new connections; resolves when all calls have ended. */
+  override async stop(): Promise<void> {
+    const closed = new Promise(resolve => this.server.close(resolve));
+    this.server.closeIdleConnections();
+    await closed;
+  }
+
+  /** Ends all connections at once. */
+  abort(): void {
+    this.server.closeAllConnections();
+  }
+
+  private async serve(req: IncomingMessage, res: ServerResponse) {
+    const startedMs = performance.now();
+    const exchange = new CallerExchange(req, res);
+    const route = this.matchRoute(req);
+    if (!route) {
+      exchange.refuse(noRoute(this.table !== undefined));
+      return;
+    }
+    this.inFlight += 1;
+    const demand = this.demandOf(req, route);
+    const end = await this.run(exchange, route, demand);
+    this.inFlight -= 1;
+    this.note(end, demand, performance.now() - startedMs);
+    if (end.kind === 'failed') exchange.refuse(end.failure);
+  }
+
+  private async run(
+    exchange: CallerExchange,
+    route: MatchedRoute,
+    demand: CallDemand,
+  ): Promise<TryEnd> {
+    try {
+      const body = await exchange.firstBody();
+      return await this.dispatcher.dispatch(exchange, route, demand, body);
+    } catch (err) {
+      this.logger.debug({err, path: demand.path}, 'caller left');
+      return {kind: 'left'};
+    }
+  }
+
+  private matchRoute(req: IncomingMessage): MatchedRoute | undefined {
+    return this.table?.match({
+      host: req.headers.host ?? '',
+      method: req.method ?? 'GET',
+      path: req.url ?? '/',
+      headers: req.headers,
+    });
+  }
+
+  private demandOf(req: IncomingMessage, route: MatchedRoute): CallDemand {
+    const customer = req.headers[CUSTOMER_HEADER];
+    return {
+      group: route.group,
+      method: req.method ?? 'GET',
+      path: req.url ?? '/',
+      headers: req.rawHeaders,
+      customer: typeof customer === 'string' ? customer : NO_CUSTOMER,
+      class: route.class,
+      priority: route.priority,
+      deadlineMs: this.clock.now() + route.timeoutMs,
+      hops: 0,
+      fingerprint: '',
+    };
+  }
+
+  private note(end: TryEnd, demand: CallDemand, latencyMs: number): void {
+    if (end.kind === 'answered') this.counts.answered += 1;
+    else if (end.kind === 'left') this.counts.left += 1;
+    else if (end.failure.outcome === 'not-run') this.counts.refused += 1;
+    else this.counts.unknown += 1;
+    if (end.kind === 'left') return;
+    this.histograms.record(`customer/${demand.customer}`, latencyMs);
+    this.histograms.record(`class/${demand.class}`, latencyMs);
+  }
+}
+
+function noRoute(configured: boolean): CallFailure {
+  const detail = configured
+    ? 'No route takes this request.'
+    : 'No configuration is in force yet.';
+  const load = {...NO_LOAD};
+  return {outcome: 'not-run', reason: 'no-server', detail, load};
+}
--- a/packages/node/src/transport/peer-connection.ts
+++ b/packages/node/src/transport/peer-connection.ts
@@ -49,6 +49,8 @@
 /** A connection; `peer` is known once the other side's hello has arrived. */
 export class PeerConnection {
   peer: Peer | undefined;
+  /** The node that was meant; another one is refused. */
+  expectedNodeId: string | undefined;
   /** Called when the connection ends before the handshake was done. */
   onceFailed: (() => void) | undefined;
   private readonly reader = new FrameReader();
@@ -148,11 +150,19 @@
       return;
     }
     const {minVersion, maxVersion, ...peer} = message.body;
-    if (minVersion > MAX_PROTOCOL_VERSION || maxVersion < MIN_PROTOCOL_VERSION) {
+    if (
+      minVersion > MAX_PROTOCOL_VERSION ||
+      maxVersion < MIN_PROTOCOL_VERSION
+    ) {
       const range = `${MIN_PROTOCOL_VERSION} to ${MAX_PROTOCOL_VERSION}`;
       this.close('version', `This node speaks versions ${range}.`);
       return;
     }
+    const {expectedNodeId} = this;
+    if (expectedNodeId !== undefined && expectedNodeId !== peer.nodeId) {
+      this.close('unexpected', `Not ${expectedNodeId} but ${peer.nodeId}.`);
+      return;
+    }
     this.peer = peer;
     for (const frame of this.unsent) this.write(frame);
     this.unsent = [];
--- a/packages/node/src/transport/transport-task.ts
+++ b/packages/node/src/transport/transport-task.ts
@@ -205,6 +205,7 @@
 
   /** A connection that fails before its hello is lost for its node, too. */
   private expectPeer(connection: PeerConnection, nodeId: string): void {
+    connection.expectedNodeId = nodeId;
     connection.onceFailed = () => {
       this.bus.publish('peer-lost', {nodeId, opened: false});
     };
--- /dev/null
+++ b/packages/testkit/src/bench/overhead-bench.ts
@@ -0,0 +1,189 @@
+/** What the mesh adds to a call, against direct calls in the same run. */
+
+import {LatencyHistograms} from '@turmericmill/utils';
+import {Agent, request} from 'undici';
+
+import {BackendProcess} from '../launch/backend-process.js';
+import {cpuTimeMs} from '../launch/cpu-time.js';
+import {NodeProcess} from '../launch/node-process.js';
+import {LogServer} from '../log-service/log-server.js';
+import {
+  Bench,
+  numberOption,
+  numbersOption,
+  type BenchOptions,
+} from './bench.js';
+import {publishFiles, waitUntilServed} from './publish-files.js';
+
+/** Ways from the caller to the server that are compared. */
+type Way = 'direct' | 'oneHop' | 'twoHops';
+
+const WAYS: readonly Way[] = ['direct', 'oneHop', 'twoHops'];
+const GROUP = 'bench/echo';
+const WARM_UP_CALLS = 3000;
+
+const FILE_SET = JSON.stringify({
+  classes: [{name: 'interactive', priority: 'interactive'}],
+  backendServerGroups: [{name: 'echo', maxSlots: 1000, maxConnections: 256}],
+  services: [{name: 'echo', backendServerGroup: 'echo', timeoutMs: 5000}],
+  routes: [
+    {
+      name: 'echo',
+      match: {pathPrefix: '/'},
+      service: 'echo',
+      class: 'interactive',
+      repetition: 'repeatable',
+    },
+  ],
+});
+
+interface Setup {
+  log: LogServer;
+  nodes: NodeProcess[];
+  backend: BackendProcess;
+  urls: Record<Way, string>;
+}
+
+/** Calls by three ways in turn, at fixed rates and body sizes. */
+class OverheadBench extends Bench {
+  override readonly summary = 'Latency and processor time added to a call';
+  private readonly agent = new Agent({connections: 128, pipelining: 1});
+
+  override async run(options: BenchOptions): Promise<object> {
+    const rates = numbersOption(options, 'rates', [150, 600, 1500]);
+    const sizes = numbersOption(options, 'bytes', [0, 1024, 65536]);
+    const seconds = numberOption(options, 'seconds', 8);
+    const setup = await this.setUp();
+    const rows = [];
+    try {
+      await this.warmUp(setup.urls);
+      for (const bytes of sizes) {
+        for (const rate of rates) {
+          rows.push(await this.measure(setup, rate, bytes, seconds));
+        }
+      }
+    } finally {
+      await this.tearDown(setup);
+    }
+    return {bench: 'overhead', targetAddedP99Ms: 0.36, rows};
+  }
+
+  private async setUp(): Promise<Setup> {
+    const log = new LogServer();
+    const logUrl = await log.start();
+    const region = 'nairobi';
+    const beside = await NodeProcess.launch({
+      nodeId: 'beside',
+      dataCentre: 'nairobi-a',
+      region,
+      seeds: [],
+      logUrl,
+    });
+    const entry = await NodeProcess.launch({
+      nodeId: 'entry',
+      dataCentre: 'nairobi-b',
+      region,
+      seeds: [beside.meshAddress],
+      logUrl,
+    });
+    const backend = await BackendProcess.launch({
+      name: 'echo-1',
+      group: GROUP,
+      slots: 1000,
+      connections: 128,
+      announceUrl: beside.announceUrl,
+    });
+    await publishFiles(logUrl, 'bench', [{file: 'b.json', text: FILE_SET}]);
+    const urls = {
+      direct: backend.url,
+      oneHop: beside.callsUrl,
+      twoHops: entry.callsUrl,
+    };
+    await waitUntilServed([urls.oneHop, urls.twoHops], '/ready');
+    return {log, nodes: [beside, entry], backend, urls};
+  }
+
+  private async warmUp(urls: Record<Way, string>): Promise<void> {
+    for (let i = 0; i < WARM_UP_CALLS; i++) {
+      for (const way of WAYS) await this.call(urls[way], Buffer.alloc(256));
+    }
+  }
+
+  private async measure(
+    {nodes, urls}: Setup,
+    rate: number,
+    bytes: number,
+    seconds: number,
+  ): Promise<object> {
+    const histograms = new LatencyHistograms();
+    const body = Buffer.alloc(bytes, 'x');
+    const cpuBefore = nodes.map(node => cpuTimeMs(node.child.pid ?? 0));
+    const startMs = performance.now();
+    const calls = rate * seconds;
+    const running: Promise<void>[] = [];
+    let failed = 0;
+    for (let i = 0; i < calls; i++) {
+      const dueMs = startMs + (i * 1000) / rate;
+      while (performance.now() < dueMs) await new Promise(setImmediate);
+      const way = WAYS[i % WAYS.length] as Way;
+      const one = this.call(urls[way], body).then(ok => {
+        if (!ok) failed += 1;
+        histograms.record(way, performance.now() - dueMs);
+      });
+      running.push(one);
+    }
+    await Promise.all(running);
+    const cpu = nodes.map(
+      (node, i) => cpuTimeMs(node.child.pid ?? 0) - (cpuBefore[i] ?? 0),
+    );
+    return {rate, bytes, failed, ...figures(histograms, cpu, calls)};
+  }
+
+  private async call(url: string, body: Buffer): Promise<boolean> {
+    const res = await request(`${url}/x`, {
+      method: body.length > 0 ? 'POST' : 'GET',
+      body: body.length > 0 ? body : null,
+      dispatcher: this.agent,
+    });
+    const answer = Buffer.from(await res.body.arrayBuffer());
+    return res.statusCode === 200 && answer.equals(body);
+  }
+
+  private async tearDown({log, nodes, backend}: Setup): Promise<void> {
+    await backend.kill();
+    for (const node of nodes) await node.kill();
+    await this.agent.destroy();
+    await log.stop();
+  }
+}
+
+function figures(
+  histograms: LatencyHistograms,
+  cpuMs: number[],
+  calls: number,
+): object {
+  const direct = histograms.summaryOf('direct');
+  const entries = WAYS.map(way => {
+    const {p50Ms, p99Ms} = histograms.summaryOf(way);
+    const added = {
+      addedP50Ms: round(p50Ms - direct.p50Ms),
+      addedP99Ms: round(p99Ms - direct.p99Ms),
+      ratioP50: round(p50Ms / direct.p50Ms),
+      ratioP99: round(p99Ms / direct.p99Ms),
+    };
+    return [way, {p50Ms, p99Ms, ...(way === 'direct' ? {} : added)}];
+  });
+  const each = calls / WAYS.length;
+  return {
+    ...(Object.fromEntries(entries) as object),
+    // The node beside the server serves both ways; the entry node one.
+    cpuMsPerCallBeside: round((cpuMs[0] ?? 0) / (2 * each)),
+    cpuMsPerCallEntry: round((cpuMs[1] ?? 0) / each),
+  };
+}
+
+function round(value: number): number {
+  return Math.round(value * 1000) / 1000;
+}
+
+export const bench: Bench = new OverheadBench();
--- /dev/null
+++ b/packages/testkit/src/launch/node-process.ts
@@ -0,0 +1,119 @@
+/** Starts node processes for tests, benchmarks and the demonstration. */
+
+import {spawn, type ChildProcess} from 'node:child_process';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {createRequire} from 'node:module';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {createInterface} from 'node:readline';
+
+import type {NodePorts, NodeSettings} from '@turmericmill/node';
+
+/** Time in ms within which a started node has to be ready. */
+const READY_TIMEOUT_MS = 60_000;
+
+/** The settings that a launched node is given; the rest is filled in. */
+export type LaunchSettings = Pick<
+  NodeSettings,
+  'nodeId' | 'dataCentre' | 'region' | 'seeds'
+> &
+  Partial<NodeSettings> & {logUrl: string};
+
+/** The token of the administration API of launched nodes. */
+export const LAUNCH_TOKEN = 'launched-node-token';
+
+/** One node process. */
+export class NodeProcess {
+  private constructor(
+    readonly nodeId: string,
+    readonly child: ChildProcess,
+    readonly ports: NodePorts,
+    private readonly folder: string,
+  ) {}
+
+  /** Starts a node on loopback; resolves when it says that it is ready. */
+  static async launch(settings: LaunchSettings): Promise<NodeProcess> {
+    const folder = mkdtempSync(join(tmpdir(), 'turmericmill-'));
+    const file = join(folder, 'node.json');
+    writeFileSync(file, JSON.stringify(fullSettings(settings)));
+    const child = spawn(process.execPath, [nodeBinary(), '--settings', file], {
+      stdio: ['ignore', 'pipe', 'inherit'],
+    });
+    const ports = await readyPorts(child);
+    return new NodeProcess(settings.nodeId, child, ports, folder);
+  }
+
+  get meshAddress(): string {
+    return `127.0.0.1:${this.ports.mesh}`;
+  }
+
+  get callsUrl(): string {
+    return `http://127.0.0.1:${this.ports.calls}`;
+  }
+
+  get announceUrl(): string {
+    return `http://127.0.0.1:${this.ports.announce}`;
+  }
+
+  get adminUrl(): string {
+    return `http://127.0.0.1:${this.ports.admin}`;
+  }
+
+  /** Shuts the node down in good order; resolves with its exit code. */
+  stop(): Promise<number | null> {
+    return this.end('SIGTERM');
+  }
+
+  /** Ends the node without warning. */
+  kill(): Promise<number | null> {
+    return this.end('SIGKILL');
+  }
+
+  private async end(signal: 'SIGTERM' | 'SIGKILL'): Promise<number | null> {
+    const {child} = this;
+    if (child.exitCode === null && child.signalCode === null) {
+      const exited = new Promise(resolve => child.once('exit', resolve));
+      child.kill(signal);
+      await exited;
+    }
+    rmSync(this.folder, {recursive: true, force: true});
+    return child.exitCode;
+  }
+}
+
+function nodeBinary(): string {
+  const index = createRequire(import.meta.url).resolve('@turmericmill/node');
+  return index.replace(/index\.js$/, 'main.js');
+}
+
+function fullSettings({logUrl, ...settings}: LaunchSettings): object {
+  const loopback = {address: '127.0.0.1', port: 0};
+  return {
+    mesh: loopback,
+    calls: loopback,
+    announce: loopback,
+    admin: {...loopback, token: LAUNCH_TOKEN},
+    log: {urls: [logUrl]},
+    logLevel: 'info',
+    ...settings,
+  };
+}
+
+function readyPorts(child: ChildProcess): Promise<NodePorts> {
+  return new Promise((resolve, reject) => {
+    const timer = setTimeout(() => {
+      reject(new Error('The node was not ready in time.'));
+    }, READY_TIMEOUT_MS);
+    child.once('exit', code => {
+      clearTimeout(timer);
+      reject(new Error(`The node ended with code ${String(code)}.`));
+    });
+    const lines = createInterface({input: child.stdout as never});
+    lines.on('line', line => {
+      const entry = JSON.parse(line) as {msg: string; ports?: NodePorts};
+      if (entry.msg !== 'ready' || !entry.ports) return;
+      clearTimeout(timer);
+      resolve(entry.ports);
+    });
+  });
+}
--- a/packages/testkit/src/log-service/log-server.ts
+++ b/packages/testkit/src/log-service/log-server.ts
@@ -1,6 +1,10 @@
 /** The log stand-in: the log service's HTTP protocol over a `MemoryLog`. */
 
-import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from 'node:http';
 import type {AddressInfo} from 'node:net';
 
 import {MAX_RECORD_BYTES} from '@turmericmill/platform';
