--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,2 +1,3 @@
 /** The node: sockets, tasks, settings, wiring. */
+export * from './admin/index.js';
 export * from './settings/index.js';
