--- a/packages/node/src/calls/local-runner.ts
+++ b/packages/node/src/calls/local-runner.ts
@@ -41,11 +41,9 @@
     bus.subscribe('local-servers', ({servers}) => this.update(servers));
   }
 
-  /** Calls that run now on all local servers. */
-  get inFlight(): number {
-    let sum = 0;
-    for (const target of this.targets.values()) sum += target.inFlight;
-    return sum;
+  /** Calls that run now on one local server. */
+  inFlightOf(serverId: string): number {
+    return this.targets.get(serverId)?.inFlight ?? 0;
   }
 
   override run(head: CallHead, body: FirstBody, events: CallEvents): CallLeg {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -7,12 +7,15 @@
 import {MAX_PROTOCOL_VERSION, MIN_PROTOCOL_VERSION} from '@turmericmill/wire';
 import type Logger from 'bunyan';
 
+import {AdminServer} from './admin/index.js';
 import {Bus} from './bus.js';
 import {CandidateIndex} from './calls/candidate-index.js';
 import {Dispatcher} from './calls/dispatcher.js';
 import {IncomingCalls} from './calls/incoming-calls.js';
 import {LocalRunner} from './calls/local-runner.js';
 import {RemoteRunner} from './calls/remote-runner.js';
+import {FleetVersions} from './fleet-versions.js';
+import {LiveNodeView} from './live-node-view.js';
 import type {NodeSettings} from './settings/index.js';
 import {AnnounceTask} from './tasks/announce-task.js';
 import {ConfigTask} from './tasks/config-task.js';
@@ -36,6 +39,8 @@
   readonly config: ConfigTask;
   readonly ingress: IngressTask;
   readonly local: LocalRunner;
+  private readonly view: LiveNodeView;
+  private readonly admin: AdminServer;
   private membership: MembershipTask | undefined;
   private readonly log: HttpLogClient;
   private readonly clock = new SystemClock();
@@ -61,7 +66,16 @@
     const mesh = {...settings.mesh, hello};
     this.transport = new TransportTask(mesh, bus, clock, logger);
     this.announce = new AnnounceTask(settings.announce, bus, clock, logger);
-    this.config = new ConfigTask(this.log, bus, random, logger);
+    const fleet = new FleetVersions();
+    const identity = {nodeId, dataCentre};
+    this.config = new ConfigTask(
+      identity,
+      this.log,
+      bus,
+      fleet,
+      random,
+      logger,
+    );
     this.local = new LocalRunner(bus);
     new IncomingCalls(bus, this.local, clock);
     bus.subscribe('view-changed', ({members}) => {
@@ -84,6 +98,17 @@
       clock,
       logger,
     );
+    this.view = new LiveNodeView({
+      nodeId,
+      bus,
+      clock,
+      statistics: this.ingress.statistics,
+      fleet,
+      inFlight: serverId => this.local.inFlightOf(serverId),
+    });
+    this.admin = new AdminServer(settings.admin, this.view, entry => {
+      logger.info(entry, 'administration request');
+    });
   }
 
   /** Starts all tasks; callers are served last. */
@@ -98,16 +123,18 @@
     this.membership.start();
     this.config.start();
     await this.ingress.start();
+    const admin = await this.admin.start();
     return {
       mesh: this.transport.port,
       calls: this.ingress.port,
       announce: this.announce.port,
-      admin: 0,
+      admin: admin.port,
     };
   }
 
   /** Ends calls in flight in good order, then all tasks. */
   async stop(): Promise<void> {
+    this.view.setStopping();
     const grace = setTimeout(
       () => this.ingress.abort(),
       this.settings.limits.shutdownGraceMs,
@@ -118,6 +145,7 @@
     this.membership?.stop();
     await this.announce.stop();
     await this.transport.stop();
+    await this.admin.close();
     await this.local.close();
     await this.log.close();
   }
--- a/packages/node/src/tasks/ingress-task.ts
+++ b/packages/node/src/tasks/ingress-task.ts
@@ -8,12 +8,16 @@
 import type {AddressInfo} from 'node:net';
 
 import type {MatchedRoute, RoutingTable} from '@turmericmill/routing';
-import {LatencyHistograms, type Clock} from '@turmericmill/utils';
+import type {Clock} from '@turmericmill/utils';
 import type Logger from 'bunyan';
 
 import type {Bus} from '../bus.js';
 import {NO_LOAD, type CallFailure} from '../calls/call-leg.js';
 import {CallerExchange, type TryEnd} from '../calls/caller-exchange.js';
+import {
+  CallStatisticsRecorder,
+  type CallEnd,
+} from '../calls/call-statistics.js';
 import type {CallDemand, Dispatcher} from '../calls/dispatcher.js';
 import type {ListenAddress, NodeLimits} from '../settings/index.js';
 import {Task} from '../task.js';
@@ -23,18 +27,9 @@
 /** Customer of calls that name none. */
 const NO_CUSTOMER = 'none';
 
-/** Exact counts of calls by how they ended. */
-export interface CallCounts {
-  answered: number;
-  refused: number;
-  unknown: number;
-  left: number;
-}
-
 /** Takes callers' requests, matches routes, has them dispatched. */
 export class IngressTask extends Task {
-  readonly histograms = new LatencyHistograms();
-  readonly counts: CallCounts = {answered: 0, refused: 0, unknown: 0, left: 0};
+  readonly statistics = new CallStatisticsRecorder();
   port = 0;
   private inFlight = 0;
   private table: RoutingTable | undefined;
@@ -144,13 +139,10 @@
   }
 
   private note(end: TryEnd, demand: CallDemand, latencyMs: number): void {
-    if (end.kind === 'answered') this.counts.answered += 1;
-    else if (end.kind === 'left') this.counts.left += 1;
-    else if (end.failure.outcome === 'not-run') this.counts.refused += 1;
-    else this.counts.unknown += 1;
-    if (end.kind === 'left') return;
-    this.histograms.record(`customer/${demand.customer}`, latencyMs);
-    this.histograms.record(`class/${demand.class}`, latencyMs);
+    const callEnd = callEndOf(end);
+    if (callEnd === undefined) return;
+    const {customer, class: className} = demand;
+    this.statistics.record(customer, className, callEnd, latencyMs);
   }
 }
 
@@ -161,3 +153,8 @@
   const load = {...NO_LOAD};
   return {outcome: 'not-run', reason: 'no-server', detail, load};
 }
+
+function callEndOf(end: TryEnd): CallEnd | undefined {
+  if (end.kind === 'left') return undefined;
+  return end.kind === 'answered' ? 'answered' : end.failure.outcome;
+}
--- /dev/null
+++ b/packages/node/tests/transport/peer-connection.test.ts
@@ -0,0 +1,152 @@
+import {EventEmitter} from 'node:events';
+import type {Socket} from 'node:net';
+
+import {
+  encodeFrame,
+  FrameReader,
+  type Hello,
+  type Message,
+} from '@turmericmill/wire';
+import {expect} from 'chai';
+
+import {
+  HEARTBEAT_INTERVAL_MS,
+  PeerConnection,
+  SILENCE_TIMEOUT_MS,
+} from '../../src/transport/peer-connection.js';
+
+/** Stands for a socket: keeps what is written, never sends. */
+class FakeSocket extends EventEmitter {
+  readonly written: Message[] = [];
+  destroyed = false;
+  ended = false;
+  private readonly reader = new FrameReader();
+
+  write(frame: Buffer): void {
+    this.written.push(...this.reader.push(frame).unwrap());
+  }
+
+  end(): void {
+    this.ended = true;
+  }
+
+  destroy(): void {
+    this.destroyed = true;
+  }
+
+  setNoDelay(): void {
+    // Nothing is sent.
+  }
+
+  cork(): void {
+    // Nothing is sent.
+  }
+
+  uncork(): void {
+    // Nothing is sent.
+  }
+}
+
+const OWN: Hello = {
+  minVersion: 1,
+  maxVersion: 1,
+  nodeId: 'own',
+  incarnation: 5,
+  dataCentre: 'a-1',
+  region: 'a',
+};
+const OTHER: Hello = {...OWN, nodeId: 'other'};
+const PING: Message = {type: 'ping', body: {nonce: 3}};
+
+function open(expectedNodeId?: string) {
+  const socket = new FakeSocket();
+  const log: string[] = [];
+  const connection = new PeerConnection(
+    socket as unknown as Socket,
+    OWN,
+    {
+      opened: () => log.push('opened'),
+      message: (unused, message) => log.push(message.type),
+      closed: (unused, reason) => log.push(reason),
+    },
+    {controlBytesOut: 0, callBytesOut: 0, messagesOut: 0},
+    0,
+  );
+  connection.expectedNodeId = expectedNodeId;
+  const receive = (bytes: Buffer) => socket.emit('data', bytes);
+  return {socket, connection, log, receive};
+}
+
+describe('peer connection', () => {
+  it('greets first and holds messages back until it is greeted', () => {
+    const {socket, connection, receive} = open();
+    connection.send(PING);
+    expect(socket.written.map(message => message.type)).to.deep.equal([
+      'hello',
+    ]);
+    receive(encodeFrame({type: 'hello', body: OTHER}));
+    expect(socket.written.at(-1)).to.deep.equal(PING);
+  });
+
+  const refused: {
+    name: string;
+    bytes: Buffer;
+    reason: string;
+    expect?: string;
+  }[] = [
+    {
+      name: 'a later protocol',
+      bytes: encodeFrame({
+        type: 'hello',
+        body: {...OTHER, minVersion: 9, maxVersion: 9},
+      }),
+      reason: 'version',
+    },
+    {
+      name: 'a message before hello',
+      bytes: encodeFrame(PING),
+      reason: 'malformed',
+    },
+    {
+      name: 'a frame that is no message',
+      bytes: Buffer.from([0, 0, 0, 1, 0xff]),
+      reason: 'malformed',
+    },
+    {
+      name: 'a frame over the limit',
+      bytes: Buffer.from([0xff, 0xff, 0xff, 0xff]),
+      reason: 'malformed',
+    },
+    {
+      name: 'another node at the address',
+      bytes: encodeFrame({type: 'hello', body: OTHER}),
+      reason: 'unexpected',
+      expect: 'meant',
+    },
+  ];
+  for (const {name, bytes, reason, expect: expected} of refused) {
+    it(`says goodbye to ${name} and sends nothing that it held`, () => {
+      const {socket, connection, log, receive} = open(expected);
+      connection.send(PING);
+      receive(bytes);
+      const types = socket.written.map(message => message.type);
+      expect(types).to.deep.equal(['hello', 'goodbye']);
+      expect(socket.written.at(-1)?.body).to.include({reason});
+      expect(socket.ended).to.equal(true);
+      expect(log).to.have.length(1);
+    });
+  }
+
+  it('gives up a connection that went silent', () => {
+    const {socket, connection, log, receive} = open();
+    receive(encodeFrame({type: 'hello', body: OTHER}));
+    let nowMs = 0;
+    for (; nowMs <= SILENCE_TIMEOUT_MS; nowMs += HEARTBEAT_INTERVAL_MS) {
+      connection.heartbeat(nowMs);
+      expect(socket.destroyed).to.equal(false);
+    }
+    connection.heartbeat(nowMs);
+    expect(socket.destroyed).to.equal(true);
+    expect(log).to.deep.equal(['opened', 'silent']);
+  });
+});
--- /dev/null
+++ b/packages/testkit/tests/whole-path.test.ts
@@ -0,0 +1,154 @@
+import {randomUUID} from 'node:crypto';
+
+import {
+  Node,
+  parseSettings,
+  type NodePorts,
+  type Topics,
+} from '@turmericmill/node';
+import bunyan from 'bunyan';
+import {expect} from 'chai';
+import {request} from 'undici';
+
+import {publishFiles} from '../src/bench/publish-files.js';
+import {BackendServer, LogServer} from '../src/index.js';
+
+const FILE_SET = JSON.stringify({
+  classes: [{name: 'interactive', priority: 'interactive'}],
+  backendServerGroups: [
+    {name: 'homeowner-api', maxSlots: 12, maxConnections: 130},
+  ],
+  services: [
+    {name: 'status', backendServerGroup: 'homeowner-api', timeoutMs: 2000},
+  ],
+  routes: [
+    {
+      name: 'status',
+      match: {pathPrefix: '/status'},
+      service: 'status',
+      class: 'interactive',
+      repetition: 'repeatable',
+    },
+  ],
+});
+const GROUP = 'nyota/homeowner-api';
+const DATA_CENTRES = ['nairobi-a', 'nairobi-b', 'nairobi-c'];
+const SILENT = bunyan.createLogger({name: 'test', level: bunyan.FATAL + 1});
+
+interface Running {
+  node: Node;
+  ports: NodePorts;
+}
+
+async function startNode(
+  logUrl: string,
+  dataCentre: string,
+  seeds: string[],
+): Promise<Running> {
+  const loopback = {address: '127.0.0.1', port: 0};
+  const settings = parseSettings(
+    'node.json',
+    JSON.stringify({
+      nodeId: `node-${dataCentre}`,
+      dataCentre,
+      region: 'nairobi',
+      mesh: loopback,
+      calls: loopback,
+      announce: loopback,
+      admin: {...loopback, token: 'test-token-of-this-node'},
+      log: {urls: [logUrl]},
+      seeds,
+    }),
+  ).unwrap();
+  const node = new Node(settings, SILENT);
+  return {node, ports: await node.start()};
+}
+
+/** Resolves when every node has seen `holds` become true. */
+async function whenAll<K extends keyof Topics>(
+  nodes: readonly Running[],
+  topic: K,
+  holds: (message: Topics[K]) => boolean,
+): Promise<void> {
+  const waits = nodes.map(
+    ({node}) =>
+      new Promise<void>(resolve => {
+        node.bus.subscribe(topic, message => {
+          if (holds(message)) resolve();
+        });
+      }),
+  );
+  await Promise.all(waits);
+}
+
+describe('whole path', () => {
+  let log: LogServer;
+  let logUrl: string;
+  let nodes: Running[];
+  let servers: BackendServer[];
+
+  beforeEach(async () => {
+    log = new LogServer();
+    logUrl = await log.start();
+    const first = await startNode(logUrl, 'nairobi-a', []);
+    const seeds = [`127.0.0.1:${first.ports.mesh}`];
+    nodes = [first];
+    for (const dataCentre of DATA_CENTRES.slice(1)) {
+      nodes.push(await startNode(logUrl, dataCentre, seeds));
+    }
+    servers = nodes.slice(0, 2).map(
+      ({ports}, i) =>
+        new BackendServer({
+          name: `server-${i}`,
+          group: GROUP,
+          slots: 12,
+          connections: 130,
+          announceUrl: `http://127.0.0.1:${ports.announce}`,
+        }),
+    );
+  });
+
+  afterEach(async () => {
+    for (const server of servers) await server.stop();
+    for (const {node} of nodes) await node.stop();
+    await log.stop();
+  });
+
+  it('answers calls at every node once a set is published', async () => {
+    const seen = whenAll(nodes, 'view-changed', ({members}) => {
+      const all = members.flatMap(member => member.servers);
+      return all.filter(server => server.group === GROUP).length === 2;
+    });
+    const enforced = whenAll(nodes, 'config-in-force', ({state}) => {
+      return state.version === 0;
+    });
+    for (const server of servers) await server.start();
+    await publishFiles(logUrl, 'nyota', [{file: 'a.json', text: FILE_SET}]);
+    await Promise.all([seen, enforced]);
+
+    const sent: string[] = [];
+    for (let i = 0; i < 60; i++) {
+      const node = nodes[i % nodes.length]!;
+      const id = randomUUID();
+      sent.push(id);
+      const res = await request(
+        `http://127.0.0.1:${node.ports.calls}/status/lamp?i=${i}`,
+        {method: 'POST', headers: {'x-request-id': id}, body: `lamp ${id}`},
+      );
+      expect(res.statusCode).to.equal(200);
+      expect(res.headers['x-request-id']).to.equal(id);
+      expect(await res.body.text()).to.equal(`lamp ${id}`);
+    }
+    const ran = servers.flatMap(server => server.runs);
+    expect(ran.map(run => run.requestId).sort()).to.deep.equal(sent.sort());
+    for (const server of servers) expect(server.runs).to.not.be.empty;
+  });
+
+  it('refuses truthfully when no route takes the call', async () => {
+    const url = `http://127.0.0.1:${nodes[0]!.ports.calls}/nowhere`;
+    const res = await request(url);
+    expect(res.statusCode).to.equal(503);
+    expect(res.headers['x-turmericmill-outcome']).to.equal('not-run');
+    await res.body.dump();
+  });
+});
