--- /dev/null
+++ b/packages/config/src/route-match.ts
@@ -0,0 +1,75 @@
+/** Order and overlap of route matches. */
+
+import type {ResourceOf, RouteMatch} from './resource.js';
+
+type Route = ResourceOf<'route'>;
+
+/**
+ * The matches that can hide each other share this text: the same host and the
+ * same path or prefix. Two matches that differ in either are ordered by it, so
+ * that the more specific one is tried first.
+ */
+export function matchBucket(match: RouteMatch): string {
+  const path =
+    match.path === undefined
+      ? `prefix ${normalPrefix(match.pathPrefix)}`
+      : `path ${match.path}`;
+  return `${match.host?.toLowerCase() ?? '*'} ${path}`;
+}
+
+/**
+ * Orders routes by precedence, the first to try first: a host before none, an
+ * exact path before a prefix, a long prefix before a short one, methods before
+ * none, many headers before few, then by key.
+ */
+export function compareRoutes(a: Route, b: Route): number {
+  const first = a.spec.match;
+  const second = b.spec.match;
+  return (
+    Number(second.host !== undefined) - Number(first.host !== undefined) ||
+    Number(second.path !== undefined) - Number(first.path !== undefined) ||
+    normalPrefix(second.pathPrefix).length -
+      normalPrefix(first.pathPrefix).length ||
+    Number(second.methods !== undefined) -
+      Number(first.methods !== undefined) ||
+    headerCount(second) - headerCount(first) ||
+    (a.key < b.key ? -1 : Number(a.key > b.key))
+  );
+}
+
+/**
+ * Whether `winner` takes every call that `loser` matches, so that `loser`
+ * never gets one.
+ */
+export function shadows(winner: Route, loser: Route): boolean {
+  if (winner.key === loser.key) return false;
+  const first = winner.spec.match;
+  const second = loser.spec.match;
+  return (
+    matchBucket(first) === matchBucket(second) &&
+    compareRoutes(winner, loser) < 0 &&
+    methodsCover(first, second) &&
+    headersCover(first, second)
+  );
+}
+
+function methodsCover(wide: RouteMatch, narrow: RouteMatch): boolean {
+  if (!wide.methods) return true;
+  if (!narrow.methods) return false;
+  const allowed = new Set(wide.methods);
+  return narrow.methods.every(method => allowed.has(method));
+}
+
+function headersCover(wide: RouteMatch, narrow: RouteMatch): boolean {
+  return Object.entries(wide.headers ?? {}).every(
+    ([name, value]) => narrow.headers?.[name] === value,
+  );
+}
+
+function headerCount(match: RouteMatch): number {
+  return Object.keys(match.headers ?? {}).length;
+}
+
+function normalPrefix(prefix: string | undefined): string {
+  return (prefix ?? '/').replace(/\/+$/, '');
+}
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -18,3 +18,4 @@
   type ChartEvent,
   type ChartGuard,
 } from './state-chart.js';
+export {suggestName} from './suggestion.js';
--- a/packages/utils/src/schema-check.ts
+++ b/packages/utils/src/schema-check.ts
@@ -1,14 +1,11 @@
 /** Validation of a JSON document against a JSON Schema, with places. */
 
 import {Ajv, type ErrorObject, type ValidateFunction} from 'ajv';
-import {closest, distance} from 'fastest-levenshtein';
 
 import type {Finding} from './finding.js';
 import type {JsonDocument, JsonPath} from './json-document.js';
 import {Err, Ok, type Result} from './result.js';
-
-/** Largest edit distance at which a known name is offered as a suggestion. */
-const MAX_SUGGESTION_DISTANCE = 4;
+import {suggestName} from './suggestion.js';
 
 /** A compiled schema that reports every finding with its place. */
 export class SchemaCheck<T> {
@@ -26,6 +23,11 @@
     const errors = this.validate.errors ?? [];
     return Err(errors.map(err => toFinding(document, err)));
   }
+
+  /** Whether a parsed value is valid; fills defaults into `value` itself. */
+  accepts(value: unknown): value is T {
+    return this.validate(value);
+  }
 }
 
 function toFinding(document: JsonDocument, err: ErrorObject): Finding {
@@ -56,11 +58,8 @@
     message: `Unknown field "${name}".`,
     place: document.placeOfName([...path, name]),
   };
-  if (known.length === 0) return finding;
-  const suggestion = closest(name, known);
-  if (distance(name, suggestion) <= MAX_SUGGESTION_DISTANCE) {
-    finding.suggestion = suggestion;
-  }
+  const suggestion = suggestName(name, known);
+  if (suggestion !== undefined) finding.suggestion = suggestion;
   return finding;
 }
 
