--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -78,22 +78,10 @@
     );
     this.local = new LocalRunner(bus);
     new IncomingCalls(bus, this.local, clock);
-    bus.subscribe('view-changed', ({members}) => {
-      this.candidates = new CandidateIndex(members);
-    });
-    const dispatcher = new Dispatcher({
-      nodeId,
-      local: this.local,
-      remote: new RemoteRunner(bus, clock),
-      balancer: new RoundRobinBalancer(),
-      clock,
-      random,
-      candidates: group => this.candidates.ofGroup(group),
-    });
     this.ingress = new IngressTask(
       settings.calls,
       settings.limits,
-      dispatcher,
+      this.makeDispatcher(),
       bus,
       clock,
       logger,
@@ -150,6 +138,22 @@
     await this.log.close();
   }
 
+  private makeDispatcher(): Dispatcher {
+    const {bus, clock, random} = this;
+    bus.subscribe('view-changed', ({members}) => {
+      this.candidates = new CandidateIndex(members);
+    });
+    return new Dispatcher({
+      nodeId: this.settings.nodeId,
+      local: this.local,
+      remote: new RemoteRunner(bus, clock),
+      balancer: new RoundRobinBalancer(),
+      clock,
+      random,
+      candidates: group => this.candidates.ofGroup(group),
+    });
+  }
+
   private ownRecord(): MemberRecord {
     const {nodeId, dataCentre, region, mesh} = this.settings;
     return {
--- a/packages/node/src/tasks/membership-task.ts
+++ b/packages/node/src/tasks/membership-task.ts
@@ -1,7 +1,7 @@
 /** Tells other nodes of this one and learns of them. */
 
 import type {Clock} from '@turmericmill/utils';
-import type {MemberRecord, ServerRecord} from '@turmericmill/wire';
+import type {MemberRecord, MessageOf, ServerRecord} from '@turmericmill/wire';
 
 import type {Bus} from '../bus.js';
 import {Task} from '../task.js';
@@ -41,8 +41,11 @@
       this.publish();
       this.sync();
     });
-    bus.onPeerMessage('memberSync', ({body}) => {
-      for (const member of body.members) this.take(member);
+    bus.onPeerMessage('memberSync', ({body, peer}) => {
+      for (const member of body.members) {
+        if (member.id === peer.nodeId) this.take(member);
+        else this.greet(member);
+      }
     });
   }
 
@@ -72,9 +75,21 @@
     if (!same) this.publish();
   }
 
+  /** A member that others tell of counts once it has spoken for itself. */
+  private greet(member: MemberRecord): void {
+    const {id, address, port} = member;
+    if (id === this.self.id || this.members.has(id)) return;
+    const message = this.syncMessage();
+    this.bus.publish('send-address', {address, port, message});
+  }
+
+  private syncMessage(): MessageOf<'memberSync'> {
+    const members = [this.self, ...this.members.values()];
+    return {type: 'memberSync', body: {reply: false, members, regions: []}};
+  }
+
   private sync(): void {
-    const body = {reply: false, members: [this.self], regions: []};
-    const message = {type: 'memberSync', body} as const;
+    const message = this.syncMessage();
     const known = new Set<string>();
     for (const {id, address, port} of this.members.values()) {
       known.add(`${address}:${port}`);
