Graceful shutdown of a node cuts no call in flight

Cause: a stopping node closed its connections to other nodes while calls that they had sent still ran, and callers' kept-alive connections held it up. Change: servers drain first, other nodes have time to learn of it, incoming calls end, then the sockets close; connections end with their answer. A stop that is asked for twice is one stop.

--- a/packages/node/src/calls/incoming-calls.ts
+++ b/packages/node/src/calls/incoming-calls.ts
@@ -21,6 +21,9 @@
 /** Answer bodies up to this many bytes go in the frame of the head. */
 const MAX_JOINED_BODY_BYTES = 64 * 1024;
 
+/** Interval in ms at which a shutdown looks whether calls are left. */
+const IDLE_CHECK_MS = 20;
+
 /** Calls in progress by the peer's id, its incarnation and the call's id. */
 export class IncomingCalls {
   private readonly legs = new Map<string, Map<number, CallLeg>>();
@@ -46,6 +49,13 @@
     bus.subscribe('peer-lost', ({nodeId}) => this.cancelAll(nodeId));
   }
 
+  /** Resolves when no call is in progress, at the latest at `deadlineMs`. */
+  async whenIdle(deadlineMs: number): Promise<void> {
+    while (this.size > 0 && this.clock.now() < deadlineMs) {
+      await new Promise(resolve => setTimeout(resolve, IDLE_CHECK_MS));
+    }
+  }
+
   /** Number of calls in progress. */
   get size(): number {
     let sum = 0;
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -21,6 +21,7 @@
 import {ConfigTask} from './tasks/config-task.js';
 import {IngressTask} from './tasks/ingress-task.js';
 import {MembershipTask} from './tasks/membership-task.js';
+import {MetricsTask} from './tasks/metrics-task.js';
 import {TransportTask} from './transport/transport-task.js';
 
 /** Ports in use, for those settings that left the choice to the platform. */
@@ -39,13 +40,16 @@
   readonly config: ConfigTask;
   readonly ingress: IngressTask;
   readonly local: LocalRunner;
+  private readonly incoming: IncomingCalls;
   private readonly view: LiveNodeView;
   private readonly admin: AdminServer;
+  private readonly metrics: MetricsTask | undefined;
   private membership: MembershipTask | undefined;
   private readonly log: HttpLogClient;
   private readonly clock = new SystemClock();
   private readonly random = new SystemRandom();
   private readonly incarnation = this.clock.now();
+  private stopped: Promise<void> | undefined;
   private candidates = new CandidateIndex();
 
   constructor(
@@ -77,7 +81,7 @@
       logger,
     );
     this.local = new LocalRunner(bus);
-    new IncomingCalls(bus, this.local, clock);
+    this.incoming = new IncomingCalls(bus, this.local, clock);
     this.ingress = new IngressTask(
       settings.calls,
       settings.limits,
@@ -94,6 +98,7 @@
       fleet,
       inFlight: serverId => this.local.inFlightOf(serverId),
     });
+    this.metrics = this.makeMetrics();
     this.admin = new AdminServer(settings.admin, this.view, entry => {
       logger.info(entry, 'administration request');
     });
@@ -110,6 +115,7 @@
     );
     this.membership.start();
     this.config.start();
+    this.metrics?.start();
     await this.ingress.start();
     const admin = await this.admin.start();
     return {
@@ -120,15 +126,30 @@
     };
   }
 
-  /** Ends calls in flight in good order, then all tasks. */
-  async stop(): Promise<void> {
+  /**
+   * Shuts down without cutting a call: the servers drain, the other nodes learn
+   * of it, calls in flight end, then the sockets close.
+   */
+  stop(): Promise<void> {
+    this.stopped ??= this.shutDown();
+    return this.stopped;
+  }
+
+  private async shutDown(): Promise<void> {
     this.view.setStopping();
-    const grace = setTimeout(
-      () => this.ingress.abort(),
-      this.settings.limits.shutdownGraceMs,
-    );
+    this.announce.drainAll();
+    const {shutdownGraceMs, drainSpreadMs} = this.settings.limits;
+    const deadlineMs = this.clock.now() + shutdownGraceMs;
+    const spreadMs = this.announce.isEmpty ? 0 : drainSpreadMs;
+    const spread = new Promise(resolve => setTimeout(resolve, spreadMs));
+    await Promise.all([this.ingress.drain(deadlineMs), spread]);
+    await this.incoming.whenIdle(deadlineMs);
+    await this.stopTasks();
+  }
+
+  private async stopTasks(): Promise<void> {
     await this.ingress.stop();
-    clearTimeout(grace);
+    await this.metrics?.stop();
     this.config.stop();
     this.membership?.stop();
     await this.announce.stop();
@@ -154,6 +175,17 @@
     });
   }
 
+  private makeMetrics(): MetricsTask | undefined {
+    const {metrics, nodeId, dataCentre} = this.settings;
+    if (!metrics) return undefined;
+    return new MetricsTask(metrics, nodeId, dataCentre, {
+      statistics: this.ingress.statistics,
+      traffic: this.transport.counts,
+      version: () => this.config.state.version,
+      callsInFlight: () => this.ingress.callsInFlight,
+    });
+  }
+
   private ownRecord(): MemberRecord {
     const {nodeId, dataCentre, region, mesh} = this.settings;
     return {
--- a/packages/node/src/settings/node-settings.ts
+++ b/packages/node/src/settings/node-settings.ts
@@ -44,6 +44,11 @@
   maxAcceptsPerSecond: number;
   /** Time in ms that a shutdown waits for calls in flight. */
   shutdownGraceMs: number;
+  /**
+   * Time in ms for which a node that shuts down still answers others, so that
+   * they learn of it before its connections close.
+   */
+  drainSpreadMs: number;
 }
 
 /** The settings of one node, with all defaults filled in. */
--- a/packages/node/src/tasks/announce-task.ts
+++ b/packages/node/src/tasks/announce-task.ts
@@ -32,6 +32,7 @@
   private readonly server = createServer((req, res) => {
     void this.take(req, res);
   });
+  private allDrained = false;
   private timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -64,6 +65,17 @@
     await new Promise(resolve => this.server.close(resolve));
   }
 
+  /** True when no backend server is beside this node. */
+  get isEmpty(): boolean {
+    return this.entries.size === 0;
+  }
+
+  /** From now on no server beside this node takes new calls. */
+  drainAll(): void {
+    this.allDrained = true;
+    this.publish();
+  }
+
   private async take(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const chunks: Buffer[] = [];
     for await (const chunk of req) chunks.push(chunk as Buffer);
@@ -108,7 +120,7 @@
 
   private publish(): void {
     const servers = [...this.entries.values()].map(({server}) =>
-      this.drained.has(server.id)
+      this.allDrained || this.drained.has(server.id)
         ? {...server, state: 'draining' as const}
         : server,
     );
--- a/packages/node/src/tasks/ingress-task.ts
+++ b/packages/node/src/tasks/ingress-task.ts
@@ -33,6 +33,8 @@
   port = 0;
   private inFlight = 0;
   private table: RoutingTable | undefined;
+  private draining = false;
+  private closed: Promise<void> | undefined;
   private readonly server;
 
   constructor(
@@ -71,20 +73,42 @@
     this.port = (this.server.address() as AddressInfo).port;
   }
 
-  /** Takes no new connections; resolves when all calls have ended. */
-  override async stop(): Promise<void> {
-    const closed = new Promise(resolve => this.server.close(resolve));
+  /**
+   * Takes no new connections and ends each connection with its answer. Resolves
+   * when all calls have ended, at the latest at `deadlineMs`.
+   */
+  async drain(deadlineMs: number): Promise<void> {
+    this.draining = true;
+    this.closed = new Promise(resolve => {
+      this.server.close(() => resolve());
+    });
     this.server.closeIdleConnections();
-    await closed;
+    const timer = setTimeout(
+      () => this.server.closeAllConnections(),
+      Math.max(0, deadlineMs - this.clock.now()),
+    );
+    await this.closed;
+    clearTimeout(timer);
   }
 
-  /** Ends all connections at once. */
-  abort(): void {
+  override async stop(): Promise<void> {
     this.server.closeAllConnections();
+    this.closed ??= new Promise(resolve => {
+      this.server.close(() => resolve());
+    });
+    await this.closed;
+  }
+
+  /** A connection whose answer began before the drain is still kept alive. */
+  private closeIdle(): void {
+    if (!this.draining) return;
+    setImmediate(() => this.server.closeIdleConnections());
   }
 
   private async serve(req: IncomingMessage, res: ServerResponse) {
     const startedMs = performance.now();
+    if (this.draining) res.shouldKeepAlive = false;
+    res.once('close', () => this.closeIdle());
     const exchange = new CallerExchange(req, res);
     const route = this.matchRoute(req);
     if (!route) {
--- a/packages/testkit/src/bench/overhead-bench.ts
+++ b/packages/testkit/src/bench/overhead-bench.ts
@@ -151,7 +151,7 @@
 
   private async tearDown({log, nodes, backend}: Setup): Promise<void> {
     await backend.kill();
-    for (const node of nodes) await node.kill();
+    for (const node of nodes) await node.stop();
     await this.agent.destroy();
     await log.stop();
   }
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -13,3 +13,9 @@
 export {MemoryLog} from './log-service/memory-log.js';
 export {BackendProcess} from './launch/backend-process.js';
 export {cpuTimeMs, residentBytes} from './launch/cpu-time.js';
+export {
+  startInProcessNode,
+  whenAll,
+  type InProcessNode,
+  type InProcessSettings,
+} from './launch/in-process-node.js';
--- a/packages/testkit/tests/whole-path.test.ts
+++ b/packages/testkit/tests/whole-path.test.ts
@@ -1,17 +1,16 @@
 import {randomUUID} from 'node:crypto';
 
-import {
-  Node,
-  parseSettings,
-  type NodePorts,
-  type Topics,
-} from '@turmericmill/node';
-import bunyan from 'bunyan';
 import {expect} from 'chai';
 import {request} from 'undici';
 
 import {publishFiles} from '../src/bench/publish-files.js';
-import {BackendServer, LogServer} from '../src/index.js';
+import {
+  BackendServer,
+  LogServer,
+  startInProcessNode,
+  whenAll,
+  type InProcessNode,
+} from '../src/index.js';
 
 const FILE_SET = JSON.stringify({
   classes: [{name: 'interactive', priority: 'interactive'}],
@@ -33,68 +32,21 @@
 });
 const GROUP = 'nyota/homeowner-api';
 const DATA_CENTRES = ['nairobi-a', 'nairobi-b', 'nairobi-c'];
-const SILENT = bunyan.createLogger({name: 'test', level: bunyan.FATAL + 1});
-
-interface Running {
-  node: Node;
-  ports: NodePorts;
-}
-
-async function startNode(
-  logUrl: string,
-  dataCentre: string,
-  seeds: string[],
-): Promise<Running> {
-  const loopback = {address: '127.0.0.1', port: 0};
-  const settings = parseSettings(
-    'node.json',
-    JSON.stringify({
-      nodeId: `node-${dataCentre}`,
-      dataCentre,
-      region: 'nairobi',
-      mesh: loopback,
-      calls: loopback,
-      announce: loopback,
-      admin: {...loopback, token: 'test-token-of-this-node'},
-      log: {urls: [logUrl]},
-      seeds,
-    }),
-  ).unwrap();
-  const node = new Node(settings, SILENT);
-  return {node, ports: await node.start()};
-}
-
-/** Resolves when every node has seen `holds` become true. */
-async function whenAll<K extends keyof Topics>(
-  nodes: readonly Running[],
-  topic: K,
-  holds: (message: Topics[K]) => boolean,
-): Promise<void> {
-  const waits = nodes.map(
-    ({node}) =>
-      new Promise<void>(resolve => {
-        node.bus.subscribe(topic, message => {
-          if (holds(message)) resolve();
-        });
-      }),
-  );
-  await Promise.all(waits);
-}
-
 describe('whole path', () => {
   let log: LogServer;
   let logUrl: string;
-  let nodes: Running[];
+  let nodes: InProcessNode[];
   let servers: BackendServer[];
 
   beforeEach(async () => {
     log = new LogServer();
     logUrl = await log.start();
-    const first = await startNode(logUrl, 'nairobi-a', []);
-    const seeds = [`127.0.0.1:${first.ports.mesh}`];
-    nodes = [first];
-    for (const dataCentre of DATA_CENTRES.slice(1)) {
-      nodes.push(await startNode(logUrl, dataCentre, seeds));
+    nodes = [];
+    for (const dataCentre of DATA_CENTRES) {
+      const seeds = nodes.map(({ports}) => `127.0.0.1:${ports.mesh}`);
+      const nodeId = `node-${dataCentre}`;
+      const settings = {nodeId, dataCentre, region: 'nairobi', logUrl, seeds};
+      nodes.push(await startInProcessNode(settings));
     }
     servers = nodes.slice(0, 2).map(
       ({ports}, i) =>
