Messages: service time in a server's load, crash reports in one piece

Cause: an entry node that calls a server once in seconds has too few samples of its own to know how fast it is; a crash can only be judged with all the requests that were running.

Change: a server's load carries the moving average of the time that the server took. A crash report names all fingerprints at once. suspectCleared tells the other nodes that a suspect has been answered.

--- a/packages/wire/src/message-table.ts
+++ b/packages/wire/src/message-table.ts
@@ -40,6 +40,7 @@
   claimOutcome: claims.ClaimOutcome;
   crashReport: operations.CrashReport;
   quarantine: operations.Quarantine;
+  suspectCleared: operations.SuspectCleared;
   usageReport: operations.UsageReport;
   usageTotals: operations.UsageTotals;
 }
@@ -75,6 +76,7 @@
   claimOutcome: 42,
   crashReport: 50,
   quarantine: 51,
+  suspectCleared: 52,
   usageReport: 60,
   usageTotals: 61,
 };
--- a/packages/wire/src/messages/calls.ts
+++ b/packages/wire/src/messages/calls.ts
@@ -52,6 +52,8 @@
   inFlight: number;
   queued: number;
   limit: number;
+  /** Moving average in ms of the time that the server took for a call. */
+  serviceMs?: number;
 }
 
 export interface AnswerStart {
--- a/packages/wire/src/messages/operations.ts
+++ b/packages/wire/src/messages/operations.ts
@@ -1,13 +1,19 @@
 /** Messages of quarantine and of the metering of customers. */
 
-/** A request crashed a backend server while it ran. */
+/** A backend server crashed. */
 export interface CrashReport {
-  fingerprint: string;
+  /** Fingerprints of the requests that were running. */
+  fingerprints: string[];
   /** Node, server and incarnation, so that one crash counts once. */
   server: string;
   atMs: number;
 }
 
+/** A request that was running at a crash has since been answered. */
+export interface SuspectCleared {
+  fingerprint: string;
+}
+
 /** A fingerprint that is refused until the deadline. */
 export interface Quarantine {
   fingerprint: string;
