--- a/packages/routing/src/balancing/balancer.ts
+++ b/packages/routing/src/balancing/balancer.ts
@@ -18,6 +18,11 @@
   slots: number;
   /** Time in ms since the epoch at which the server became ready. */
   readySinceMs: number;
+  /**
+   * Time in ms over which it is brought to its full share after a start.
+   * Absent: at once.
+   */
+  slowStartMs?: number;
 }
 
 /** Identifies a server over its restarts. */
