Admission beside each server: slots, queue by deadline, adaptive limit

Cause: a server that is given more calls than it has slots answers all of them late.

Refusals are given only for calls never started.

--- /dev/null
+++ b/packages/routing/src/admission/admission.ts
@@ -0,0 +1,218 @@
+/** Admission of calls to one backend server, by the node beside it. */
+
+import type {FailureReason, ServerLoad} from '@turmericmill/wire';
+
+import {AdaptiveLimit} from './adaptive-limit.js';
+import type {ServerOutcome} from './adaptive-limit.js';
+import {CallLane} from './call-lane.js';
+import type {AdmissionCall} from './call-lane.js';
+import {LaneChoice} from './lane-choice.js';
+
+/** Calls that may wait for each slot, for each priority. */
+const QUEUE_PER_SLOT = 4;
+
+/** Bounds of a server: the least of what it announced and its group allows. */
+export interface AdmissionBounds {
+  slots: number;
+  connections: number;
+}
+
+/**
+ * What the node has to do. `run`: send the call to the server. `refuse`: answer
+ * `not-run` with the reason; no byte has reached the server. `abort`: cancel
+ * the call at the server; its slot stays taken until `finished`.
+ */
+export type AdmissionEffect =
+  | {type: 'run'; id: number}
+  | {type: 'refuse'; id: number; reason: FailureReason}
+  | {type: 'abort'; id: number};
+
+interface RunningCall {
+  call: AdmissionCall;
+  lane: CallLane;
+  startedAtMs: number;
+}
+
+/**
+ * Slots, queue and limit of one incarnation of a server. Every call offered
+ * ends in exactly one `run` or `refuse`; every `run` has to be followed by one
+ * `finished` or by `crashed`.
+ */
+export class Admission {
+  private readonly lanes = new Map<string, CallLane>();
+  private readonly running = new Map<number, RunningCall>();
+  private readonly choice = new LaneChoice();
+  private readonly limit: AdaptiveLimit;
+  private draining = false;
+
+  constructor(bounds: AdmissionBounds) {
+    this.limit = new AdaptiveLimit(Math.min(bounds.slots, bounds.connections));
+  }
+
+  /** Takes over new bounds, of a new configuration or announcement. */
+  resize(bounds: AdmissionBounds, nowMs: number): AdmissionEffect[] {
+    this.limit.resize(Math.min(bounds.slots, bounds.connections));
+    return this.dispatch(nowMs);
+  }
+
+  /** A call asks for a slot. */
+  offer(call: AdmissionCall, nowMs: number): AdmissionEffect[] {
+    if (call.priority === 'interactive') this.choice.noteInteractive(nowMs);
+    const reason = this.reasonToRefuse(call, nowMs);
+    if (reason) return [{type: 'refuse', id: call.id, reason}];
+    this.laneOf(call).push(call);
+    return this.dispatch(nowMs);
+  }
+
+  /** A call that ran has ended, with or without an answer. */
+  finished(
+    id: number,
+    outcome: ServerOutcome,
+    nowMs: number,
+  ): AdmissionEffect[] {
+    const ended = this.running.get(id);
+    if (!ended) return [];
+    const sample = {
+      class: ended.call.class,
+      outcome,
+      startedAtMs: ended.startedAtMs,
+      running: this.running.size,
+    };
+    this.limit.record(sample, nowMs);
+    this.running.delete(id);
+    ended.lane.running--;
+    return this.dispatch(nowMs);
+  }
+
+  /** The caller has left. */
+  cancel(id: number): AdmissionEffect[] {
+    if (this.running.has(id)) return [{type: 'abort', id}];
+    for (const lane of this.lanes.values()) {
+      if (lane.withdraw(id)) return [{type: 'refuse', id, reason: 'cancelled'}];
+    }
+    return [];
+  }
+
+  /** Refuses all calls that wait and all that follow; running ones go on. */
+  drain(): AdmissionEffect[] {
+    this.draining = true;
+    return this.refuseWaiting('draining');
+  }
+
+  /**
+   * The server is gone. Waiting calls are refused; the caller answers the
+   * returned running ones as unknown.
+   */
+  crashed(): {effects: AdmissionEffect[]; running: AdmissionCall[]} {
+    const running = [...this.running.values()].map(({call}) => call);
+    this.running.clear();
+    for (const lane of this.lanes.values()) lane.running = 0;
+    return {effects: this.refuseWaiting('server-failed'), running};
+  }
+
+  /** Refuses the waiting calls whose deadline has come too near. */
+  expire(nowMs: number): AdmissionEffect[] {
+    const effects: AdmissionEffect[] = [];
+    for (const lane of this.lanes.values()) {
+      let call = lane.peek();
+      while (call && this.isLate(call, nowMs)) {
+        lane.shift();
+        effects.push({type: 'refuse', id: call.id, reason: 'deadline'});
+        call = lane.peek();
+      }
+    }
+    return effects;
+  }
+
+  /** Time in ms at which `expire` has work; undefined while nothing waits. */
+  nextExpiryMs(): number | undefined {
+    let next: number | undefined;
+    for (const lane of this.lanes.values()) {
+      const call = lane.peek();
+      if (!call) continue;
+      const atMs = call.deadlineMs - this.limit.expectedMs(call.class);
+      if (next === undefined || atMs < next) next = atMs;
+    }
+    return next;
+  }
+
+  /** The load that goes with each answer. */
+  load(): ServerLoad {
+    const load: ServerLoad = {
+      inFlight: this.running.size,
+      queued: this.waiting(),
+      limit: this.draining ? 0 : this.limit.value,
+    };
+    const {serviceMs} = this.limit;
+    return serviceMs === undefined ? load : {...load, serviceMs};
+  }
+
+  /** Calls that hold a slot. */
+  get inFlight(): number {
+    return this.running.size;
+  }
+
+  private waiting(priority?: string): number {
+    let count = 0;
+    for (const lane of this.lanes.values()) {
+      if (!priority || lane.priority === priority) count += lane.length;
+    }
+    return count;
+  }
+
+  private reasonToRefuse(
+    call: AdmissionCall,
+    nowMs: number,
+  ): FailureReason | undefined {
+    if (this.draining) return 'draining';
+    if (this.isLate(call, nowMs)) return 'deadline';
+    const queued = this.waiting(call.priority);
+    if (queued >= this.limit.value * QUEUE_PER_SLOT) return 'overload';
+    const serviceMs = this.limit.expectedMs(call.class);
+    const waitMs = (queued * serviceMs) / this.limit.value;
+    const full = this.running.size >= this.limit.value;
+    const late = full && this.isLate(call, nowMs + waitMs);
+    return late ? 'overload' : undefined;
+  }
+
+  private isLate(call: AdmissionCall, nowMs: number): boolean {
+    const serviceMs = this.limit.expectedMs(call.class);
+    return nowMs >= call.deadlineMs - serviceMs;
+  }
+
+  private laneOf(call: AdmissionCall): CallLane {
+    const kind = call.suspect ? 'suspects' : 'class';
+    const key = `${kind}/${call.priority}/${call.class}/${call.weight}`;
+    let lane = this.lanes.get(key);
+    if (!lane) {
+      lane = new CallLane(call.priority, call.weight, call.suspect);
+      this.lanes.set(key, lane);
+    }
+    return lane;
+  }
+
+  private dispatch(nowMs: number): AdmissionEffect[] {
+    const effects = this.expire(nowMs);
+    const lanes = [...this.lanes.values()];
+    while (this.running.size < this.limit.value) {
+      const lane = this.choice.choose(lanes, this.limit.value, nowMs);
+      const call = lane?.shift();
+      if (!lane || !call) break;
+      this.start(call, lane, nowMs);
+      effects.push({type: 'run', id: call.id});
+    }
+    return effects;
+  }
+
+  private start(call: AdmissionCall, lane: CallLane, nowMs: number): void {
+    lane.running++;
+    this.running.set(call.id, {call, lane, startedAtMs: nowMs});
+    this.choice.noteStart(call.priority);
+  }
+
+  private refuseWaiting(reason: FailureReason): AdmissionEffect[] {
+    return [...this.lanes.values()]
+      .flatMap(lane => lane.clear())
+      .map(({id}) => ({type: 'refuse', id, reason}));
+  }
+}
