Deadlines across hops, and retries inside a budget

Cause: a call passes up to 25 hops; retries at each would multiply.

Change: the time left and the hop count travel in headers and are capped by the route and a hop limit. A failed attempt is retried only if it was not run, or is repeatable and no earlier hop repeats it. Retries draw on an allowance of the service that fades; one after an unknown outcome costs (h+1)(h+2) tokens at hop h, so that the shares of all hops add up to less than one.

--- /dev/null
+++ b/packages/routing/tests/calls/deadline.test.ts
@@ -0,0 +1,71 @@
+import {expect} from 'chai';
+
+import {
+  DEADLINE_HEADER,
+  formatLimits,
+  HOPS_HEADER,
+  readLimits,
+} from '../../src/calls/deadline.js';
+
+const NOW_MS = 5_000;
+const TIMEOUT_MS = 800;
+
+interface LimitCase {
+  name: string;
+  deadline?: string;
+  hops?: string;
+}
+
+function read({deadline, hops}: LimitCase) {
+  const headers = {
+    ...(deadline !== undefined && {[DEADLINE_HEADER]: deadline}),
+    ...(hops !== undefined && {[HOPS_HEADER]: hops}),
+  };
+  return readLimits(headers, TIMEOUT_MS, NOW_MS);
+}
+
+describe('readLimits', () => {
+  const valid: (LimitCase & {deadlineMs: number; expectedHops: number})[] = [
+    {name: 'no header', deadlineMs: 5_800, expectedHops: 0},
+    {name: 'less left', deadline: '30', deadlineMs: 5_030, expectedHops: 0},
+    {name: 'more left', deadline: '9000', deadlineMs: 5_800, expectedHops: 0},
+    {name: 'a chain of 25', hops: '24', deadlineMs: 5_800, expectedHops: 24},
+    {name: 'the last hop', hops: '31', deadlineMs: 5_800, expectedHops: 31},
+  ];
+  for (const {name, deadlineMs, expectedHops, ...rest} of valid) {
+    it(`accepts ${name}`, () => {
+      const limits = read({name, ...rest}).unwrap();
+      expect(limits).to.deep.equal({deadlineMs, hops: expectedHops});
+    });
+  }
+
+  const invalid: (LimitCase & {kind: string})[] = [
+    {name: 'text', deadline: 'soon', kind: 'malformed-deadline'},
+    {name: 'a negative time', deadline: '-1', kind: 'malformed-deadline'},
+    {name: 'a fraction', deadline: '1.5', kind: 'malformed-deadline'},
+    {name: 'an empty value', deadline: '', kind: 'malformed-deadline'},
+    {name: 'two values', deadline: '10, 20', kind: 'malformed-deadline'},
+    {
+      name: 'a huge number',
+      deadline: '9'.repeat(16),
+      kind: 'malformed-deadline',
+    },
+    {name: 'no time left', deadline: '0', kind: 'expired'},
+    {name: 'hops in hex', hops: '0x2', kind: 'malformed-hops'},
+    {name: 'a loop', hops: '32', kind: 'too-many-hops'},
+  ];
+  for (const {name, kind, ...rest} of invalid) {
+    it(`refuses ${name}`, () => {
+      expect(read({name, ...rest}).unwrapErr().kind).to.equal(kind);
+    });
+  }
+
+  it('hands the time left and the hop count on, through 25 hops', () => {
+    let headers = {};
+    for (let hop = 0; hop < 25; hop++) {
+      const limits = readLimits(headers, TIMEOUT_MS, hop * 10).unwrap();
+      expect(limits).to.deep.equal({deadlineMs: TIMEOUT_MS, hops: hop});
+      headers = formatLimits(limits, (hop + 1) * 10);
+    }
+  });
+});
--- /dev/null
+++ b/packages/routing/tests/calls/retry.test.ts
@@ -0,0 +1,93 @@
+import {expect} from 'chai';
+
+import {RetryBudget} from '../../src/calls/retry-budget.js';
+import {decideRetry} from '../../src/calls/retry.js';
+import type {FailedAttempt, RetryDecision} from '../../src/calls/retry.js';
+
+const NOW_MS = 1_000;
+
+const REFUSED: FailedAttempt = {
+  outcome: 'not-run',
+  reason: 'overload',
+  attempts: 1,
+  repetition: 'at-most-once',
+  deadlineMs: NOW_MS + 500,
+  hops: 0,
+  repeated: false,
+  replayable: true,
+  untried: 2,
+};
+
+const LOST: FailedAttempt = {
+  ...REFUSED,
+  outcome: 'unknown',
+  reason: 'connection-lost',
+  repetition: 'repeatable',
+};
+
+function fullBudget(tokens: number): RetryBudget {
+  const budget = new RetryBudget(NOW_MS);
+  budget.deposit((tokens - 1) * 100, NOW_MS);
+  return budget;
+}
+
+describe('decideRetry', () => {
+  const cases: [string, FailedAttempt, number, RetryDecision][] = [
+    ['a refusal', REFUSED, 1, 'retry'],
+    ['a refusal without budget', REFUSED, 0.5, 'budget'],
+    ['a refusal deep in a chain', {...REFUSED, hops: 24}, 1, 'retry'],
+    [
+      'a refusal of a repeated request',
+      {...REFUSED, repeated: true},
+      1,
+      'retry',
+    ],
+    ['a lost repeatable call', LOST, 2, 'retry'],
+    ['a lost repeatable call, one token', LOST, 1, 'budget'],
+    ['a lost call at hop 1', {...LOST, hops: 1}, 6, 'retry'],
+    ['a lost call at hop 1, five tokens', {...LOST, hops: 1}, 5, 'budget'],
+    [
+      'a lost call that must not repeat',
+      {...LOST, repetition: 'at-most-once'},
+      99,
+      'may-have-run',
+    ],
+    [
+      'a lost call that an earlier hop repeats',
+      {...LOST, repeated: true},
+      99,
+      'may-have-run',
+    ],
+    ['a body that is gone', {...REFUSED, replayable: false}, 9, 'may-have-run'],
+    ['the last attempt', {...REFUSED, attempts: 3}, 9, 'attempts'],
+    ['a near deadline', {...REFUSED, deadlineMs: NOW_MS + 1}, 9, 'deadline'],
+    ['no other server', {...REFUSED, untried: 0}, 9, 'servers'],
+    ['a quarantined request', {...REFUSED, reason: 'quarantined'}, 9, 'final'],
+    ['a caller who left', {...LOST, reason: 'cancelled'}, 9, 'final'],
+    ['a claim of another run', {...REFUSED, reason: 'claimed'}, 9, 'final'],
+  ];
+  for (const [name, failed, tokens, expected] of cases) {
+    it(`${name}: ${expected}`, () => {
+      const decision = decideRetry(failed, fullBudget(tokens), NOW_MS);
+      expect(decision).to.equal(expected);
+    });
+  }
+
+  it('keeps the retries of a total failure within the share', () => {
+    const budget = new RetryBudget(0);
+    let retries = 0;
+    for (let call = 0; call < 10_000; call++) {
+      budget.deposit(10, call);
+      if (budget.withdraw(1, call)) retries++;
+    }
+    expect(retries).to.be.within(900, 1_001);
+  });
+
+  it('does not save up allowance for a storm', () => {
+    const budget = new RetryBudget(0);
+    for (let call = 0; call < 100_000; call++) budget.deposit(10, call * 10);
+    let burst = 0;
+    while (budget.withdraw(1, 1_000_000)) burst++;
+    expect(burst).to.be.at.most(100);
+  });
+});
