Quarantine of requests that crash server after server

Cause: a caller repeats a request that has crashed its server, and takes down the next.

The second crash then names one request, which all nodes refuse until a deadline.

--- /dev/null
+++ b/packages/routing/tests/quarantine/crash-ledger.test.ts
@@ -0,0 +1,132 @@
+import {expect} from 'chai';
+
+import {CrashLedger} from '../../src/quarantine/crash-ledger.js';
+import {fingerprint} from '../../src/quarantine/fingerprint.js';
+
+const HOUR_MS = 3_600_000;
+
+type Step =
+  | {crash: string; running: string[]; own?: boolean; found?: string[]}
+  | {answered: string};
+
+const cases: {name: string; steps: Step[]; standing: Record<string, string>}[] =
+  [
+    {
+      name: 'isolates all that ran at a first crash',
+      steps: [{crash: 's1', running: ['bad', 'good']}],
+      standing: {bad: 'suspect', good: 'suspect', other: 'clear'},
+    },
+    {
+      name: 'quarantines the only common request of two crashes',
+      steps: [
+        {crash: 's1', running: ['bad', 'good']},
+        {crash: 's2', running: ['bad', 'other'], found: ['bad']},
+      ],
+      standing: {bad: 'quarantined', good: 'suspect', other: 'suspect'},
+    },
+    {
+      name: 'counts one crash once',
+      steps: [
+        {crash: 's1', running: ['bad']},
+        {crash: 's1', running: ['bad']},
+      ],
+      standing: {bad: 'suspect'},
+    },
+    {
+      name: 'clears a suspect that was answered elsewhere',
+      steps: [
+        {crash: 's1', running: ['bad', 'good']},
+        {answered: 'good'},
+        {crash: 's2', running: ['bad', 'good'], found: ['bad']},
+      ],
+      standing: {bad: 'quarantined', good: 'suspect'},
+    },
+    {
+      name: 'does not choose between many common requests',
+      steps: [
+        {crash: 's1', running: ['bad', 'good', 'fine']},
+        {crash: 's2', running: ['bad', 'good', 'fine']},
+        {answered: 'good'},
+        {answered: 'fine'},
+        {crash: 's3', running: ['bad', 'new'], found: ['bad']},
+      ],
+      standing: {bad: 'quarantined', good: 'clear', fine: 'clear'},
+    },
+    {
+      name: 'leaves the conclusion to nodes that saw the crash',
+      steps: [
+        {crash: 's1', running: ['bad'], own: false},
+        {crash: 's2', running: ['bad'], own: false},
+      ],
+      standing: {bad: 'suspect'},
+    },
+    {
+      name: 'concludes when the second report comes from elsewhere',
+      steps: [
+        {crash: 's1', running: ['bad']},
+        {crash: 's2', running: ['bad'], own: false, found: ['bad']},
+      ],
+      standing: {bad: 'quarantined'},
+    },
+  ];
+
+describe('CrashLedger', () => {
+  for (const {name, steps, standing} of cases) {
+    it(name, () => {
+      const ledger = new CrashLedger();
+      for (const step of steps) {
+        if ('answered' in step) {
+          expect(ledger.clear(step.answered)).to.equal(true);
+          continue;
+        }
+        const report = {
+          server: step.crash,
+          fingerprints: step.running,
+          atMs: 0,
+        };
+        const found =
+          step.own === false
+            ? ledger.learn(report, 0)
+            : ledger.crashed(report, 0);
+        expect(found.map(q => q.fingerprint)).to.deep.equal(step.found ?? []);
+      }
+      for (const [id, expected] of Object.entries(standing)) {
+        expect(ledger.standing(id, 1)).to.equal(expected);
+      }
+    });
+  }
+
+  it('ends a quarantine at its deadline', () => {
+    const ledger = new CrashLedger();
+    ledger.accept({fingerprint: 'bad', untilMs: 500}, 0);
+    expect(ledger.standing('bad', 499)).to.equal('quarantined');
+    expect(ledger.standing('bad', 500)).to.equal('clear');
+    expect(ledger.inForce(500)).to.deep.equal([]);
+  });
+
+  it('does not believe a quarantine without end', () => {
+    const ledger = new CrashLedger();
+    ledger.accept({fingerprint: 'bad', untilMs: Infinity}, 0);
+    expect(ledger.standing('bad', HOUR_MS)).to.equal('clear');
+  });
+
+  it('forgets a suspect in time', () => {
+    const ledger = new CrashLedger();
+    ledger.crashed({server: 's1', fingerprints: ['a'], atMs: 0}, 0);
+    expect(ledger.standing('a', HOUR_MS)).to.equal('clear');
+  });
+
+  it('gives a request the same fingerprint each time', () => {
+    const bodyStart = Buffer.from('x');
+    const parts = {method: 'PUT', path: '/a', customer: 'c', bodyStart};
+    expect(fingerprint(parts)).to.equal(fingerprint({...parts}));
+    const others = [
+      {...parts, method: 'POST'},
+      {...parts, path: '/b'},
+      {...parts, customer: 'd'},
+      {...parts, bodyStart: Buffer.from('y')},
+    ];
+    const all = [parts, ...others].map(fingerprint);
+    expect(new Set(all).size).to.equal(all.length);
+  });
+});
