Heartbeat of connections that go silent

Cause: a connection may swallow everything while new ones work.

Change: a state chart with deadlines pings a quiet connection, sooner while calls are in flight, takes it out of use after one unanswered ping, and gives it up after the second.

--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,4 +1,14 @@
 /** Route match, balancing, admission, retries, at-most-once, quarantine. */
+export {
+  type ServerOutcome,
+  type ServerSample,
+} from './admission/adaptive-limit.js';
+export {
+  Admission,
+  type AdmissionBounds,
+  type AdmissionEffect,
+} from './admission/admission.js';
+export {type AdmissionCall} from './admission/call-lane.js';
 export {
   Balancer,
   candidateKey,
@@ -7,7 +17,49 @@
   type CallResult,
   type Candidate,
 } from './balancing/balancer.js';
+export {
+  LeastExpectedCostBalancer,
+  slowStartShare,
+} from './balancing/least-expected-cost.js';
+export {LeastInFlightBalancer} from './balancing/least-in-flight.js';
 export {RoundRobinBalancer} from './balancing/round-robin.js';
+export {
+  DEADLINE_HEADER,
+  formatLimits,
+  HOPS_HEADER,
+  MAX_HOPS,
+  readLimits,
+  type CallLimits,
+  type DeadlineError,
+  type DeadlineErrorKind,
+  type LimitHeaders,
+} from './calls/deadline.js';
+export {RetryBudget} from './calls/retry-budget.js';
+export {
+  decideRetry,
+  MAX_ATTEMPTS,
+  OUTCOME_HEADER,
+  RETRY_HEADER,
+  type FailedAttempt,
+  type NoRetryReason,
+  type RetryDecision,
+} from './calls/retry.js';
+export {
+  Heartbeat,
+  type HeartbeatEffect,
+  type HeartbeatState,
+  type HeartbeatTimes,
+} from './connections/heartbeat.js';
+export {
+  CrashLedger,
+  MAX_REPORTED,
+  type Standing,
+} from './quarantine/crash-ledger.js';
+export {
+  fingerprint,
+  FINGERPRINT_BODY_BYTES,
+  type FingerprintParts,
+} from './quarantine/fingerprint.js';
 export {groupKey, type MatchedRoute} from './routes/matched-route.js';
 export {
   RoutingTable,
--- /dev/null
+++ b/packages/routing/tests/connections/heartbeat.test.ts
@@ -0,0 +1,74 @@
+import {expect} from 'chai';
+
+import {Heartbeat} from '../../src/connections/heartbeat.js';
+
+const TIMES = {busyQuietMs: 300, idleQuietMs: 10_000, pongMs: 500};
+
+type Step =
+  | {atMs: number; do: 'sent' | 'received'}
+  | {atMs: number; do: 'tick'; effect?: 'ping' | 'replace'; state: string};
+
+describe('Heartbeat', () => {
+  const cases: {name: string; steps: Step[]}[] = [
+    {
+      name: 'pings an idle connection late',
+      steps: [
+        {atMs: 9_999, do: 'tick', state: 'live'},
+        {atMs: 10_000, do: 'tick', effect: 'ping', state: 'pinging'},
+      ],
+    },
+    {
+      name: 'gives up a connection that swallows calls',
+      steps: [
+        {atMs: 100, do: 'sent'},
+        {atMs: 399, do: 'tick', state: 'live'},
+        {atMs: 400, do: 'tick', effect: 'ping', state: 'pinging'},
+        {atMs: 899, do: 'tick', state: 'pinging'},
+        {atMs: 900, do: 'tick', effect: 'ping', state: 'silent'},
+        {atMs: 1_400, do: 'tick', effect: 'replace', state: 'replaced'},
+        {atMs: 9_000, do: 'received'},
+        {atMs: 99_000, do: 'tick', state: 'replaced'},
+      ],
+    },
+    {
+      name: 'keeps a connection whose late pong arrives',
+      steps: [
+        {atMs: 0, do: 'sent'},
+        {atMs: 300, do: 'tick', effect: 'ping', state: 'pinging'},
+        {atMs: 800, do: 'tick', effect: 'ping', state: 'silent'},
+        {atMs: 1_000, do: 'received'},
+        {atMs: 1_299, do: 'tick', state: 'live'},
+        {atMs: 1_300, do: 'tick', effect: 'ping', state: 'pinging'},
+      ],
+    },
+    {
+      name: 'does not put off a ping by sending more',
+      steps: [
+        {atMs: 0, do: 'sent'},
+        {atMs: 250, do: 'sent'},
+        {atMs: 300, do: 'tick', effect: 'ping', state: 'pinging'},
+      ],
+    },
+  ];
+  for (const {name, steps} of cases) {
+    it(name, () => {
+      const heartbeat = new Heartbeat(TIMES, 0);
+      for (const step of steps) {
+        if (step.do === 'sent') heartbeat.sent(step.atMs);
+        if (step.do === 'received') heartbeat.received(true, step.atMs);
+        if (step.do !== 'tick') continue;
+        expect(heartbeat.tick(step.atMs)).to.equal(step.effect);
+        expect(heartbeat.state).to.equal(step.state);
+      }
+    });
+  }
+
+  it('takes no new calls while it is silent', () => {
+    const heartbeat = new Heartbeat(TIMES, 0);
+    heartbeat.sent(0);
+    heartbeat.tick(300);
+    expect(heartbeat.usable).to.equal(true);
+    heartbeat.tick(800);
+    expect(heartbeat.usable).to.equal(false);
+  });
+});
