Calls run by the decisions of routing; cost of a server by class

Cause: the path knew round robin only, and took neither limits nor faults into account. The cost of a server mixed the times of its classes: a server that had refused its bulk calls looked fast to all.

Change: evidence, load and refusals are kept by class and priority; servers within a factor of 1.5 of the median count as equally fast. The node reads and passes on deadlines and hops, asks for a body only when the call is accepted, admits calls to its servers, retries within the budget of the service, ends tries at their deadline at both sides, and reports crashes. News of crashes spreads from node to node at random. Once an answer has begun, only a stall ends it, not the deadline.

--- a/packages/node/src/calls/caller-exchange.ts
+++ b/packages/node/src/calls/caller-exchange.ts
@@ -2,20 +2,31 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
+import {OUTCOME_HEADER, RETRY_HEADER} from '@turmericmill/routing';
 import type {FlatHeaders, ServerLoad} from '@turmericmill/wire';
 
-import type {CallEvents, CallFailure, CallLeg, FirstBody} from './call-leg.js';
+import {
+  NO_LOAD,
+  type CallEvents,
+  type CallFailure,
+  type CallLeg,
+  type FirstBody,
+} from './call-leg.js';
 import {endToEndHeaders} from './headers.js';
 import {refusalStatus} from './refusal.js';
 import {RequestBody} from './request-body.js';
 
-/** Header that tells whether a failed call may have run. */
-export const OUTCOME_HEADER = 'x-turmericmill-outcome';
 /** Header that tells why a call was refused. */
 export const REASON_HEADER = 'x-turmericmill-reason';
 /** Bytes of an answer that are written before more are granted. */
 const CREDIT_STEP_BYTES = 64 * 1024;
 
+/**
+ * Time in ms after the deadline in which the server's node may still tell
+ * whether the call was run.
+ */
+const DEADLINE_GRACE_MS = 20;
+
 /** How a try ended for the caller's side. */
 export type TryEnd =
   | {kind: 'answered'; status: number; load: ServerLoad}
@@ -27,6 +38,7 @@
 export class CallerExchange {
   private readonly body: RequestBody;
   private leg: CallLeg | undefined;
+  private timer: NodeJS.Timeout | undefined;
   private answered = false;
   private left = false;
   private streaming = false;
@@ -47,12 +59,23 @@
     return !this.answered && !this.left && !this.streaming;
   }
 
-  /** Runs one try; resolves when it has ended. */
+  /**
+   * Runs one try; resolves when it has ended. The answer has to start within
+   * `timeoutMs`.
+   */
   runTry(
     first: FirstBody,
     start: (events: CallEvents) => CallLeg,
+    timeoutMs: number,
   ): Promise<TryEnd> {
-    return new Promise(resolve => {
+    return new Promise(settle => {
+      let ended = false;
+      const resolve = (end: TryEnd) => {
+        ended = true;
+        clearTimeout(this.timer);
+        this.res.off('close', onClose);
+        settle(end);
+      };
       const events = this.eventsOf(resolve);
       const onClose = () => {
         if (this.res.writableFinished) return;
@@ -67,6 +90,11 @@
       this.res.once('close', onClose);
       const leg = start(events);
       this.leg = leg;
+      if (ended) return;
+      this.timer = setTimeout(() => {
+        leg.cancel();
+        resolve({kind: 'failed', failure: deadlinePassed()});
+      }, timeoutMs + DEADLINE_GRACE_MS);
       if (first.end) return;
       this.streaming = true;
       this.body.streamTo(leg);
@@ -88,6 +116,7 @@
       'content-length': Buffer.byteLength(text),
       [OUTCOME_HEADER]: failure.outcome,
       [REASON_HEADER]: failure.reason,
+      [RETRY_HEADER]: 'no',
     });
     this.res.end(text);
   }
@@ -129,6 +158,7 @@
 
   private answerStart(status: number, headers: FlatHeaders): void {
     this.answered = true;
+    clearTimeout(this.timer);
     this.res.writeHead(status, endToEndHeaders(headers));
   }
 
@@ -141,3 +171,9 @@
     this.res.end();
   }
 }
+
+function deadlinePassed(): CallFailure {
+  const detail = 'The deadline passed without an answer.';
+  const load = {...NO_LOAD};
+  return {outcome: 'unknown', reason: 'deadline', detail, load};
+}
--- a/packages/node/src/calls/dispatcher.ts
+++ b/packages/node/src/calls/dispatcher.ts
@@ -5,8 +5,15 @@
   CallOutcome,
   Candidate,
   MatchedRoute,
+  RetryDecision,
+} from '@turmericmill/routing';
+import {
+  candidateKey,
+  decideRetry,
+  readyCandidates,
+  RETRY_HEADER,
+  RetryBudget,
 } from '@turmericmill/routing';
-import {candidateKey} from '@turmericmill/routing';
 import type {Clock, RandomSource} from '@turmericmill/utils';
 
 import type {
@@ -18,12 +25,10 @@
   FirstBody,
 } from './call-leg.js';
 import {NO_LOAD} from './call-leg.js';
+import {headerOf} from './headers.js';
 import type {CallerExchange, TryEnd} from './caller-exchange.js';
 import type {RemoteRunner} from './remote-runner.js';
 
-/** Tries of one call in all. */
-const MAX_TRIES = 3;
-
 /** What the caller asks for, before a server is chosen. */
 export type CallDemand = Omit<CallHead, 'serverId' | 'serverIncarnation'>;
 
@@ -39,8 +44,23 @@
   candidates(group: string): readonly Candidate[];
 }
 
+/** One call on its way through its tries. */
+interface CallProgress {
+  exchange: CallerExchange;
+  route: MatchedRoute;
+  demand: CallDemand;
+  body: FirstBody;
+  /** Servers that were tried, by `candidateKey`. */
+  tried: Set<string>;
+  /** True once it is sent again after an unknown outcome. */
+  repeated: boolean;
+}
+
 /** Chooses servers and runs tries until one is answered or none may follow. */
 export class Dispatcher {
+  /** Retry budgets by service. */
+  private readonly budgets = new Map<string, RetryBudget>();
+
   constructor(private readonly parts: DispatcherParts) {}
 
   /** Resolves with the last try's end; a failure has not been answered yet. */
@@ -50,47 +70,86 @@
     demand: CallDemand,
     body: FirstBody,
   ): Promise<TryEnd> {
+    const repeated = headerOf(demand.headers, RETRY_HEADER) === 'no';
     const tried = new Set<string>();
+    const call = {exchange, route, demand, body, tried, repeated};
+    const now = this.parts.clock.now();
+    this.budgetOf(route).deposit(route.retryBudgetPercent, now);
     let end: TryEnd = {kind: 'failed', failure: noServer(demand.group)};
-    for (let tries = 0; tries < MAX_TRIES; tries++) {
-      const candidate = this.choose(demand.group, tried);
-      if (!candidate) break;
+    for (;;) {
+      const candidate = this.choose(call);
+      if (!candidate) return end;
       tried.add(candidateKey(candidate));
-      end = await this.tryOnce(exchange, candidate, demand, body);
-      if (!mayRetry(end, route) || !exchange.canRetry) break;
+      end = await this.tryOnce(call, candidate);
+      if (end.kind !== 'failed') return end;
+      if (this.decide(call, end.failure) !== 'retry') return end;
+      if (end.failure.outcome === 'unknown') markRepeated(call);
     }
-    return end;
   }
 
-  private choose(
-    group: string,
-    tried: ReadonlySet<string>,
-  ): Candidate | undefined {
-    const {balancer, clock, random, candidates} = this.parts;
-    const all = candidates(group);
-    const left =
-      tried.size === 0 ? all : all.filter(c => !tried.has(candidateKey(c)));
-    return balancer.choose(left, clock.now(), random);
+  private choose(call: CallProgress): Candidate | undefined {
+    const {balancer, clock, random} = this.parts;
+    return balancer.choose(
+      this.untried(call),
+      call.demand,
+      clock.now(),
+      random,
+    );
+  }
+
+  private untried({demand, tried}: CallProgress): readonly Candidate[] {
+    const all = this.parts.candidates(demand.group);
+    if (tried.size === 0) return all;
+    return all.filter(candidate => !tried.has(candidateKey(candidate)));
+  }
+
+  private decide(call: CallProgress, failure: CallFailure): RetryDecision {
+    const {exchange, route, demand, tried, repeated} = call;
+    return decideRetry(
+      {
+        outcome: failure.outcome,
+        reason: failure.reason,
+        attempts: tried.size,
+        repetition: route.repetition,
+        deadlineMs: demand.deadlineMs,
+        hops: demand.hops,
+        repeated,
+        replayable: exchange.canRetry,
+        untried: readyCandidates(this.untried(call)).length,
+      },
+      this.budgetOf(route),
+      this.parts.clock.now(),
+    );
+  }
+
+  private budgetOf({service}: MatchedRoute): RetryBudget {
+    let budget = this.budgets.get(service);
+    if (!budget) {
+      budget = new RetryBudget(this.parts.clock.now());
+      this.budgets.set(service, budget);
+    }
+    return budget;
   }
 
   private async tryOnce(
-    exchange: CallerExchange,
+    call: CallProgress,
     candidate: Candidate,
-    demand: CallDemand,
-    body: FirstBody,
   ): Promise<TryEnd> {
     const {balancer, clock} = this.parts;
+    const {exchange, demand, body} = call;
     const startedMs = clock.now();
-    balancer.started(candidate, startedMs);
-    const end = await exchange.runTry(body, events =>
-      this.run(candidate, demand, body, events),
+    balancer.started(candidate, demand, startedMs);
+    const end = await exchange.runTry(
+      body,
+      events => this.run(candidate, demand, body, events),
+      demand.deadlineMs - startedMs,
     );
     const now = clock.now();
     const latencyMs = now - startedMs;
     const outcome = outcomeOf(end);
     const load = loadOf(end);
     const result = load ? {outcome, latencyMs, load} : {outcome, latencyMs};
-    balancer.finished(candidate, result, now);
+    balancer.finished(candidate, demand, result, now);
     return end;
   }
 
@@ -120,10 +179,11 @@
   };
 }
 
-function mayRetry(end: TryEnd, route: MatchedRoute): boolean {
-  if (end.kind !== 'failed') return false;
-  if (end.failure.reason === 'deadline') return false;
-  return end.failure.outcome === 'not-run' || route.repetition === 'repeatable';
+/** Keeps later hops from repeating what this one repeats already. */
+function markRepeated(call: CallProgress): void {
+  const {demand} = call;
+  const headers = [...demand.headers, RETRY_HEADER, 'no'];
+  call.demand = {...demand, headers};
 }
 
 function outcomeOf(end: TryEnd): CallOutcome {
@@ -132,11 +192,15 @@
     return end.status >= 500 ? 'server-error' : 'answered';
   }
   const {reason, outcome} = end.failure;
-  if (reason === 'deadline') return 'timed-out';
-  return outcome === 'not-run' ? 'refused' : 'failed';
+  if (reason === 'server-unreachable') return 'failed';
+  if (outcome === 'not-run') return 'refused';
+  return reason === 'deadline' ? 'timed-out' : 'failed';
 }
 
+/** The load of a server's node; failures of the way carry none. */
 function loadOf(end: TryEnd) {
   if (end.kind === 'answered') return end.load;
-  return end.kind === 'left' ? undefined : end.failure.load;
+  if (end.kind === 'left') return undefined;
+  const {load} = end.failure;
+  return load.limit > 0 ? load : undefined;
 }
--- a/packages/node/src/calls/headers.ts
+++ b/packages/node/src/calls/headers.ts
@@ -27,6 +27,31 @@
   return kept;
 }
 
+/** The value of a header by its lower-case name; the first if repeated. */
+export function headerOf(
+  headers: FlatHeaders,
+  name: string,
+): string | undefined {
+  for (let i = 0; i + 1 < headers.length; i += 2) {
+    if (headers[i]?.toLowerCase() === name) return headers[i + 1];
+  }
+  return undefined;
+}
+
+/** The headers with `values` in place of any of the same names. */
+export function replaceHeaders(
+  headers: FlatHeaders,
+  values: Readonly<Record<string, string>>,
+): FlatHeaders {
+  const kept: FlatHeaders = [];
+  for (let i = 0; i + 1 < headers.length; i += 2) {
+    const name = headers[i] as string;
+    if (name.toLowerCase() in values) continue;
+    kept.push(name, headers[i + 1] as string);
+  }
+  return [...kept, ...Object.entries(values).flat()];
+}
+
 /** Flattens raw headers, which may hold Latin-1 bytes. */
 export function flatten(raw: readonly (Buffer | string)[]): FlatHeaders {
   return raw.map(item =>
--- a/packages/node/src/calls/local-runner.ts
+++ b/packages/node/src/calls/local-runner.ts
@@ -1,29 +1,23 @@
 /** Runs calls on the backend servers beside this node. */
 
-import {Pool} from 'undici';
+import type {Resource, ResourceKey} from '@turmericmill/config';
+import {resolveReference} from '@turmericmill/config';
+import type {Clock} from '@turmericmill/utils';
 
 import type {Bus, LocalServer} from '../bus.js';
+import {
+  AdmittedServer,
+  type AdmissionTerms,
+  type CrashKnowledge,
+} from './admitted-server.js';
 import {
   CallRunner,
   NO_LOAD,
   type CallEvents,
-  type CallFailure,
   type CallHead,
   type CallLeg,
   type FirstBody,
 } from './call-leg.js';
-import {ServerExchange} from './server-exchange.js';
-
-/** Time in ms after which an idle connection to a server is closed. */
-const IDLE_TIMEOUT_MS = 30_000;
-/** Time in ms within which a connection to a server has to be open. */
-const CONNECT_TIMEOUT_MS = 1000;
-
-interface Target {
-  server: LocalServer;
-  pool: Pool;
-  inFlight: number;
-}
 
 const ENDED_LEG: CallLeg = {
   data: () => undefined,
@@ -32,90 +26,105 @@
   cancel: () => undefined,
 };
 
-/** Keeps one pool of connections for each incarnation of a local server. */
+/** Looks up resources of the configuration in force. */
+interface ResourceLookup {
+  get(key: ResourceKey): Resource | undefined;
+}
+
+/** Keeps admission and connections for each incarnation of a local server. */
 export class LocalRunner extends CallRunner {
-  private readonly targets = new Map<string, Target>();
+  private readonly servers = new Map<string, AdmittedServer>();
+  private announced: readonly LocalServer[] = [];
+  private resources: ResourceLookup = new Map<ResourceKey, Resource>();
 
-  constructor(bus: Bus) {
+  constructor(
+    bus: Bus,
+    private readonly clock: Clock,
+    private readonly crashes: CrashKnowledge,
+  ) {
     super();
-    bus.subscribe('local-servers', ({servers}) => this.update(servers));
+    bus.subscribe('local-servers', ({servers}) => {
+      this.announced = servers;
+      this.update();
+    });
+    bus.subscribe('config-in-force', ({state}) => {
+      this.resources = state.resources;
+      this.update();
+    });
   }
 
   /** Calls that run now on one local server. */
   inFlightOf(serverId: string): number {
-    return this.targets.get(serverId)?.inFlight ?? 0;
+    return this.servers.get(serverId)?.inFlight ?? 0;
   }
 
   override run(head: CallHead, body: FirstBody, events: CallEvents): CallLeg {
-    const target = this.targets.get(head.serverId);
-    if (target?.server.incarnation !== head.serverIncarnation) {
-      return refuse(events, 'no-server', 'The server is not here any more.');
-    }
-    if (target.server.state === 'draining') {
-      return refuse(events, 'draining', 'The server is draining.');
+    const target = this.servers.get(head.serverId);
+    if (target?.server.incarnation === head.serverIncarnation) {
+      return target.run(head, body, events);
     }
-    const {server, pool} = target;
-    target.inFlight += 1;
-    return new ServerExchange(pool, head, body, events, {
-      load: () => ({
-        inFlight: target.inFlight,
-        queued: 0,
-        limit: server.slots,
-      }),
-      ended: () => {
-        target.inFlight -= 1;
-      },
+    events.failed({
+      outcome: 'not-run',
+      reason: 'no-server',
+      detail: 'The server is not here any more.',
+      load: {...NO_LOAD},
     });
+    return ENDED_LEG;
   }
 
   async close(): Promise<void> {
-    const pools = [...this.targets.values()].map(target => target.pool);
-    await Promise.all(pools.map(pool => pool.destroy()));
-    this.targets.clear();
+    const targets = [...this.servers.values()];
+    await Promise.all(targets.map(target => target.destroy()));
+    this.servers.clear();
   }
 
-  private update(servers: readonly LocalServer[]): void {
-    const present = new Set(servers.map(server => server.id));
-    for (const [id, target] of this.targets) {
+  private update(): void {
+    const present = new Set(this.announced.map(({id}) => id));
+    for (const [id, target] of this.servers) {
       if (!present.has(id)) this.drop(id, target);
     }
-    for (const server of servers) this.put(server);
+    for (const server of this.announced) this.put(server);
   }
 
   private put(server: LocalServer): void {
-    const known = this.targets.get(server.id);
+    const known = this.servers.get(server.id);
+    const terms = this.termsOf(server);
     const same =
       known?.server.incarnation === server.incarnation &&
       known.server.address === server.address &&
       known.server.port === server.port;
     if (known && same) {
-      known.server = server;
+      known.update(server, terms);
       return;
     }
     if (known) this.drop(server.id, known);
-    const pool = new Pool(`http://${server.address}:${server.port}`, {
-      connections: server.connections,
-      pipelining: 1,
-      keepAliveTimeout: IDLE_TIMEOUT_MS,
-      connectTimeout: CONNECT_TIMEOUT_MS,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-    });
-    this.targets.set(server.id, {server, pool, inFlight: 0});
+    const {clock, crashes} = this;
+    const target = new AdmittedServer(server, terms, clock, crashes);
+    this.servers.set(server.id, target);
   }
 
-  /** Calls in flight end by themselves; no new ones come. */
-  private drop(id: string, target: Target): void {
-    this.targets.delete(id);
-    void target.pool.close();
+  private drop(id: string, target: AdmittedServer): void {
+    this.servers.delete(id);
+    target.retire();
   }
-}
 
-function refuse(
-  events: CallEvents,
-  reason: CallFailure['reason'],
-  detail: string,
-): CallLeg {
-  events.failed({outcome: 'not-run', reason, detail, load: {...NO_LOAD}});
-  return ENDED_LEG;
+  /** The least of what the server announced and its group allows. */
+  private termsOf(server: LocalServer): AdmissionTerms {
+    const key = resolveReference('', 'backendServerGroup', server.group);
+    const group = this.resources.get(key);
+    const spec = group?.kind === 'backendServerGroup' ? group.spec : undefined;
+    const bounds = {
+      slots: Math.min(server.slots, spec?.maxSlots ?? Infinity),
+      connections: Math.min(
+        server.connections,
+        spec?.maxConnections ?? Infinity,
+      ),
+    };
+    return {bounds, weightOf: cls => this.weightOf(cls as ResourceKey)};
+  }
+
+  private weightOf(cls: ResourceKey): number {
+    const resource = this.resources.get(cls);
+    return resource?.kind === 'class' ? resource.spec.weight : 1;
+  }
 }
--- a/packages/node/src/calls/refusal.ts
+++ b/packages/node/src/calls/refusal.ts
@@ -5,6 +5,8 @@
 import type {CallFailure} from './call-leg.js';
 
 const STATUS_BY_REASON: Readonly<Record<FailureReason, number>> = {
+  malformed: 400,
+  'too-many-hops': 508,
   overload: 503,
   deadline: 504,
   draining: 503,
--- a/packages/node/src/calls/server-exchange.ts
+++ b/packages/node/src/calls/server-exchange.ts
@@ -2,6 +2,7 @@
 
 import {Readable} from 'node:stream';
 
+import {formatLimits, type ServerOutcome} from '@turmericmill/routing';
 import type {FlatHeaders, ServerLoad} from '@turmericmill/wire';
 import type {Dispatcher} from 'undici';
 
@@ -13,13 +14,18 @@
   type CallLeg,
   type FirstBody,
 } from './call-leg.js';
-import {endToEndHeaders, flatten} from './headers.js';
+import {endToEndHeaders, flatten, replaceHeaders} from './headers.js';
+
+/** Time in ms after which an answer that makes no progress is cut. */
+const STALL_TIMEOUT_MS = 30_000;
+/** Statuses by which a server says that it has too much to do. */
+const OVERLOAD_STATUSES: ReadonlySet<number> = new Set([429, 503]);
 
 /** What an exchange needs of its surroundings. */
 export interface ExchangeHooks {
   load(): ServerLoad;
   /** Called once, when the exchange no longer holds a slot. */
-  ended(): void;
+  ended(outcome: ServerOutcome): void;
 }
 
 type Controller = Dispatcher.DispatchController;
@@ -30,8 +36,9 @@
   private requestBody: Readable | undefined;
   private started = false;
   private done = false;
+  private status = 0;
   private window = INITIAL_WINDOW_BYTES;
-  private readonly timer: NodeJS.Timeout;
+  private timer: NodeJS.Timeout;
 
   constructor(
     dispatcher: Dispatcher,
@@ -46,7 +53,7 @@
       {
         method: head.method as Dispatcher.HttpMethod,
         path: head.path,
-        headers: endToEndHeaders(head.headers),
+        headers: requestHeaders(head),
         body: this.bodyOf(body),
       },
       {
@@ -70,6 +77,7 @@
   }
 
   credit(bytes: number): void {
+    if (this.status > 0) this.timer.refresh();
     const wasShut = this.window <= 0;
     this.window += bytes;
     if (wasShut && this.window > 0) this.controller?.resume();
@@ -77,7 +85,7 @@
 
   cancel(): void {
     if (this.done) return;
-    this.finish();
+    this.finish('cancelled');
     this.abort('The caller left.');
   }
 
@@ -115,6 +123,9 @@
 
   private answerStart(controller: Controller, status: number): void {
     if (this.done || status < 200) return;
+    this.status = status;
+    clearTimeout(this.timer);
+    this.timer = setTimeout(() => this.expire(), STALL_TIMEOUT_MS);
     const raw = controller.rawHeaders as Buffer[];
     const headers = endToEndHeaders(flatten(raw));
     this.events.answerStart(status, headers, this.hooks.load());
@@ -122,6 +133,7 @@
 
   private answerData(chunk: Buffer): void {
     if (this.done) return;
+    this.timer.refresh();
     this.window -= chunk.length;
     if (this.window <= 0) this.controller?.pause();
     this.events.answerData(chunk);
@@ -129,7 +141,8 @@
 
   private answerEnd(controller: Controller): void {
     if (this.done) return;
-    this.finish();
+    const overloaded = OVERLOAD_STATUSES.has(this.status);
+    this.finish(overloaded ? 'overloaded' : 'answered');
     const raw = (controller.rawTrailers ?? []) as Buffer[];
     this.events.answerEnd(flatten(raw));
   }
@@ -137,7 +150,7 @@
   /** Without a connection nothing was sent; after that, all is possible. */
   private fail(err: Error): void {
     if (this.done) return;
-    this.finish();
+    this.finish('lost');
     const failure: CallFailure = this.started
       ? this.failure('unknown', 'server-failed', err.message)
       : this.failure('not-run', 'server-unreachable', err.message);
@@ -147,7 +160,7 @@
   private expire(): void {
     if (this.done) return;
     const outcome = this.started ? 'unknown' : 'not-run';
-    this.finish();
+    this.finish('lost');
     this.abort('The deadline passed.');
     this.events.failed(this.failure(outcome, 'deadline', 'Deadline passed.'));
   }
@@ -165,9 +178,15 @@
     this.controller?.abort(new Error(message));
   }
 
-  private finish(): void {
+  private finish(outcome: ServerOutcome): void {
     this.done = true;
     clearTimeout(this.timer);
-    this.hooks.ended();
+    this.hooks.ended(outcome);
   }
 }
+
+/** What the server is sent: the limits are those at this moment. */
+function requestHeaders(head: CallHead): FlatHeaders {
+  const limits = {...formatLimits(head, Date.now())};
+  return replaceHeaders(endToEndHeaders(head.headers), limits);
+}
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,7 +1,7 @@
 /** One node: its tasks, wired together. */
 
 import {HttpLogClient} from '@turmericmill/platform';
-import {RoundRobinBalancer} from '@turmericmill/routing';
+import {LeastExpectedCostBalancer} from '@turmericmill/routing';
 import {SystemClock, SystemRandom} from '@turmericmill/utils';
 import type {MemberRecord} from '@turmericmill/wire';
 import {MAX_PROTOCOL_VERSION, MIN_PROTOCOL_VERSION} from '@turmericmill/wire';
@@ -21,6 +21,7 @@
 import {ConfigTask} from './tasks/config-task.js';
 import {IngressTask} from './tasks/ingress-task.js';
 import {MembershipTask} from './tasks/membership-task.js';
+import {QuarantineTask} from './tasks/quarantine-task.js';
 import {TransportTask} from './transport/transport-task.js';
 
 /** Ports in use, for those settings that left the choice to the platform. */
@@ -76,12 +77,14 @@
       random,
       logger,
     );
-    this.local = new LocalRunner(bus);
+    const quarantine = new QuarantineTask(nodeId, bus, clock, random, logger);
+    this.local = new LocalRunner(bus, clock, quarantine);
     new IncomingCalls(bus, this.local, clock);
     this.ingress = new IngressTask(
       settings.calls,
       settings.limits,
       this.makeDispatcher(),
+      fingerprint => quarantine.standing(fingerprint),
       bus,
       clock,
       logger,
@@ -147,7 +150,7 @@
       nodeId: this.settings.nodeId,
       local: this.local,
       remote: new RemoteRunner(bus, clock),
-      balancer: new RoundRobinBalancer(),
+      balancer: new LeastExpectedCostBalancer(this.settings.dataCentre),
       clock,
       random,
       candidates: group => this.candidates.ofGroup(group),
--- a/packages/node/src/tasks/ingress-task.ts
+++ b/packages/node/src/tasks/ingress-task.ts
@@ -7,8 +7,20 @@
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
 
-import type {MatchedRoute, RoutingTable} from '@turmericmill/routing';
-import type {Clock} from '@turmericmill/utils';
+import {
+  DEADLINE_HEADER,
+  fingerprint,
+  HOPS_HEADER,
+  readLimits,
+  type CallLimits,
+  type DeadlineError,
+  type DeadlineErrorKind,
+  type MatchedRoute,
+  type RoutingTable,
+  type Standing,
+} from '@turmericmill/routing';
+import type {Clock, Result} from '@turmericmill/utils';
+import type {FailureReason} from '@turmericmill/wire';
 import type Logger from 'bunyan';
 
 import type {Bus} from '../bus.js';
@@ -39,6 +51,7 @@
     private readonly listen: ListenAddress,
     limits: NodeLimits,
     private readonly dispatcher: Dispatcher,
+    private readonly standing: (fingerprint: string) => Standing,
     bus: Bus,
     private readonly clock: Clock,
     private readonly logger: Logger,
@@ -49,8 +62,7 @@
     this.server.requestTimeout = 0;
     this.server.on('request', (req, res) => void this.serve(req, res));
     this.server.on('checkContinue', (req, res) => {
-      res.writeContinue();
-      void this.serve(req, res);
+      void this.serve(req, res, () => res.writeContinue());
     });
     bus.subscribe('config-in-force', ({table}) => {
       this.table = table;
@@ -83,7 +95,12 @@
     this.server.closeAllConnections();
   }
 
-  private async serve(req: IncomingMessage, res: ServerResponse) {
+  /** `askForBody` is called once the call is known to be worth its body. */
+  private async serve(
+    req: IncomingMessage,
+    res: ServerResponse,
+    askForBody?: () => void,
+  ): Promise<void> {
     const startedMs = performance.now();
     const exchange = new CallerExchange(req, res);
     const route = this.matchRoute(req);
@@ -91,8 +108,14 @@
       exchange.refuse(noRoute(this.table !== undefined));
       return;
     }
+    const limits = this.limitsOf(req, route);
+    if (limits.isErr()) {
+      exchange.refuse(limitFailure(limits.error));
+      return;
+    }
+    askForBody?.();
     this.inFlight += 1;
-    const demand = this.demandOf(req, route);
+    const demand = this.demandOf(req, route, limits.value);
     const end = await this.run(exchange, route, demand);
     this.inFlight -= 1;
     this.note(end, demand, performance.now() - startedMs);
@@ -106,6 +129,12 @@
   ): Promise<TryEnd> {
     try {
       const body = await exchange.firstBody();
+      const {method, path, customer} = demand;
+      const parts = {method, path, customer, bodyStart: body.chunk};
+      demand.fingerprint = fingerprint(parts);
+      if (this.standing(demand.fingerprint) === 'quarantined') {
+        return {kind: 'failed', failure: quarantined()};
+      }
       return await this.dispatcher.dispatch(exchange, route, demand, body);
     } catch (err) {
       this.logger.debug({err, path: demand.path}, 'caller left');
@@ -122,7 +151,23 @@
     });
   }
 
-  private demandOf(req: IncomingMessage, route: MatchedRoute): CallDemand {
+  private limitsOf(
+    req: IncomingMessage,
+    route: MatchedRoute,
+  ): Result<CallLimits, DeadlineError> {
+    const headers: Record<string, string> = {};
+    for (const name of [DEADLINE_HEADER, HOPS_HEADER]) {
+      const value = req.headers[name];
+      if (value !== undefined) headers[name] = String(value);
+    }
+    return readLimits(headers, route.timeoutMs, this.clock.now());
+  }
+
+  private demandOf(
+    req: IncomingMessage,
+    route: MatchedRoute,
+    limits: CallLimits,
+  ): CallDemand {
     const customer = req.headers[CUSTOMER_HEADER];
     return {
       group: route.group,
@@ -132,8 +177,7 @@
       customer: typeof customer === 'string' ? customer : NO_CUSTOMER,
       class: route.class,
       priority: route.priority,
-      deadlineMs: this.clock.now() + route.timeoutMs,
-      hops: 0,
+      ...limits,
       fingerprint: '',
     };
   }
@@ -154,6 +198,25 @@
   return {outcome: 'not-run', reason: 'no-server', detail, load};
 }
 
+const LIMIT_REASONS: Readonly<Record<DeadlineErrorKind, FailureReason>> = {
+  'malformed-deadline': 'malformed',
+  'malformed-hops': 'malformed',
+  expired: 'deadline',
+  'too-many-hops': 'too-many-hops',
+};
+
+function limitFailure({kind, value}: DeadlineError): CallFailure {
+  const reason = LIMIT_REASONS[kind];
+  const detail = `The call's limits are refused: ${kind}: "${value}".`;
+  return {outcome: 'not-run', reason, detail, load: {...NO_LOAD}};
+}
+
+function quarantined(): CallFailure {
+  const detail = 'The request has crashed servers and is refused for a time.';
+  const load = {...NO_LOAD};
+  return {outcome: 'not-run', reason: 'quarantined', detail, load};
+}
+
 function callEndOf(end: TryEnd): CallEnd | undefined {
   if (end.kind === 'left') return undefined;
   return end.kind === 'answered' ? 'answered' : end.failure.outcome;
--- a/packages/routing/src/admission/adaptive-limit.ts
+++ b/packages/routing/src/admission/adaptive-limit.ts
@@ -2,6 +2,8 @@
 
 /** Weight of a sample in the short average of latencies. */
 const SHORT_WEIGHT = 0.05;
+/** Weight of a sample in the long average. */
+const LONG_WEIGHT = 0.02;
 /** Samples of a class from which its first baseline is the mean. */
 const FIRST_SAMPLES = 20;
 /** Weight by which the baseline follows a lasting slow-down. */
@@ -35,9 +37,15 @@
 interface ClassLatency {
   samples: number;
   shortMs: number;
+  /** Steadier than `shortMs`, to compare servers by. */
+  longMs: number;
   baselineMs: number;
 }
 
+function newLatency(firstMs: number): ClassLatency {
+  return {samples: 0, shortMs: firstMs, longMs: firstMs, baselineMs: firstMs};
+}
+
 /**
  * Additive increase, multiplicative decrease between 1 and the slots that the
  * server announced. The signals are the server's own refusals, which may bring
@@ -49,7 +57,6 @@
   private loweredAtMs = 0;
   private holdUntilMs = 0;
   private readonly latencies = new Map<string, ClassLatency>();
-  private averageMs: number | undefined;
 
   constructor(private slots: number) {
     this.limit = slots;
@@ -60,14 +67,9 @@
     return Math.max(1, Math.floor(this.limit));
   }
 
-  /** Moving average in ms over all answered calls. */
-  get serviceMs(): number | undefined {
-    return this.averageMs;
-  }
-
-  /** Expected time in ms of a call of the class; 0 when none is known. */
-  expectedMs(cls: string): number {
-    return this.latencies.get(cls)?.shortMs ?? 0;
+  /** Expected time in ms of a call of the class; undefined before the first. */
+  serviceMs(cls: string): number | undefined {
+    return this.latencies.get(cls)?.longMs;
   }
 
   /** Takes over a new number of slots. */
@@ -93,8 +95,6 @@
 
   private answered(sample: ServerSample, nowMs: number): void {
     const latencyMs = nowMs - sample.startedAtMs;
-    const average = this.averageMs ?? latencyMs;
-    this.averageMs = average + SHORT_WEIGHT * (latencyMs - average);
     const latency = this.follow(sample.class, latencyMs);
     const busy = sample.running >= this.value * GROWTH_USE;
     if (!busy) return;
@@ -106,14 +106,14 @@
   }
 
   private follow(cls: string, latencyMs: number): ClassLatency {
-    let latency = this.latencies.get(cls);
-    if (!latency) {
-      latency = {samples: 0, shortMs: latencyMs, baselineMs: latencyMs};
-      this.latencies.set(cls, latency);
-    }
+    const known = this.latencies.get(cls);
+    const latency = known ?? newLatency(latencyMs);
+    if (!known) this.latencies.set(cls, latency);
     latency.samples++;
-    const weight = Math.max(SHORT_WEIGHT, 1 / latency.samples);
-    latency.shortMs += weight * (latencyMs - latency.shortMs);
+    const weightOf = (least: number) => Math.max(least, 1 / latency.samples);
+    const {shortMs, longMs} = latency;
+    latency.shortMs += weightOf(SHORT_WEIGHT) * (latencyMs - shortMs);
+    latency.longMs += weightOf(LONG_WEIGHT) * (latencyMs - longMs);
     const above = latency.shortMs - latency.baselineMs;
     const follow = latency.samples <= FIRST_SAMPLES || above < 0;
     latency.baselineMs += follow ? above : above * BASELINE_WEIGHT;
--- a/packages/routing/src/admission/admission.ts
+++ b/packages/routing/src/admission/admission.ts
@@ -1,5 +1,6 @@
 /** Admission of calls to one backend server, by the node beside it. */
 
+import type {ClassPriority} from '@turmericmill/config';
 import type {FailureReason, ServerLoad} from '@turmericmill/wire';
 
 import {AdaptiveLimit} from './adaptive-limit.js';
@@ -17,6 +18,9 @@
   connections: number;
 }
 
+/** The kind of call for which a load is told. */
+export type LoadTraits = Pick<AdmissionCall, 'class' | 'priority'>;
+
 /**
  * What the node has to do. `run`: send the call to the server. `refuse`: answer
  * `not-run` with the reason; no byte has reached the server. `abort`: cancel
@@ -99,6 +103,11 @@
     return this.refuseWaiting('draining');
   }
 
+  /** Takes calls again after `drain`. */
+  undrain(): void {
+    this.draining = false;
+  }
+
   /**
    * The server is gone. Waiting calls are refused; the caller answers the
    * returned running ones as unknown.
@@ -130,20 +139,21 @@
     for (const lane of this.lanes.values()) {
       const call = lane.peek();
       if (!call) continue;
-      const atMs = call.deadlineMs - this.limit.expectedMs(call.class);
+      const atMs = call.deadlineMs - this.expectedMs(call);
       if (next === undefined || atMs < next) next = atMs;
     }
     return next;
   }
 
-  /** The load that goes with each answer. */
-  load(): ServerLoad {
+  /** The load that goes with the answer to a call of this kind. */
+  load(call: LoadTraits): ServerLoad {
+    const {priority} = call;
     const load: ServerLoad = {
       inFlight: this.running.size,
-      queued: this.waiting(),
+      queued: this.waiting(priority === 'bulk' ? undefined : priority),
       limit: this.draining ? 0 : this.limit.value,
     };
-    const {serviceMs} = this.limit;
+    const serviceMs = this.limit.serviceMs(call.class);
     return serviceMs === undefined ? load : {...load, serviceMs};
   }
 
@@ -152,7 +162,11 @@
     return this.running.size;
   }
 
-  private waiting(priority?: string): number {
+  private expectedMs(call: AdmissionCall): number {
+    return this.limit.serviceMs(call.class) ?? 0;
+  }
+
+  private waiting(priority?: ClassPriority): number {
     let count = 0;
     for (const lane of this.lanes.values()) {
       if (!priority || lane.priority === priority) count += lane.length;
@@ -168,7 +182,7 @@
     if (this.isLate(call, nowMs)) return 'deadline';
     const queued = this.waiting(call.priority);
     if (queued >= this.limit.value * QUEUE_PER_SLOT) return 'overload';
-    const serviceMs = this.limit.expectedMs(call.class);
+    const serviceMs = this.expectedMs(call);
     const waitMs = (queued * serviceMs) / this.limit.value;
     const full = this.running.size >= this.limit.value;
     const late = full && this.isLate(call, nowMs + waitMs);
@@ -176,7 +190,7 @@
   }
 
   private isLate(call: AdmissionCall, nowMs: number): boolean {
-    const serviceMs = this.limit.expectedMs(call.class);
+    const serviceMs = this.expectedMs(call);
     return nowMs >= call.deadlineMs - serviceMs;
   }
 
--- a/packages/routing/src/balancing/balancer.ts
+++ b/packages/routing/src/balancing/balancer.ts
@@ -1,5 +1,6 @@
 /** Choice of a backend server for a call. */
 
+import type {ClassPriority} from '@turmericmill/config';
 import type {RandomSource} from '@turmericmill/utils';
 import type {ServerLoad, ServerState} from '@turmericmill/wire';
 
@@ -43,6 +44,12 @@
   | 'timed-out'
   | 'cancelled';
 
+/** What a policy may weigh of a call. */
+export interface CallTraits {
+  class: string;
+  priority: ClassPriority;
+}
+
 /** The end of a call, as its entry node saw it. */
 export interface CallResult {
   outcome: CallOutcome;
@@ -63,16 +70,18 @@
    */
   abstract choose(
     candidates: readonly Candidate[],
+    call: CallTraits,
     nowMs: number,
     random: RandomSource,
   ): Candidate | undefined;
 
   /** A call was sent to the candidate. */
-  abstract started(candidate: Candidate, nowMs: number): void;
+  abstract started(candidate: Candidate, call: CallTraits, nowMs: number): void;
 
   /** A call that was started has ended; called once for each start. */
   abstract finished(
     candidate: Candidate,
+    call: CallTraits,
     result: CallResult,
     nowMs: number,
   ): void;
--- /dev/null
+++ b/packages/routing/src/balancing/fading-rate.ts
@@ -0,0 +1,24 @@
+/** A rate of events that fades while no samples arrive. */
+
+/** Weight of a new sample. */
+const SAMPLE_WEIGHT = 0.2;
+/** Time in ms after which a rate without samples has lost two thirds. */
+const RATE_DECAY_MS = 10_000;
+
+/** Moving average of samples between 0 and 1. */
+export class FadingRate {
+  private value = 0;
+  private atMs = 0;
+
+  /** The rate at `nowMs`. */
+  at(nowMs: number): number {
+    return this.value * Math.exp((this.atMs - nowMs) / RATE_DECAY_MS);
+  }
+
+  /** Takes in a sample. */
+  add(sample: number, nowMs: number): void {
+    const current = this.at(nowMs);
+    this.value = current + SAMPLE_WEIGHT * (sample - current);
+    this.atMs = nowMs;
+  }
+}
--- a/packages/routing/src/balancing/least-expected-cost.ts
+++ b/packages/routing/src/balancing/least-expected-cost.ts
@@ -4,7 +4,7 @@
 import {LRUCache} from 'lru-cache';
 
 import {Balancer, candidateKey, readyCandidates} from './balancer.js';
-import type {CallResult, Candidate} from './balancer.js';
+import type {CallResult, CallTraits, Candidate} from './balancer.js';
 import {ServerEvidence} from './server-evidence.js';
 import {weightedSample} from './weighted-sample.js';
 
@@ -15,9 +15,11 @@
 const CROSSING_MS = 3;
 /** What a failed call and a refused call are worth, in ms of delay. */
 const FAILURE_COST_MS = 1_000;
-const REFUSAL_COST_MS = 50;
+const REFUSAL_COST_MS = 300;
 /** Random part of a cost: equal servers get equal shares. */
 const COST_NOISE = 0.05;
+/** Factor within which servers count as equally fast. */
+const SPEED_TOLERANCE = 1.5;
 /** Share of its slots that a server gets right after its start. */
 const FIRST_SHARE = 0.1;
 /** Share of ejected servers above which ejections are ignored. */
@@ -48,6 +50,18 @@
   return 1 + (use < 1 ? use ** 4 : use);
 }
 
+function median(values: number[]): number | undefined {
+  const sorted = values.sort((a, b) => a - b);
+  return sorted[(sorted.length - 1) >> 1];
+}
+
+/** `serviceMs`, or the typical time if the difference may be chance. */
+function distinctServiceMs(serviceMs: number, typicalMs: number): number {
+  const factor = serviceMs / typicalMs;
+  const equal = factor < SPEED_TOLERANCE && factor > 1 / SPEED_TOLERANCE;
+  return equal ? typicalMs : serviceMs;
+}
+
 /**
  * Draws a few servers weighted by slots and speed and takes the one with the
  * least expected cost: delay under its load, a crossing of data centres,
@@ -66,16 +80,18 @@
 
   override choose(
     candidates: readonly Candidate[],
+    call: CallTraits,
     nowMs: number,
     random: RandomSource,
   ): Candidate | undefined {
     const ready = readyCandidates(candidates);
-    const options = this.options(this.withoutEjected(ready, nowMs), nowMs);
+    const open = this.withoutEjected(ready, nowMs);
+    const options = this.options(open, call, nowMs);
     let best: Candidate | undefined;
     let bestCostMs = Infinity;
     for (const option of this.draw(options, random)) {
       const noise = 1 + COST_NOISE * random.next();
-      const costMs = this.costMs(option, nowMs) * noise;
+      const costMs = this.costMs(option, call, nowMs) * noise;
       if (costMs >= bestCostMs) continue;
       best = option.candidate;
       bestCostMs = costMs;
@@ -83,19 +99,19 @@
     return best;
   }
 
-  override started(candidate: Candidate): void {
-    this.evidenceOf(candidate).inFlight++;
+  override started(candidate: Candidate, call: CallTraits): void {
+    this.evidenceOf(candidate).start(call);
   }
 
   override finished(
     candidate: Candidate,
+    call: CallTraits,
     result: CallResult,
     nowMs: number,
   ): void {
     const evidence = this.servers.get(candidateKey(candidate));
     if (evidence?.incarnation !== candidate.incarnation) return;
-    evidence.inFlight = Math.max(0, evidence.inFlight - 1);
-    evidence.record(result, nowMs);
+    evidence.finish(call, result, nowMs);
   }
 
   private evidenceOf(candidate: Candidate): ServerEvidence {
@@ -112,35 +128,43 @@
     ready: readonly Candidate[],
     nowMs: number,
   ): readonly Candidate[] {
-    const rest = ready.filter(
-      candidate => !this.evidenceOf(candidate).isEjected(nowMs),
-    );
+    const rest = ready.filter(candidate => {
+      const {ejection, inFlight} = this.evidenceOf(candidate);
+      return !ejection.isActive(inFlight, nowMs);
+    });
     const panic = rest.length < ready.length * (1 - PANIC_SHARE);
     return panic ? ready : rest;
   }
 
-  private options(candidates: readonly Candidate[], nowMs: number): Option[] {
-    const fallback = this.typicalServiceMs(candidates);
+  private options(
+    candidates: readonly Candidate[],
+    call: CallTraits,
+    nowMs: number,
+  ): Option[] {
+    const typicalMs = this.typicalServiceMs(candidates, call);
     return candidates.map(candidate => {
       const evidence = this.evidenceOf(candidate);
       const share = slowStartShare(candidate, nowMs);
+      const ownMs = evidence.serviceMs(call.class, typicalMs, nowMs);
       return {
         candidate,
         evidence,
-        slots: evidence.limit(candidate) * share,
-        serviceMs: evidence.expectedServiceMs(fallback, nowMs),
+        slots: evidence.slots(candidate) * share,
+        serviceMs: distinctServiceMs(ownMs, typicalMs),
       };
     });
   }
 
-  /** The least time known of any server: unknown ones are worth a try. */
-  private typicalServiceMs(candidates: readonly Candidate[]): number {
-    let least = Infinity;
+  private typicalServiceMs(
+    candidates: readonly Candidate[],
+    call: CallTraits,
+  ): number {
+    const known: number[] = [];
     for (const candidate of candidates) {
-      const known = this.evidenceOf(candidate).lastServiceMs;
-      if (known !== undefined && known < least) least = known;
+      const serviceMs = this.evidenceOf(candidate).lastServiceMs(call.class);
+      if (serviceMs !== undefined) known.push(serviceMs);
     }
-    return least === Infinity ? UNKNOWN_SERVICE_MS : least;
+    return median(known) ?? UNKNOWN_SERVICE_MS;
   }
 
   private draw(options: readonly Option[], random: RandomSource): Option[] {
@@ -160,13 +184,18 @@
     return candidate.dataCentre === this.dataCentre;
   }
 
-  private costMs(option: Option, nowMs: number): number {
+  private costMs(option: Option, call: CallTraits, nowMs: number): number {
     const {evidence, slots, serviceMs} = option;
-    const use = evidence.occupied(nowMs) / slots;
+    const use = evidence.occupied(call.priority, nowMs) / slots;
     const delayMs = serviceMs * delayFactor(use);
     const crossingMs = this.isLocal(option) ? 0 : CROSSING_MS;
-    const failureMs = FAILURE_COST_MS * evidence.failureRate(nowMs);
-    const refusalMs = REFUSAL_COST_MS * evidence.refusalRate(nowMs);
-    return delayMs + crossingMs + failureMs + refusalMs;
+    const failures = evidence.ejection.failureRate(nowMs);
+    const refusals = evidence.refusalRate(call.priority, nowMs);
+    return (
+      delayMs +
+      crossingMs +
+      FAILURE_COST_MS * failures +
+      REFUSAL_COST_MS * refusals
+    );
   }
 }
--- a/packages/routing/src/balancing/least-in-flight.ts
+++ b/packages/routing/src/balancing/least-in-flight.ts
@@ -3,7 +3,7 @@
 import type {RandomSource} from '@turmericmill/utils';
 
 import {Balancer, candidateKey, readyCandidates} from './balancer.js';
-import type {Candidate} from './balancer.js';
+import type {CallTraits, Candidate} from './balancer.js';
 
 /** Counts this node's own calls; ties are broken at random. */
 export class LeastInFlightBalancer extends Balancer {
@@ -12,6 +12,7 @@
 
   override choose(
     candidates: readonly Candidate[],
+    call: CallTraits,
     nowMs: number,
     random: RandomSource,
   ): Candidate | undefined {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -7,6 +7,7 @@
   Admission,
   type AdmissionBounds,
   type AdmissionEffect,
+  type LoadTraits,
 } from './admission/admission.js';
 export {type AdmissionCall} from './admission/call-lane.js';
 export {
@@ -15,6 +16,7 @@
   readyCandidates,
   type CallOutcome,
   type CallResult,
+  type CallTraits,
   type Candidate,
 } from './balancing/balancer.js';
 export {
@@ -55,6 +57,7 @@
   MAX_REPORTED,
   type Standing,
 } from './quarantine/crash-ledger.js';
+export {CrashWatch} from './quarantine/crash-watch.js';
 export {
   fingerprint,
   FINGERPRINT_BODY_BYTES,
--- a/packages/routing/src/quarantine/crash-ledger.ts
+++ b/packages/routing/src/quarantine/crash-ledger.ts
@@ -52,6 +52,11 @@
     return this.take(crash, true, nowMs);
   }
 
+  /** True if the crash has been taken in before. */
+  knows(crash: CrashReport): boolean {
+    return this.crashes.has(crash.server);
+  }
+
   /**
    * Another node reports a crash; a crash counts once, however often it is
    * reported. Returns quarantines as `crashed` does.
--- a/packages/routing/tests/admission/admission.test.ts
+++ b/packages/routing/tests/admission/admission.test.ts
@@ -109,6 +109,8 @@
     expect(admission.inFlight).to.equal(1);
     admission.finished(1, 'answered', 5);
     expect(admission.inFlight).to.equal(0);
+    admission.undrain();
+    expect(brief(admission.offer(callOf(4), 9))).to.deep.equal(['run 4']);
   });
 
   it('tells a crash the running calls apart from those never run', () => {
@@ -197,10 +199,10 @@
       }
     };
     for (let i = 0; i < 20; i++) round('overloaded');
-    expect(admission.load().limit).to.be.at.most(3);
+    expect(admission.load(callOf(0)).limit).to.be.at.most(3);
     nowMs += 10_000;
     for (let i = 0; i < 200; i++) round('answered');
-    expect(admission.load().limit).to.equal(12);
+    expect(admission.load(callOf(0)).limit).to.equal(12);
   });
 });
 
--- a/packages/routing/tests/balancing/balancers.test.ts
+++ b/packages/routing/tests/balancing/balancers.test.ts
@@ -4,6 +4,7 @@
 import type {
   Balancer,
   CallResult,
+  CallTraits,
   Candidate,
 } from '../../src/balancing/balancer.js';
 import {LeastExpectedCostBalancer} from '../../src/balancing/least-expected-cost.js';
@@ -27,6 +28,8 @@
   };
 }
 
+const CALL: CallTraits = {class: 'city/class/desk', priority: 'interactive'};
+
 const ANSWERED: CallResult = {
   outcome: 'answered',
   latencyMs: 20,
@@ -42,7 +45,8 @@
   const random = new SeededRandom(SEED);
   const counts: Record<string, number> = {};
   for (let i = 0; i < 1_000; i++) {
-    const id = balancer.choose(candidates, nowMs, random)?.serverId ?? 'none';
+    const id =
+      balancer.choose(candidates, CALL, nowMs, random)?.serverId ?? 'none';
     counts[id] = (counts[id] ?? 0) + 1 / 1_000;
   }
   return counts;
@@ -55,8 +59,8 @@
   times = 10,
 ): void {
   for (let i = 0; i < times; i++) {
-    balancer.started(candidate, NOW_MS);
-    balancer.finished(candidate, result, NOW_MS);
+    balancer.started(candidate, CALL, NOW_MS);
+    balancer.finished(candidate, CALL, result, NOW_MS);
   }
 }
 
@@ -141,9 +145,9 @@
     for (const good of [a, b]) observe(balancer, good, ANSWERED);
     observe(balancer, c, {outcome: 'failed', latencyMs: 1});
     const laterMs = NOW_MS + 120_000;
-    balancer.started(c);
+    balancer.started(c, CALL);
     expect(shares(balancer, [a, b, c], laterMs)['c']).to.equal(undefined);
-    balancer.finished(c, ANSWERED, laterMs);
+    balancer.finished(c, CALL, ANSWERED, laterMs);
     expect(shares(balancer, [a, b, c], laterMs)['c']).to.be.above(0.1);
   });
 
@@ -162,7 +166,7 @@
     observe(balancer, c, {outcome: 'failed', latencyMs: 1});
     const again = server('c', {incarnation: 2});
     expect(shares(balancer, [a, b, again])['c']).to.be.above(0.1);
-    balancer.finished(c, {outcome: 'failed', latencyMs: 1}, NOW_MS);
+    balancer.finished(c, CALL, {outcome: 'failed', latencyMs: 1}, NOW_MS);
     expect(shares(balancer, [a, b, again])['c']).to.be.above(0.1);
   });
 
@@ -172,7 +176,7 @@
     observe(balancer, a, ANSWERED);
     observe(balancer, far, ANSWERED);
     expect(shares(balancer, [a, far])).to.have.all.keys('a');
-    for (let i = 0; i < 9; i++) balancer.started(a);
+    for (let i = 0; i < 9; i++) balancer.started(a, CALL);
     expect(shares(balancer, [a, far])).to.have.all.keys('far');
   });
 
@@ -181,7 +185,7 @@
     const cold = server('c', {readySinceMs: NOW_MS, slowStartMs: 10_000});
     for (const each of [a, b, cold]) {
       observe(balancer, each, ANSWERED);
-      balancer.started(each);
+      balancer.started(each, CALL);
     }
     const keys = (nowMs: number) => shares(balancer, [a, b, cold], nowMs)['c'];
     expect(keys(NOW_MS + 100)).to.equal(undefined);
--- /dev/null
+++ b/packages/routing/tests/quarantine/crash-watch.test.ts
@@ -0,0 +1,50 @@
+import {expect} from 'chai';
+
+import {CrashWatch} from '../../src/quarantine/crash-watch.js';
+
+describe('CrashWatch', () => {
+  const cases: [string, [string, number][], number, string[]][] = [
+    ['no loss', [], 0, []],
+    [
+      'losses just before',
+      [
+        ['a', 10],
+        ['b', 11],
+      ],
+      500,
+      ['a', 'b'],
+    ],
+    [
+      'the same request twice',
+      [
+        ['a', 10],
+        ['a', 11],
+      ],
+      500,
+      ['a'],
+    ],
+    [
+      'a loss long before',
+      [
+        ['a', 10],
+        ['b', 9_000],
+      ],
+      9_500,
+      ['b'],
+    ],
+  ];
+  for (const [name, losses, goneMs, expected] of cases) {
+    it(`names the requests after ${name}`, () => {
+      const watch = new CrashWatch();
+      for (const [id, atMs] of losses) watch.lost(id, atMs);
+      expect(watch.gone(goneMs)).to.deep.equal(expected);
+      expect(watch.gone(goneMs)).to.deep.equal([]);
+    });
+  }
+
+  it('keeps a bounded number of losses', () => {
+    const watch = new CrashWatch();
+    for (let i = 0; i < 10_000; i++) watch.lost(`f${i}`, 0);
+    expect(watch.gone(0)).to.have.length(256);
+  });
+});
--- a/packages/wire/src/messages/calls.ts
+++ b/packages/wire/src/messages/calls.ts
@@ -47,12 +47,17 @@
   callId: number;
 }
 
-/** State of a backend server, as its node sees it; goes with each answer. */
+/**
+ * State of a backend server, as its node sees it; goes with each answer and
+ * holds for calls of the answered call's class.
+ */
 export interface ServerLoad {
+  /** Calls that hold a slot, of all classes. */
   inFlight: number;
+  /** Calls that wait and would go before a new one of the same priority. */
   queued: number;
   limit: number;
-  /** Moving average in ms of the time that the server took for a call. */
+  /** Moving average in ms of the time that the server took for the class. */
   serviceMs?: number;
 }
 
@@ -75,7 +80,10 @@
 /** `not-run` only if no byte of the request reached the backend server. */
 export type Outcome = 'not-run' | 'unknown';
 
+/** `malformed`: a header of the mesh cannot be read. */
 export type FailureReason =
+  | 'malformed'
+  | 'too-many-hops'
   | 'overload'
   | 'deadline'
   | 'draining'
