--- a/packages/node/src/calls/admitted-server.ts
+++ b/packages/node/src/calls/admitted-server.ts
@@ -21,6 +21,8 @@
 const IDLE_TIMEOUT_MS = 30_000;
 /** Time in ms within which a connection to a server has to be open. */
 const CONNECT_TIMEOUT_MS = 1000;
+/** Time in ms in which the losses of a crash become known. */
+const CRASH_SETTLE_MS = 50;
 
 /** What is known of requests that crash servers. */
 export interface CrashKnowledge {
@@ -53,6 +55,7 @@
   private readonly calls = new Map<number, AdmittedCall>();
   private readonly watch = new CrashWatch();
   private timer: NodeJS.Timeout | undefined;
+  private crashTimer: NodeJS.Timeout | undefined;
   private nextId = 1;
 
   constructor(
@@ -118,7 +121,7 @@
 
   /** The server is no longer announced; calls that run end by themselves. */
   retire(): void {
-    this.reportCrash();
+    this.suspectCrash();
     this.apply(this.admission.crashed().effects);
     clearTimeout(this.timer);
     void this.pool.close();
@@ -127,6 +130,7 @@
   /** Ends all at once. */
   async destroy(): Promise<void> {
     clearTimeout(this.timer);
+    clearTimeout(this.crashTimer);
     await this.pool.destroy();
   }
 
@@ -167,7 +171,7 @@
         if (failure.reason === 'server-failed') {
           this.watch.lost(head.fingerprint, this.clock.now());
         }
-        if (failure.reason === 'server-unreachable') this.reportCrash();
+        if (failure.reason === 'server-unreachable') this.suspectCrash();
         events.failed(failure);
       },
     };
@@ -198,7 +202,13 @@
     });
   }
 
+  /** Waits a little: the losses of a crash do not arrive all at once. */
+  private suspectCrash(): void {
+    this.crashTimer ??= setTimeout(() => this.reportCrash(), CRASH_SETTLE_MS);
+  }
+
   private reportCrash(): void {
+    this.crashTimer = undefined;
     const fingerprints = this.watch.gone(this.clock.now());
     if (fingerprints.length === 0) return;
     this.crashes.crashed(this.current, fingerprints);
