Connections between nodes use the heartbeat chart

Cause: a ping each second on each connection is several KB/s at a node with hundreds of peers, and a silent connection held its calls for 3 s.

Change: a connection is pinged after 300 ms of quiet while calls are open on it, after 10 s otherwise, and given up when two pings in a row stay unanswered for 600 ms each: 1.5 s with calls open, 11.2 s when idle.

Conclusion: tests beat idle and busy connections until they are given up, and for a minute with pongs.

--- a/packages/node/src/transport/peer-connection.ts
+++ b/packages/node/src/transport/peer-connection.ts
@@ -2,6 +2,7 @@
 
 import type {Socket} from 'node:net';
 
+import {Heartbeat, type HeartbeatTimes} from '@turmericmill/routing';
 import {
   encodeFrame,
   FrameReader,
@@ -14,10 +15,14 @@
 
 import type {Peer} from '../bus.js';
 
-/** Interval in ms between heartbeats. */
-export const HEARTBEAT_INTERVAL_MS = 1000;
-/** A connection that brought nothing for this long in ms is replaced. */
-export const SILENCE_TIMEOUT_MS = 3000;
+/** Interval in ms at which heartbeats look whether they are due. */
+export const HEARTBEAT_INTERVAL_MS = 100;
+/** A connection is given up after its quiet time and two waits for a pong. */
+export const HEARTBEAT_TIMES: Readonly<HeartbeatTimes> = {
+  busyQuietMs: 300,
+  idleQuietMs: 10_000,
+  pongMs: 600,
+};
 /** Frames kept in bytes until the handshake is done. */
 const MAX_UNSENT_BYTES = 16 * 1024 * 1024;
 
@@ -58,7 +63,9 @@
   private unsentBytes = 0;
   private corked = false;
   private closed = false;
-  private silentAtMs: number;
+  private readonly beat: Heartbeat;
+  /** Calls sent over this connection that have not been answered. */
+  private readonly openCalls = new Set<number>();
   private nonce = 0;
 
   constructor(
@@ -68,7 +75,7 @@
     private readonly counts: TrafficCounts,
     nowMs: number,
   ) {
-    this.silentAtMs = nowMs + SILENCE_TIMEOUT_MS;
+    this.beat = new Heartbeat(HEARTBEAT_TIMES, nowMs);
     socket.setNoDelay(true);
     socket.on('data', chunk => this.receive(chunk));
     socket.on('error', err => this.finish(err.message));
@@ -79,6 +86,7 @@
   /** Queues a message until the handshake is done, then sends it. */
   send(message: Message): void {
     if (this.closed) return;
+    this.trackSent(message);
     const frame = encodeFrame(message);
     this.count(message, frame.length);
     if (this.peer) {
@@ -90,20 +98,23 @@
     if (this.unsentBytes > MAX_UNSENT_BYTES) this.close('overload', 'No hello');
   }
 
-  /** Sends a heartbeat and finds out whether the other side went silent. */
+  /** Sends a ping when one is due; gives up when none was answered. */
   heartbeat(nowMs: number): void {
-    if (nowMs > this.silentAtMs) {
+    if (this.openCalls.size > 0) this.beat.sent(nowMs);
+    const effect = this.beat.tick(nowMs);
+    if (effect === 'replace') {
       this.socket.destroy();
       this.finish('silent');
       return;
     }
+    if (effect !== 'ping' || !this.peer) return;
     this.nonce += 1;
-    if (this.peer) this.send({type: 'ping', body: {nonce: this.nonce}});
+    this.send({type: 'ping', body: {nonce: this.nonce}});
   }
 
   /** Notes that something arrived, by the owner's clock. */
   heard(nowMs: number): void {
-    this.silentAtMs = nowMs + SILENCE_TIMEOUT_MS;
+    this.beat.received(this.openCalls.size > 0, nowMs);
   }
 
   /** Says why and closes once all is sent. */
@@ -114,6 +125,17 @@
     this.finish(`${reason}: ${detail}`);
   }
 
+  private trackSent({type, body}: Message): void {
+    if (type === 'callStart') this.openCalls.add(body.callId);
+    if (type === 'callCancel') this.openCalls.delete(body.callId);
+  }
+
+  private trackReceived({type, body}: Message): void {
+    const isAnswer = type === 'answerStart' || type === 'answerData';
+    const ends = isAnswer && body.end;
+    if (ends || type === 'answerFailed') this.openCalls.delete(body.callId);
+  }
+
   private receive(chunk: Buffer): void {
     if (this.closed) return;
     const messages = this.reader.push(chunk);
@@ -126,6 +148,7 @@
 
   private take(message: Message): void {
     if (this.closed) return;
+    this.trackReceived(message);
     if (!this.peer) {
       this.greet(message);
     } else if (message.type === 'ping') {
--- a/packages/node/tests/transport/peer-connection.test.ts
+++ b/packages/node/tests/transport/peer-connection.test.ts
@@ -11,8 +11,8 @@
 
 import {
   HEARTBEAT_INTERVAL_MS,
+  HEARTBEAT_TIMES,
   PeerConnection,
-  SILENCE_TIMEOUT_MS,
 } from '../../src/transport/peer-connection.js';
 
 /** Stands for a socket: keeps what is written, never sends. */
@@ -56,6 +56,26 @@
   region: 'a',
 };
 const OTHER: Hello = {...OWN, nodeId: 'other'};
+const CALL: Message = {
+  type: 'callStart',
+  body: {
+    callId: 1,
+    serverId: 's1',
+    serverIncarnation: 1,
+    group: 'city/desk',
+    method: 'GET',
+    path: '/',
+    headers: [],
+    customer: 'c1',
+    class: 'city/class/desk',
+    priority: 'interactive',
+    remainingMs: 500,
+    hops: 0,
+    fingerprint: '',
+    end: true,
+    body: Buffer.from(''),
+  },
+};
 const PING: Message = {type: 'ping', body: {nonce: 3}};
 
 function open(expectedNodeId?: string) {
@@ -137,16 +157,52 @@
     });
   }
 
-  it('gives up a connection that went silent', () => {
-    const {socket, connection, log, receive} = open();
-    receive(encodeFrame({type: 'hello', body: OTHER}));
+  /** Beats until the connection is given up; returns the time in ms. */
+  function beatUntilSilent(
+    {socket, connection}: ReturnType<typeof open>,
+    limitMs: number,
+  ): number {
     let nowMs = 0;
-    for (; nowMs <= SILENCE_TIMEOUT_MS; nowMs += HEARTBEAT_INTERVAL_MS) {
+    while (!socket.destroyed && nowMs <= limitMs) {
+      nowMs += HEARTBEAT_INTERVAL_MS;
+      connection.heartbeat(nowMs);
+    }
+    return nowMs;
+  }
+
+  const {busyQuietMs, idleQuietMs, pongMs} = HEARTBEAT_TIMES;
+  const silences: {name: string; messages: Message[]; quietMs: number}[] = [
+    {name: 'an idle connection', messages: [], quietMs: idleQuietMs},
+    {name: 'one with a call', messages: [CALL], quietMs: busyQuietMs},
+    {
+      name: 'one whose call was cancelled',
+      messages: [CALL, {type: 'callCancel', body: {callId: 1}}],
+      quietMs: idleQuietMs,
+    },
+  ];
+  for (const {name, messages, quietMs} of silences) {
+    it(`gives up ${name} that went silent`, () => {
+      const opened = open();
+      opened.receive(encodeFrame({type: 'hello', body: OTHER}));
+      for (const message of messages) opened.connection.send(message);
+      const dueMs = quietMs + 2 * pongMs;
+      const givenUpMs = beatUntilSilent(opened, dueMs * 2);
+      const slackMs = 3 * HEARTBEAT_INTERVAL_MS;
+      expect(givenUpMs).to.be.within(dueMs, dueMs + slackMs);
+      expect(opened.log).to.deep.equal(['opened', 'silent']);
+      const pings = opened.socket.written.filter(m => m.type === 'ping');
+      expect(pings).to.have.length(2);
+    });
+  }
+
+  it('keeps a connection that answers its pings', () => {
+    const {socket, connection, receive} = open();
+    receive(encodeFrame({type: 'hello', body: OTHER}));
+    connection.send(CALL);
+    for (let nowMs = 0; nowMs < 60_000; nowMs += HEARTBEAT_INTERVAL_MS) {
       connection.heartbeat(nowMs);
-      expect(socket.destroyed).to.equal(false);
+      if (socket.written.at(-1)?.type === 'ping') connection.heard(nowMs);
     }
-    connection.heartbeat(nowMs);
-    expect(socket.destroyed).to.equal(true);
-    expect(log).to.deep.equal(['opened', 'silent']);
+    expect(socket.destroyed).to.equal(false);
   });
 });
