--- a/packages/routing/src/balancing/least-expected-cost.ts
+++ b/packages/routing/src/balancing/least-expected-cost.ts
@@ -8,6 +8,8 @@
 import {ServerEvidence} from './server-evidence.js';
 import {weightedSample} from './weighted-sample.js';
 
+/** Servers of a large group that one choice looks at. */
+const MAX_CONSIDERED = 32;
 /** Servers drawn from the own data centre, and from the others. */
 const LOCAL_CHOICES = 3;
 const REMOTE_CHOICES = 2;
@@ -50,6 +52,20 @@
   return 1 + (use < 1 ? use ** 4 : use);
 }
 
+/** All servers of a small group, a random part of a large one. */
+function considered(
+  ready: readonly Candidate[],
+  random: RandomSource,
+): readonly Candidate[] {
+  if (ready.length <= MAX_CONSIDERED) return ready;
+  const drawn = new Set<Candidate>();
+  while (drawn.size < MAX_CONSIDERED) {
+    const candidate = random.pick(ready);
+    if (candidate) drawn.add(candidate);
+  }
+  return [...drawn];
+}
+
 function median(values: number[]): number | undefined {
   const sorted = values.sort((a, b) => a - b);
   return sorted[(sorted.length - 1) >> 1];
@@ -84,7 +100,7 @@
     nowMs: number,
     random: RandomSource,
   ): Candidate | undefined {
-    const ready = readyCandidates(candidates);
+    const ready = considered(readyCandidates(candidates), random);
     const open = this.withoutEjected(ready, nowMs);
     const options = this.options(open, call, nowMs);
     let best: Candidate | undefined;
--- a/packages/routing/tests/balancing/balancers.test.ts
+++ b/packages/routing/tests/balancing/balancers.test.ts
@@ -180,6 +180,14 @@
     expect(shares(balancer, [a, far])).to.have.all.keys('far');
   });
 
+  it('spreads calls over a large group', () => {
+    const balancer = new LeastExpectedCostBalancer('ncr-a');
+    const many = Array.from({length: 500}, (unused, i) => server(`s${i}`));
+    const spread = Object.values(shares(balancer, many));
+    expect(spread.length).to.be.above(350);
+    expect(Math.max(...spread)).to.be.below(0.02);
+  });
+
   it('brings a cold server up slowly', () => {
     const balancer = new LeastExpectedCostBalancer('ncr-a');
     const cold = server('c', {readySinceMs: NOW_MS, slowStartMs: 10_000});
