Cancel reaches the calls of a retired server

Cause: once a server was retired its admission knew no running calls, so that the cancel of one was dropped.

Change: such a call is aborted directly. Tests drive an admitted server over loopback: bodies of waiting calls, quarantine, cancel, crash, no connection.

--- a/packages/node/src/calls/admitted-server.ts
+++ b/packages/node/src/calls/admitted-server.ts
@@ -186,8 +186,11 @@
     this.apply(this.admission.finished(id, outcome, this.clock.now()));
   }
 
+  /** Calls of a retired server are no longer known to its admission. */
   private cancel(id: number): void {
-    this.apply(this.admission.cancel(id));
+    const effects = this.admission.cancel(id);
+    if (effects.length === 0) this.calls.get(id)?.abort();
+    this.apply(effects);
   }
 
   private refuse(id: number, reason: FailureReason): void {
--- /dev/null
+++ b/packages/node/tests/calls/admitted-server.test.ts
@@ -0,0 +1,150 @@
+import {EventEmitter, once} from 'node:events';
+import {createServer, type RequestListener, type Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+import {SystemClock} from '@turmericmill/utils';
+import {expect} from 'chai';
+
+import type {LocalServer} from '../../src/bus.js';
+import {AdmittedServer} from '../../src/calls/admitted-server.js';
+import type {CallEvents, CallHead} from '../../src/calls/call-leg.js';
+
+const clock = new SystemClock();
+
+class Recorder extends EventEmitter implements CallEvents {
+  private chunks: Buffer[] = [];
+
+  credit(): void {
+    this.emit('credit');
+  }
+
+  answerStart(status: number): void {
+    this.emit('start', status);
+  }
+
+  answerData(chunk: Uint8Array): void {
+    this.chunks.push(Buffer.from(chunk));
+  }
+
+  answerEnd(): void {
+    this.emit('ended', Buffer.concat(this.chunks).toString());
+  }
+
+  failed({outcome, reason}: {outcome: string; reason: string}): void {
+    this.emit('ended', `${outcome} ${reason}`);
+  }
+}
+
+function headOf(fields: Partial<CallHead> = {}): CallHead {
+  return {
+    serverId: 's1',
+    serverIncarnation: 1,
+    group: 'city/desk',
+    method: 'POST',
+    path: '/',
+    headers: ['host', 'desk'],
+    customer: 'c1',
+    class: 'city/class/desk',
+    priority: 'interactive',
+    deadlineMs: clock.now() + 5_000,
+    hops: 0,
+    fingerprint: 'f1',
+    ...fields,
+  };
+}
+
+describe('AdmittedServer', () => {
+  let server: Server;
+  let target: AdmittedServer;
+  const bad = new Set<string>();
+
+  async function start(handler: RequestListener, slots = 1): Promise<void> {
+    server = createServer(handler);
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const {port} = server.address() as AddressInfo;
+    const announced: LocalServer = {
+      id: 's1',
+      group: 'city/desk',
+      incarnation: 1,
+      state: 'ready',
+      slots,
+      connections: 10,
+      readySinceMs: 0,
+      address: '127.0.0.1',
+      port,
+    };
+    const bounds = {slots, connections: 10};
+    target = new AdmittedServer(announced, {bounds, weightOf: () => 1}, clock, {
+      standing: id => (bad.has(id) ? 'quarantined' : 'clear'),
+      answered: () => undefined,
+      crashed: () => undefined,
+    });
+  }
+
+  function run(fields: Partial<CallHead> = {}, end = true) {
+    const events = new Recorder();
+    const ended = once(events, 'ended').then(([text]) => text as string);
+    const body = {chunk: Buffer.from('a'), end};
+    return {leg: target.run(headOf(fields), body, events), ended};
+  }
+
+  afterEach(async () => {
+    await target.destroy();
+    server.closeAllConnections();
+    server.close();
+  });
+
+  it('keeps the body of a call that waits for a slot', async () => {
+    const seen = new EventEmitter();
+    await start((req, res) => {
+      if (req.url === '/first') seen.once('go', () => res.end('first'));
+      else req.pipe(res);
+    });
+    const first = run({path: '/first'});
+    const second = run({}, false);
+    second.leg.data(Buffer.from('bc'));
+    second.leg.end([]);
+    await once(server, 'request');
+    seen.emit('go');
+    expect(await first.ended).to.equal('first');
+    expect(await second.ended).to.equal('abc');
+  });
+
+  it('refuses a quarantined request unrun', async () => {
+    await start((req, res) => res.end());
+    bad.add('f2');
+    const call = new Recorder();
+    const ended = once(call, 'ended');
+    const body = {chunk: Buffer.from(''), end: true};
+    target.run(headOf({fingerprint: 'f2'}), body, call);
+    expect(await ended).to.deep.equal(['not-run quarantined']);
+  });
+
+  it('aborts a call on cancel, also after the server was retired', async () => {
+    await start(() => undefined);
+    const call = run();
+    const [, res] = await once(server, 'request');
+    const closed = once(res as EventEmitter, 'close');
+    target.retire();
+    call.leg.cancel();
+    await closed;
+  });
+
+  it('tells waiting and running calls apart when the server dies', async () => {
+    await start(() => undefined);
+    const running = run();
+    const waiting = run({fingerprint: 'f3'});
+    await once(server, 'request');
+    target.retire();
+    expect(await waiting.ended).to.equal('not-run server-failed');
+    server.closeAllConnections();
+    expect(await running.ended).to.equal('unknown server-failed');
+  });
+
+  it('says not-run when the server cannot be reached', async () => {
+    await start(() => undefined);
+    server.close();
+    expect(await run().ended).to.equal('not-run server-unreachable');
+  });
+});
