Failure detection, server registry, roles and connection policy

Nodes had no way to know each other or the backend servers beside them.

A node that was paused or hears nobody extends its time-outs before it accuses others. Records travel packed; a change of status takes the id and two numbers. Two messages are new: memberGossip, memberDigest.

--- /dev/null
+++ b/packages/membership/src/dissemination.ts
@@ -0,0 +1,106 @@
+/**
+ * Spreads news in two ways: at once to a few random members, each of which does
+ * the same on first hearing; and on later probes and answers, a bounded number
+ * of times. The first is fast; its bytes are bounded by a token bucket, and
+ * what the bucket does not admit goes the second way alone.
+ */
+
+import type {RandomSource} from '@turmericmill/utils';
+import {packedBytes, type PackedUpdate} from '@turmericmill/wire';
+
+import type {MembershipEffect, Endpoint} from './membership-types.js';
+import {TokenBucket} from './token-bucket.js';
+import {MAX_UPDATE_BYTES, UpdateQueue} from './update-queue.js';
+
+/** Members to whom news are sent at once. */
+const FAN_OUT = 3;
+
+/** Rate and burst of news sent at once, in bytes. */
+const PUSH_BYTES_PER_SECOND = 2_048;
+const PUSH_BURST_BYTES = 256 * 1024;
+
+/** Time in ms in which news are gathered into one datagram. */
+const GATHER_MS = 20;
+
+/** Bytes of a datagram beside its updates, headers included. */
+const DATAGRAM_OVERHEAD_BYTES = 60;
+
+export class Dissemination {
+  private readonly queue = new UpdateQueue();
+  private readonly urgent = new Map<string, PackedUpdate>();
+  private readonly bucket: TokenBucket;
+  private nextFlushAtMs = 0;
+
+  constructor(
+    private readonly ownId: string,
+    nowMs: number,
+  ) {
+    this.bucket = new TokenBucket(
+      PUSH_BYTES_PER_SECOND,
+      PUSH_BURST_BYTES,
+      nowMs,
+    );
+  }
+
+  /** Takes news; `urgent` ones are also sent at once. */
+  publish(update: PackedUpdate, urgent: boolean): void {
+    this.queue.add(update);
+    if (urgent) this.urgent.set(update[0], update);
+  }
+
+  /** Updates to ride on a datagram that is sent anyway. */
+  piggyback(memberCount: number): PackedUpdate[] {
+    return this.queue.take(memberCount);
+  }
+
+  /** True when there is something that `flush` would send now. */
+  isDue(nowMs: number): boolean {
+    return this.urgent.size > 0 && nowMs >= this.nextFlushAtMs;
+  }
+
+  /** Sends what is urgent to a few of `candidates`. */
+  flush(
+    nowMs: number,
+    random: RandomSource,
+    candidates: readonly Endpoint[],
+  ): MembershipEffect[] {
+    if (!this.isDue(nowMs)) return [];
+    this.nextFlushAtMs = nowMs + GATHER_MS;
+    const targets = random.sample(candidates, FAN_OUT);
+    const effects: MembershipEffect[] = [];
+    for (const updates of this.takeUrgent()) {
+      const bytes = sizeOf(updates) + DATAGRAM_OVERHEAD_BYTES;
+      if (!this.bucket.take(bytes * targets.length, nowMs)) break;
+      for (const to of targets) {
+        const body = {from: this.ownId, updates};
+        const message = {type: 'memberGossip', body} as const;
+        effects.push({type: 'send-datagram', to, message});
+      }
+    }
+    return effects;
+  }
+
+  /** Empties the urgent news into lists that each fit a datagram. */
+  private takeUrgent(): PackedUpdate[][] {
+    const lists: PackedUpdate[][] = [];
+    let list: PackedUpdate[] = [];
+    let bytes = 0;
+    for (const update of this.urgent.values()) {
+      const size = packedBytes(update);
+      if (list.length > 0 && bytes + size > MAX_UPDATE_BYTES) {
+        lists.push(list);
+        list = [];
+        bytes = 0;
+      }
+      list.push(update);
+      bytes += size;
+    }
+    if (list.length > 0) lists.push(list);
+    this.urgent.clear();
+    return lists;
+  }
+}
+
+function sizeOf(updates: readonly PackedUpdate[]): number {
+  return updates.reduce((sum, update) => sum + packedBytes(update), 0);
+}
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,2 +1,14 @@
 /** Failure detection, roles, server announcements, drain. */
-export {};
+export * from './announcement.js';
+export * from './connection-policy.js';
+export * from './membership.js';
+export {
+  MembershipView,
+  type ServerEntry,
+  type ServerStanding,
+} from './membership-view.js';
+export type * from './membership-types.js';
+export * from './roles.js';
+export * from './server-registry.js';
+export type {ServerLifeState} from './server-state.js';
+export {TokenBucket} from './token-bucket.js';
--- /dev/null
+++ b/packages/membership/src/member-digest.ts
@@ -0,0 +1,64 @@
+/**
+ * Checksums of a node's view, by bucket of members. Two nodes compare them and
+ * exchange only the buckets that differ. Members that are gone are left out,
+ * because each node forgets them at a time of its own.
+ */
+
+import type {MemberRecord} from '@turmericmill/wire';
+
+import {isPresent, type MemberEntry} from './member-table.js';
+
+export const BUCKET_COUNT = 64;
+const CHECKSUM_BYTES = 4;
+
+/** Odd multipliers that mix the parts of a checksum. */
+const INCARNATION_MIX = 0x9e3779b1;
+const REVISION_MIX = 0x85ebca6b;
+
+/** The checksums of all buckets, 32 bits each, big-endian. */
+export function digestOf(entries: Iterable<MemberEntry>): Uint8Array {
+  const sums = new Uint32Array(BUCKET_COUNT);
+  for (const entry of entries) {
+    if (!isPresent(entry.record.status)) continue;
+    const bucket = bucketOf(entry);
+    sums[bucket] = (sums[bucket] as number) + checksum(entry);
+  }
+  const bytes = Buffer.alloc(BUCKET_COUNT * CHECKSUM_BYTES);
+  sums.forEach((sum, bucket) => bytes.writeUInt32BE(sum, bucket * 4));
+  return bytes;
+}
+
+/** Numbers of the buckets in which two digests differ. */
+export function differingBuckets(a: Uint8Array, b: Uint8Array): Set<number> {
+  const differing = new Set<number>();
+  for (let index = 0; index < BUCKET_COUNT * CHECKSUM_BYTES; index += 1) {
+    if (a[index] !== b[index]) {
+      differing.add(Math.floor(index / CHECKSUM_BYTES));
+    }
+  }
+  return differing;
+}
+
+/** Records of the members in `buckets`, the gone ones too. */
+export function recordsIn(
+  entries: Iterable<MemberEntry>,
+  buckets: ReadonlySet<number>,
+): MemberRecord[] {
+  const records: MemberRecord[] = [];
+  for (const entry of entries) {
+    if (buckets.has(bucketOf(entry))) records.push(entry.record);
+  }
+  return records;
+}
+
+function bucketOf(entry: MemberEntry): number {
+  return entry.position % BUCKET_COUNT;
+}
+
+function checksum(entry: MemberEntry): number {
+  const {incarnation, revision} = entry.record;
+  const low = Math.imul(incarnation % 2 ** 32, INCARNATION_MIX);
+  const high = Math.imul(Math.floor(incarnation / 2 ** 32), REVISION_MIX);
+  const mixed = Math.imul(low ^ entry.position, INCARNATION_MIX);
+  return (mixed ^ high ^ Math.imul(revision + 1, REVISION_MIX)) >>> 0;
+}
--- /dev/null
+++ b/packages/membership/src/membership.ts
@@ -0,0 +1,295 @@
+/**
+ * The membership decision of one node: takes ticks, messages and local changes,
+ * and returns what to send. It holds no socket, timer, clock or random source.
+ */
+
+import type {RandomSource} from '@turmericmill/utils';
+import {
+  unpackUpdate,
+  type MemberRecord,
+  type PackedUpdate,
+  type RegionSummary,
+} from '@turmericmill/wire';
+
+import {AntiEntropy} from './anti-entropy.js';
+import {Dissemination} from './dissemination.js';
+import {LocalHealth} from './local-health.js';
+import {MemberUpdates} from './member-updates.js';
+import {MembershipView} from './membership-view.js';
+import type {
+  Endpoint,
+  MembershipCounters,
+  MembershipEffect,
+  MembershipInput,
+  MembershipMessage,
+  NodeIdentity,
+} from './membership-types.js';
+import {ProbeExchange} from './probe-exchange.js';
+import {RegionDirectory} from './region-directory.js';
+import {RegionExchange} from './region-exchange.js';
+import {seedsOf} from './roles.js';
+import {SeedContacts} from './seed-contacts.js';
+
+/** Time in ms between the ticks that the decision expects. */
+export const TICK_INTERVAL_MS = 100;
+
+/** Time in ms between the rarer checks. */
+const HOUSEKEEPING_PERIOD_MS = 1_000;
+
+export class Membership {
+  readonly view: MembershipView;
+  readonly regions = new RegionDirectory();
+  readonly counters: MembershipCounters = {
+    probesSent: 0,
+    probesFailed: 0,
+    suspicionsRaised: 0,
+    condemned: 0,
+    refuted: 0,
+    pauses: 0,
+    syncsSent: 0,
+  };
+  private readonly health = new LocalHealth();
+  private readonly dissemination: Dissemination;
+  private readonly updates: MemberUpdates;
+  private readonly probes: ProbeExchange;
+  private readonly antiEntropy: AntiEntropy;
+  private readonly regionExchange: RegionExchange;
+  private readonly seeds: SeedContacts;
+  private nextHousekeepingAtMs: number;
+  private replacementReported = false;
+
+  constructor(
+    private readonly identity: NodeIdentity,
+    nowMs: number,
+    random: RandomSource,
+  ) {
+    this.dissemination = new Dissemination(identity.id, nowMs);
+    this.updates = new MemberUpdates(
+      identity,
+      this.dissemination,
+      this.health,
+      this.counters,
+      nowMs,
+    );
+    this.view = new MembershipView(this.updates.table);
+    this.probes = new ProbeExchange(
+      this.updates,
+      this.dissemination,
+      this.health,
+      this.counters,
+      nowMs,
+      random,
+    );
+    this.antiEntropy = new AntiEntropy(
+      this.updates,
+      this.regions,
+      this.counters,
+      nowMs,
+      random,
+    );
+    this.regionExchange = new RegionExchange(
+      identity,
+      this.view,
+      this.regions,
+      nowMs,
+      random,
+    );
+    this.seeds = new SeedContacts(nowMs, random);
+    this.nextHousekeepingAtMs = nowMs + HOUSEKEEPING_PERIOD_MS;
+  }
+
+  /** This node's own record. */
+  get own(): MemberRecord {
+    return this.updates.ownRecord;
+  }
+
+  /** True once a peer has handed over its view. */
+  get hasJoined(): boolean {
+    return this.antiEntropy.hasJoined;
+  }
+
+  /** Factor by which this node's time-outs have grown; 1 when all is well. */
+  get healthFactor(): number {
+    return this.health.factor;
+  }
+
+  handle(
+    input: MembershipInput,
+    nowMs: number,
+    random: RandomSource,
+  ): MembershipEffect[] {
+    const effects = this.dispatch(input, nowMs, random);
+    effects.push(...this.finish(nowMs, random));
+    return effects;
+  }
+
+  private dispatch(
+    input: MembershipInput,
+    nowMs: number,
+    random: RandomSource,
+  ): MembershipEffect[] {
+    switch (input.type) {
+      case 'tick':
+        return this.onTick(nowMs, random);
+      case 'message':
+        return this.onMessage(input.message, input.from, nowMs, random);
+      case 'servers-changed':
+        this.updates.setServers(input.servers, nowMs);
+        return [];
+      case 'seeds':
+        this.seeds.setEndpoints(input.endpoints, this.identity);
+        return [];
+      case 'leave':
+        this.updates.leave(nowMs);
+        return [];
+    }
+  }
+
+  /** Sends urgent news and reports a change, after every input. */
+  private finish(nowMs: number, random: RandomSource): MembershipEffect[] {
+    const effects: MembershipEffect[] = [];
+    if (this.dissemination.isDue(nowMs)) {
+      const others = this.updates.otherEndpoints();
+      effects.push(...this.dissemination.flush(nowMs, random, others));
+    }
+    if (this.updates.changed) {
+      this.updates.changed = false;
+      this.view.invalidate(nowMs);
+      effects.push({type: 'view-changed'});
+    }
+    const by = this.updates.replacedBy;
+    if (by && !this.replacementReported) {
+      this.replacementReported = true;
+      effects.push({type: 'identity-taken', by});
+    }
+    return effects;
+  }
+
+  private onTick(nowMs: number, random: RandomSource): MembershipEffect[] {
+    if (this.own.status === 'left') return [];
+    this.watchForPause(nowMs);
+    this.condemnDue(nowMs);
+    const effects = this.probes.tick(nowMs, random);
+    effects.push(...this.antiEntropy.tick(nowMs, random));
+    effects.push(...this.regionExchange.tick(nowMs, random, this.own));
+    effects.push(...this.contactSeeds(nowMs, random));
+    if (nowMs >= this.nextHousekeepingAtMs) {
+      this.nextHousekeepingAtMs = nowMs + HOUSEKEEPING_PERIOD_MS;
+      this.updates.expire(nowMs);
+      if (this.view.refreshDamped(nowMs)) effects.push({type: 'view-changed'});
+    }
+    return effects;
+  }
+
+  private watchForPause(nowMs: number): void {
+    const pausedMs = this.health.tick(nowMs);
+    if (pausedMs === 0) return;
+    this.counters.pauses += 1;
+    this.probes.reset();
+    this.updates.suspicions.postpone(pausedMs);
+  }
+
+  private condemnDue(nowMs: number): void {
+    const {suspicions} = this.updates;
+    if (suspicions.size === 0) return;
+    if (this.health.isCutOff(nowMs)) suspicions.hold(nowMs);
+    for (const {id, incarnation} of suspicions.takeDue(nowMs)) {
+      if (this.updates.applyStatus(id, incarnation, 'dead', nowMs)) {
+        this.counters.condemned += 1;
+      }
+    }
+  }
+
+  private contactSeeds(
+    nowMs: number,
+    random: RandomSource,
+  ): MembershipEffect[] {
+    const effects: MembershipEffect[] = [];
+    if (this.updates.isAlone) {
+      if (this.seeds.isJoinDue(nowMs, random)) {
+        const targets = this.seeds.joinTargets(random);
+        effects.push(...targets.map(to => this.antiEntropy.digestTo(to)));
+      }
+    } else {
+      this.seeds.joined();
+    }
+    const target = this.seeds.contactTarget(nowMs, random, endpoint =>
+      this.isKnown(endpoint),
+    );
+    if (target) effects.push(this.antiEntropy.digestTo(target));
+    if (this.seeds.isPersistDue(nowMs, random) && this.isSeed()) {
+      const {address, port} = this.identity;
+      effects.push({type: 'persist-seed', endpoint: {address, port}});
+    }
+    return effects;
+  }
+
+  private isKnown({address, port}: Endpoint): boolean {
+    return this.updates
+      .otherEndpoints()
+      .some(other => other.address === address && other.port === port);
+  }
+
+  private isSeed(): boolean {
+    const {id, dataCentre} = this.identity;
+    return seedsOf(this.view.aliveMembers(), dataCentre).includes(id);
+  }
+
+  private onMessage(
+    message: MembershipMessage,
+    from: Endpoint,
+    nowMs: number,
+    random: RandomSource,
+  ): MembershipEffect[] {
+    if (this.own.status === 'left') return [];
+    this.health.heard(nowMs);
+    switch (message.type) {
+      case 'probe':
+        this.applyAll(message.body.from, message.body.updates, nowMs);
+        return this.probes.onProbe(message.body, from);
+      case 'probeRequest':
+        this.applyAll(message.body.from, message.body.updates, nowMs);
+        return this.probes.onProbeRequest(message.body, from, nowMs);
+      case 'probeAck':
+        this.applyAll(message.body.from, message.body.updates, nowMs);
+        return this.probes.onProbeAck(message.body);
+      case 'memberGossip':
+        this.applyAll(message.body.from, message.body.updates, nowMs);
+        return this.onSummaries(message.body.regions, random);
+      case 'memberDigest':
+        return this.antiEntropy.onDigest(message.body, nowMs, random);
+      case 'memberSync':
+        return [
+          ...this.antiEntropy.onSync(message.body, nowMs, random),
+          ...this.onSummaries(message.body.regions, random),
+        ];
+    }
+  }
+
+  private onSummaries(
+    summaries: readonly RegionSummary[] | undefined,
+    random: RandomSource,
+  ): MembershipEffect[] {
+    if (!summaries || summaries.length === 0) return [];
+    const neighbours = this.updates.otherEndpoints();
+    return this.regionExchange.onSummaries(summaries, random, neighbours);
+  }
+
+  /**
+   * Merges news. Accusations by a member that is itself held dead are left
+   * aside: it may be unable to hear anybody.
+   */
+  private applyAll(
+    sender: string,
+    packed: readonly PackedUpdate[] | undefined,
+    nowMs: number,
+  ): void {
+    for (const each of packed ?? []) {
+      const update = unpackUpdate(each);
+      if (!update) continue;
+      const accuses = update.type === 'status' && update.id !== this.own.id;
+      if (accuses && this.view.member(sender)?.status === 'dead') continue;
+      this.updates.apply(update, nowMs);
+    }
+  }
+}
--- /dev/null
+++ b/packages/membership/tests/message-fabric.ts
@@ -0,0 +1,187 @@
+/**
+ * Carries the messages of a few hundred membership decisions in one process,
+ * with a manual clock and seeded faults. It models no sockets and no hosts.
+ */
+
+import {ManualClock, SeededRandom} from '@turmericmill/utils';
+import {encodeMessage} from '@turmericmill/wire';
+
+import {
+  Membership,
+  TICK_INTERVAL_MS,
+  type Endpoint,
+  type MembershipEffect,
+  type MembershipInput,
+  type MembershipMessage,
+  type NodeIdentity,
+} from '../src/index.js';
+
+const START_MS = 1_700_000_000_000;
+const MIN_DELAY_MS = 1;
+const DELAY_SPREAD_MS = 4;
+
+/** IP and UDP headers of a datagram. */
+const HEADER_BYTES = 28;
+
+/** One decision and what the fabric does to it. */
+export interface FabricNode {
+  identity: NodeIdentity;
+  membership: Membership;
+  pausedUntilMs: number;
+  stopped: boolean;
+  inbox: MembershipInput[];
+  sentBytes: number;
+  effects: MembershipEffect[];
+}
+
+/** True when a message from `from` to `to` is lost. */
+export type LossRule = (from: NodeIdentity, to: NodeIdentity) => boolean;
+
+interface Delivery {
+  to: FabricNode;
+  input: MembershipInput;
+}
+
+export class MessageFabric {
+  readonly clock = new ManualClock(START_MS);
+  readonly random: SeededRandom;
+  readonly nodes: FabricNode[] = [];
+  private readonly byEndpoint = new Map<string, FabricNode>();
+  private readonly due = new Map<number, Delivery[]>();
+  /** Rules of loss in force; all are asked. */
+  readonly losses = new Set<LossRule>();
+
+  constructor(seed: number) {
+    this.random = new SeededRandom(seed);
+  }
+
+  /** Starts a node; a later one at the same endpoint takes it over. */
+  start(id: string, options: Partial<NodeIdentity> = {}): FabricNode {
+    const number = this.nodes.length;
+    const identity: NodeIdentity = {
+      id,
+      incarnation: this.clock.now(),
+      address: `10.0.${number >> 8}.${number & 255}`,
+      port: 7000,
+      dataCentre: `dc-${number % 3}`,
+      region: 'region-1',
+      ...options,
+    };
+    const node: FabricNode = {
+      identity,
+      membership: new Membership(identity, this.clock.now(), this.random),
+      pausedUntilMs: 0,
+      stopped: false,
+      inbox: [],
+      sentBytes: 0,
+      effects: [],
+    };
+    this.nodes.push(node);
+    this.byEndpoint.set(keyOf(identity), node);
+    return node;
+  }
+
+  /** Starts `count` nodes that know the first three as seeds, and settles. */
+  startAll(count: number, settleMs = 8_000): FabricNode[] {
+    const nodes = Array.from({length: count}, (unused, index) =>
+      this.start(`node-${index}`),
+    );
+    const endpoints = nodes.slice(0, 3).map(node => node.identity);
+    for (const node of nodes) this.input(node, {type: 'seeds', endpoints});
+    this.run(settleMs);
+    return nodes;
+  }
+
+  /** Starts a dead node again under its id and address. */
+  restart(node: FabricNode, seeds: Endpoint[]): FabricNode {
+    const {id, address, port, dataCentre} = node.identity;
+    node.stopped = true;
+    const next = this.start(id, {address, port, dataCentre});
+    this.input(next, {type: 'seeds', endpoints: seeds});
+    return next;
+  }
+
+  input(node: FabricNode, input: MembershipInput): void {
+    const effects = node.membership.handle(
+      input,
+      this.clock.now(),
+      this.random,
+    );
+    for (const effect of effects) this.carryOut(node, effect);
+  }
+
+  /** Lets time pass; calls `eachStep` after every millisecond with messages. */
+  run(durationMs: number, eachStep?: () => void): void {
+    const endMs = this.clock.now() + durationMs;
+    while (this.clock.now() < endMs) {
+      const nowMs = this.clock.advance(1);
+      const deliveries = this.due.get(nowMs) ?? [];
+      this.due.delete(nowMs);
+      for (const {to, input} of deliveries) this.deliver(to, input);
+      this.tickNodes(nowMs);
+      eachStep?.();
+    }
+  }
+
+  /** Runs until `done` or the limit; the time in ms that it took. */
+  runUntil(done: () => boolean, limitMs: number): number {
+    const startMs = this.clock.now();
+    while (!done() && this.clock.now() - startMs < limitMs) this.run(10);
+    return this.clock.now() - startMs;
+  }
+
+  private tickNodes(nowMs: number): void {
+    this.nodes.forEach((node, index) => {
+      if (node.stopped || nowMs < node.pausedUntilMs) return;
+      const inbox = node.inbox.splice(0);
+      for (const input of inbox) this.input(node, input);
+      const phase = (nowMs + index * 7) % TICK_INTERVAL_MS;
+      if (phase === 0) this.input(node, {type: 'tick'});
+    });
+  }
+
+  private deliver(to: FabricNode, input: MembershipInput): void {
+    if (to.stopped) return;
+    if (this.clock.now() < to.pausedUntilMs) to.inbox.push(input);
+    else this.input(to, input);
+  }
+
+  private carryOut(from: FabricNode, effect: MembershipEffect): void {
+    switch (effect.type) {
+      case 'send-datagram':
+      case 'send-sync':
+        from.sentBytes += encodeMessage(effect.message).length + HEADER_BYTES;
+        this.send(from, effect.to, effect.message);
+        break;
+      default:
+        from.effects.push(effect);
+    }
+  }
+
+  private send(
+    from: FabricNode,
+    endpoint: Endpoint,
+    message: MembershipMessage,
+  ): void {
+    const to = this.byEndpoint.get(keyOf(endpoint));
+    if (!to) return;
+    for (const isLost of this.losses) {
+      if (isLost(from.identity, to.identity)) return;
+    }
+    const delayMs = MIN_DELAY_MS + this.random.nextInt(DELAY_SPREAD_MS);
+    const atMs = this.clock.now() + delayMs;
+    const {address, port} = from.identity;
+    const input: MembershipInput = {
+      type: 'message',
+      from: {address, port},
+      message,
+    };
+    const queue = this.due.get(atMs) ?? [];
+    queue.push({to, input});
+    this.due.set(atMs, queue);
+  }
+}
+
+function keyOf({address, port}: Endpoint): string {
+  return `${address}:${port}`;
+}
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -1,5 +1,6 @@
 /** Frames and typed messages between nodes. */
 export * from './frame.js';
+export * from './member-codec.js';
 export * from './message-table.js';
 export type * from './messages/calls.js';
 export type * from './messages/claims.js';
--- /dev/null
+++ b/packages/wire/src/member-codec.ts
@@ -0,0 +1,155 @@
+/** Packs the records of membership into arrays, and back. */
+
+import type {
+  MemberRecord,
+  MemberStatus,
+  PackedMember,
+  PackedServer,
+  PackedStatus,
+  PackedUpdate,
+  ServerRecord,
+  ServerState,
+} from './messages/membership.js';
+
+/** Order is part of the protocol. */
+export const MEMBER_STATUSES: readonly MemberStatus[] = [
+  'alive',
+  'suspect',
+  'dead',
+  'left',
+];
+
+/** Order is part of the protocol. */
+export const SERVER_STATES: readonly ServerState[] = [
+  'starting',
+  'ready',
+  'draining',
+];
+
+/** Largest CBOR size in bytes of the numbers and heads of each array. */
+const PACKED_STATUS_BYTES = 12;
+const PACKED_MEMBER_BYTES = 24;
+const PACKED_SERVER_BYTES = 28;
+const STRING_HEAD_BYTES = 2;
+
+/** An update as its receiver sees it. */
+export type MemberUpdate =
+  | {type: 'status'; id: string; incarnation: number; status: MemberStatus}
+  | {type: 'record'; record: MemberRecord};
+
+export function packMember(record: MemberRecord): PackedMember {
+  return [
+    record.id,
+    record.incarnation,
+    MEMBER_STATUSES.indexOf(record.status),
+    record.revision,
+    record.address,
+    record.port,
+    record.dataCentre,
+    record.region,
+    record.servers.map(packServer),
+  ];
+}
+
+/** Packs id, incarnation and status alone. */
+export function packStatus(record: MemberRecord): PackedStatus {
+  return [
+    record.id,
+    record.incarnation,
+    MEMBER_STATUSES.indexOf(record.status),
+  ];
+}
+
+/** Unpacks either form; undefined when it is neither. */
+export function unpackUpdate(update: PackedUpdate): MemberUpdate | undefined {
+  if (!Array.isArray(update)) return undefined;
+  const [id, incarnation, code] = update;
+  const status = MEMBER_STATUSES[code];
+  if (typeof id !== 'string' || !Number.isSafeInteger(incarnation) || !status) {
+    return undefined;
+  }
+  if (update.length === 3) return {type: 'status', id, incarnation, status};
+  const record = unpackMember(update);
+  return record && {type: 'record', record};
+}
+
+/** Unpacks a whole record; undefined when it is malformed. */
+export function unpackMember(packed: PackedMember): MemberRecord | undefined {
+  if (!Array.isArray(packed) || packed.length !== 9) return undefined;
+  const [id, incarnation, code, revision, address, port, dataCentre, region] =
+    packed;
+  const status = MEMBER_STATUSES[code];
+  const servers = unpackServers(packed[8]);
+  const texts = [id, address, dataCentre, region];
+  if (!status || !servers) return undefined;
+  if (!texts.every(text => typeof text === 'string')) return undefined;
+  if (![incarnation, revision, port].every(Number.isSafeInteger)) {
+    return undefined;
+  }
+  return {
+    id,
+    incarnation,
+    status,
+    address,
+    port,
+    dataCentre,
+    region,
+    servers,
+    revision,
+  };
+}
+
+/** An upper estimate of the bytes that an update takes in a datagram. */
+export function packedBytes(update: PackedUpdate): number {
+  if (update.length === 3) return PACKED_STATUS_BYTES + update[0].length;
+  const texts = [update[0], update[4], update[6], update[7]];
+  const textBytes = texts.reduce((sum, text) => sum + stringBytes(text), 0);
+  return update[8].reduce(
+    (sum, server) =>
+      sum +
+      PACKED_SERVER_BYTES +
+      stringBytes(server[0]) +
+      stringBytes(server[1]),
+    PACKED_MEMBER_BYTES + textBytes,
+  );
+}
+
+function stringBytes(text: string): number {
+  return STRING_HEAD_BYTES + Buffer.byteLength(text);
+}
+
+function packServer(server: ServerRecord): PackedServer {
+  return [
+    server.id,
+    server.group,
+    server.incarnation,
+    SERVER_STATES.indexOf(server.state),
+    server.slots,
+    server.connections,
+    server.readySinceMs,
+  ];
+}
+
+function unpackServers(packed: unknown): ServerRecord[] | undefined {
+  if (!Array.isArray(packed)) return undefined;
+  const servers: ServerRecord[] = [];
+  for (const entry of packed as PackedServer[]) {
+    const server = unpackServer(entry);
+    if (!server) return undefined;
+    servers.push(server);
+  }
+  return servers;
+}
+
+function unpackServer(packed: PackedServer): ServerRecord | undefined {
+  if (!Array.isArray(packed)) return undefined;
+  const [id, group, incarnation, code, slots, connections, readySinceMs] =
+    packed;
+  const state = SERVER_STATES[code];
+  if (!state || typeof id !== 'string' || typeof group !== 'string') {
+    return undefined;
+  }
+  const numbers = [incarnation, slots, connections, readySinceMs];
+  if (!numbers.every(Number.isFinite)) return undefined;
+  return {id, group, incarnation, state, slots, connections, readySinceMs};
+}
--- a/packages/wire/src/message-table.ts
+++ b/packages/wire/src/message-table.ts
@@ -21,6 +21,8 @@
   probeRequest: membership.ProbeRequest;
   probeAck: membership.ProbeAck;
   memberSync: membership.MemberSync;
+  memberGossip: membership.MemberGossip;
+  memberDigest: membership.MemberDigest;
   configHave: configuration.ConfigHave;
   configFetch: configuration.ConfigFetch;
   configDelta: configuration.ConfigDelta;
@@ -56,6 +58,8 @@
   probeRequest: 11,
   probeAck: 12,
   memberSync: 13,
+  memberGossip: 14,
+  memberDigest: 15,
   configHave: 20,
   configFetch: 21,
   configDelta: 22,
