Nodes run the membership decision and the server registry

The node kept a list by full exchange each half second, whose bytes grow with the square of the members, and lapsed members by silence alone.

The membership task now carries out the effects of the decision over UDP and, for whole views, TCP; seeds come from the settings and from the log's seed stream. The announce task answers with the state and the deadline, refuses malformed and outdated announcements with findings, and publishes changes alone. On shutdown the node shows its servers as draining first.

--- a/packages/membership/src/dissemination.ts
+++ b/packages/membership/src/dissemination.ts
@@ -13,7 +13,11 @@
 import {MAX_UPDATE_BYTES, UpdateQueue} from './update-queue.js';
 
 /** Members to whom news are sent at once. */
-const FAN_OUT = 3;
+const FAN_OUT = 4;
+
+/** Members to whom they are sent once more, and the time in ms until then. */
+const REPEAT_FAN_OUT = 2;
+const REPEAT_DELAY_MS = 300;
 
 /** Rate and burst of news sent at once, in bytes. */
 const PUSH_BYTES_PER_SECOND = 2_048;
@@ -29,7 +33,9 @@
   private readonly queue = new UpdateQueue();
   private readonly urgent = new Map<string, PackedUpdate>();
   private readonly bucket: TokenBucket;
+  private readonly repeats = new Map<string, PackedUpdate>();
   private nextFlushAtMs = 0;
+  private nextRepeatAtMs = 0;
 
   constructor(
     private readonly ownId: string,
@@ -55,7 +61,8 @@
 
   /** True when there is something that `flush` would send now. */
   isDue(nowMs: number): boolean {
-    return this.urgent.size > 0 && nowMs >= this.nextFlushAtMs;
+    const first = this.urgent.size > 0 && nowMs >= this.nextFlushAtMs;
+    return first || (this.repeats.size > 0 && nowMs >= this.nextRepeatAtMs);
   }
 
   /** Sends what is urgent to a few of `candidates`. */
@@ -64,41 +71,64 @@
     random: RandomSource,
     candidates: readonly Endpoint[],
   ): MembershipEffect[] {
-    if (!this.isDue(nowMs)) return [];
-    this.nextFlushAtMs = nowMs + GATHER_MS;
-    const targets = random.sample(candidates, FAN_OUT);
     const effects: MembershipEffect[] = [];
-    for (const updates of this.takeUrgent()) {
+    if (this.repeats.size > 0 && nowMs >= this.nextRepeatAtMs) {
+      const targets = random.sample(candidates, REPEAT_FAN_OUT);
+      effects.push(...this.send(this.repeats, targets, nowMs));
+      this.repeats.clear();
+    }
+    if (this.urgent.size > 0 && nowMs >= this.nextFlushAtMs) {
+      this.nextFlushAtMs = nowMs + GATHER_MS;
+      const targets = random.sample(candidates, FAN_OUT);
+      effects.push(...this.send(this.urgent, targets, nowMs));
+      this.planRepeats(nowMs);
+    }
+    return effects;
+  }
+
+  private planRepeats(nowMs: number): void {
+    if (this.repeats.size === 0) this.nextRepeatAtMs = nowMs + REPEAT_DELAY_MS;
+    for (const [id, update] of this.urgent) this.repeats.set(id, update);
+    this.urgent.clear();
+  }
+
+  private send(
+    news: ReadonlyMap<string, PackedUpdate>,
+    targets: readonly Endpoint[],
+    nowMs: number,
+  ): MembershipEffect[] {
+    const effects: MembershipEffect[] = [];
+    for (const updates of cutIntoDatagrams(news.values())) {
       const bytes = sizeOf(updates) + DATAGRAM_OVERHEAD_BYTES;
       if (!this.bucket.take(bytes * targets.length, nowMs)) break;
       for (const to of targets) {
         const body = {from: this.ownId, updates};
         const message = {type: 'memberGossip', body} as const;
-        effects.push({type: 'send-datagram', to, message});
+        const {address, port} = to;
+        effects.push({type: 'send-datagram', to: {address, port}, message});
       }
     }
     return effects;
   }
+}
 
-  /** Empties the urgent news into lists that each fit a datagram. */
-  private takeUrgent(): PackedUpdate[][] {
-    const lists: PackedUpdate[][] = [];
-    let list: PackedUpdate[] = [];
-    let bytes = 0;
-    for (const update of this.urgent.values()) {
-      const size = packedBytes(update);
-      if (list.length > 0 && bytes + size > MAX_UPDATE_BYTES) {
-        lists.push(list);
-        list = [];
-        bytes = 0;
-      }
-      list.push(update);
-      bytes += size;
+/** Lists of updates that each fit a datagram. */
+function cutIntoDatagrams(updates: Iterable<PackedUpdate>): PackedUpdate[][] {
+  const lists: PackedUpdate[][] = [];
+  let list: PackedUpdate[] = [];
+  let bytes = 0;
+  for (const update of updates) {
+    const size = packedBytes(update);
+    if (list.length > 0 && bytes + size > MAX_UPDATE_BYTES) {
+      lists.push(list);
+      list = [];
+      bytes = 0;
     }
-    if (list.length > 0) lists.push(list);
-    this.urgent.clear();
-    return lists;
+    list.push(update);
+    bytes += size;
   }
+  if (list.length > 0) lists.push(list);
+  return lists;
 }
 
 function sizeOf(updates: readonly PackedUpdate[]): number {
--- a/packages/membership/src/server-registry.ts
+++ b/packages/membership/src/server-registry.ts
@@ -116,6 +116,17 @@
     return true;
   }
 
+  /** Revokes an order to drain; true when there was one to revoke. */
+  undrain(name: string, nowMs: number): boolean {
+    const entry = this.entries.get(name);
+    if (entry?.state !== 'draining') return false;
+    if (entry.announcement.state === 'draining') return false;
+    entry.drained = false;
+    this.step(entry, 'DRAIN_REVOKED', nowMs);
+    this.step(entry, EVENT_BY_ANNOUNCED_STATE[entry.announcement.state], nowMs);
+    return true;
+  }
+
   /** Lapses announcements whose deadline has passed. Wanted each 100 ms. */
   tick(nowMs: number): void {
     const sinceMs = nowMs - (this.lastTickMs ?? nowMs);
--- a/packages/membership/src/server-state.ts
+++ b/packages/membership/src/server-state.ts
@@ -1,6 +1,6 @@
 /**
  * The state of a backend server as its node sees it. A draining server does not
- * become ready again within one incarnation.
+ * become ready again within one incarnation, unless the order is revoked.
  */
 
 import {readChart, StateChart, type ChartEvent} from '@turmericmill/utils';
@@ -14,6 +14,7 @@
   | 'ANNOUNCED_READY'
   | 'ANNOUNCED_DRAINING'
   | 'DRAIN_ORDERED'
+  | 'DRAIN_REVOKED'
   | 'LAPSED'
   | 'WITHDRAWN';
 
--- a/packages/membership/src/update-queue.ts
+++ b/packages/membership/src/update-queue.ts
@@ -1,6 +1,7 @@
 /**
  * News that ride on probes and answers. Each is sent a bounded number of times
- * that grows with the logarithm of the members; the least sent go first.
+ * that grows with the logarithm of the members; the least sent go first, among
+ * them the newest: the news of a herd must not hold up a drain.
  */
 
 import {packedBytes, type PackedUpdate} from '@turmericmill/wire';
@@ -46,7 +47,7 @@
 
   private leastSentFirst(): [string, QueuedUpdate][] {
     const entries = [...this.queued];
-    return entries.sort((a, b) => a[1].sent - b[1].sent);
+    return entries.reverse().sort((a, b) => a[1].sent - b[1].sent);
   }
 }
 
--- a/packages/membership/tests/message-fabric.ts
+++ b/packages/membership/tests/message-fabric.ts
@@ -130,14 +130,16 @@
     return this.clock.now() - startMs;
   }
 
+  /** Each node ticks at a phase of its own. */
   private tickNodes(nowMs: number): void {
-    this.nodes.forEach((node, index) => {
-      if (node.stopped || nowMs < node.pausedUntilMs) return;
+    const phase = nowMs % TICK_INTERVAL_MS;
+    for (let i = phase; i < this.nodes.length; i += TICK_INTERVAL_MS) {
+      const node = this.nodes[i] as FabricNode;
+      if (node.stopped || nowMs < node.pausedUntilMs) continue;
       const inbox = node.inbox.splice(0);
       for (const input of inbox) this.input(node, input);
-      const phase = (nowMs + index * 7) % TICK_INTERVAL_MS;
-      if (phase === 0) this.input(node, {type: 'tick'});
-    });
+      this.input(node, {type: 'tick'});
+    }
   }
 
   private deliver(to: FabricNode, input: MembershipInput): void {
--- a/packages/membership/tests/server-registry.test.ts
+++ b/packages/membership/tests/server-registry.test.ts
@@ -22,7 +22,11 @@
 
 /** One step: an announcement with changes, an order, or time that passes. */
 type Step =
-  Partial<Announcement> | {passMs: number} | {pauseMs: number} | 'drain';
+  | Partial<Announcement>
+  | {passMs: number}
+  | {pauseMs: number}
+  | 'drain'
+  | 'undrain';
 
 function play(steps: Step[]) {
   const registry = new ServerRegistry();
@@ -31,7 +35,9 @@
   for (const step of steps) {
     registry.tick(nowMs);
     if (step === 'drain') answers.push(String(registry.drain('lamp-1', nowMs)));
-    else if ('pauseMs' in step) nowMs += step.pauseMs;
+    else if (step === 'undrain') {
+      answers.push(String(registry.undrain('lamp-1', nowMs)));
+    } else if ('pauseMs' in step) nowMs += step.pauseMs;
     else if ('passMs' in step) {
       const endMs = nowMs + step.passMs;
       for (; nowMs < endMs; nowMs += 100) registry.tick(nowMs);
@@ -88,6 +94,14 @@
       steps: [{}, 'drain', {passMs: 3_000}, {state: 'ready'}],
     },
     {name: 'has a node that was paused', steps: [{}, {pauseMs: 10_000}]},
+    {
+      name: 'is ready when the drain is revoked',
+      steps: [{}, 'drain', 'undrain'],
+    },
+    {
+      name: 'drains by itself, whatever is revoked',
+      steps: [{}, {state: 'draining'}, 'undrain'],
+    },
     {name: 'is drained before it is known', steps: ['drain']},
     {
       name: 'keeps restarting and is held back',
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -3,7 +3,6 @@
 import {HttpLogClient} from '@turmericmill/platform';
 import {RoundRobinBalancer} from '@turmericmill/routing';
 import {SystemClock, SystemRandom} from '@turmericmill/utils';
-import type {MemberRecord} from '@turmericmill/wire';
 import {MAX_PROTOCOL_VERSION, MIN_PROTOCOL_VERSION} from '@turmericmill/wire';
 import type Logger from 'bunyan';
 
@@ -50,7 +49,7 @@
 
   constructor(
     private readonly settings: NodeSettings,
-    logger: Logger,
+    private readonly logger: Logger,
   ) {
     const {bus, clock, random} = this;
     const {nodeId, dataCentre, region} = settings;
@@ -103,11 +102,7 @@
   async start(): Promise<NodePorts> {
     await this.transport.start();
     await this.announce.start();
-    this.membership = new MembershipTask(
-      {self: this.ownRecord(), seeds: this.settings.seeds},
-      this.bus,
-      this.clock,
-    );
+    this.membership = this.makeMembership();
     this.membership.start();
     this.config.start();
     await this.ingress.start();
@@ -123,6 +118,7 @@
   /** Ends calls in flight in good order, then all tasks. */
   async stop(): Promise<void> {
     this.view.setStopping();
+    this.membership?.beginLeave();
     const grace = setTimeout(
       () => this.ingress.abort(),
       this.settings.limits.shutdownGraceMs,
@@ -154,18 +150,18 @@
     });
   }
 
-  private ownRecord(): MemberRecord {
-    const {nodeId, dataCentre, region, mesh} = this.settings;
-    return {
+  private makeMembership(): MembershipTask {
+    const {nodeId, dataCentre, region, mesh, seeds} = this.settings;
+    const identity = {
       id: nodeId,
       incarnation: this.incarnation,
-      status: 'alive',
       address: mesh.address,
       port: this.transport.port,
       dataCentre,
       region,
-      servers: [],
-      revision: 0,
     };
+    const {bus, clock, random, log, logger} = this;
+    const parts = {bus, clock, random, log, logger};
+    return new MembershipTask({identity, seeds}, parts);
   }
 }
--- a/packages/node/src/tasks/announce-task.ts
+++ b/packages/node/src/tasks/announce-task.ts
@@ -7,32 +7,47 @@
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
 
-import type {Clock} from '@turmericmill/utils';
+import {
+  MAX_ANNOUNCEMENT_BYTES,
+  parseAnnouncement,
+  ServerRegistry,
+  type LocalServer as RegisteredServer,
+} from '@turmericmill/membership';
+import type {Clock, Finding} from '@turmericmill/utils';
+import type {ServerState} from '@turmericmill/wire';
 import type Logger from 'bunyan';
 
 import type {Bus, LocalServer} from '../bus.js';
 import type {ListenAddress} from '../settings/index.js';
 import {Task} from '../task.js';
 
-/** Time in ms after which an announcement lapses. */
-const ANNOUNCEMENT_LIFETIME_MS = 2500;
-const SWEEP_INTERVAL_MS = 250;
+/** Path of the announce protocol. */
+export const ANNOUNCE_PATH = '/v1/announce';
+
+const SWEEP_INTERVAL_MS = 100;
+
+/** Time in ms within which a request has to be complete. */
+const REQUEST_TIMEOUT_MS = 2_000;
 
-interface Entry {
-  server: LocalServer;
-  /** Time in ms since the epoch at which the announcement lapses. */
-  lapsesAtMs: number;
+/** Connections held at once: a few for each server of the host. */
+const MAX_CONNECTIONS = 256;
+
+/** What a refused announcement is answered with. */
+interface RefusalBody {
+  code: string;
+  message: string;
+  findings?: Finding[];
 }
 
-/** Keeps the list of servers beside this node. */
+/** Keeps the registry of the servers beside this node. */
 export class AnnounceTask extends Task {
   port = 0;
-  private readonly entries = new Map<string, Entry>();
-  private readonly drained = new Set<string>();
+  private readonly registry = new ServerRegistry();
   private readonly server = createServer((req, res) => {
-    void this.take(req, res);
+    void this.serve(req, res);
   });
   private timer: NodeJS.Timeout | undefined;
+  private published = '[]';
 
   constructor(
     private readonly listen: ListenAddress,
@@ -41,10 +56,14 @@
     private readonly logger: Logger,
   ) {
     super();
+    this.server.requestTimeout = REQUEST_TIMEOUT_MS;
+    this.server.headersTimeout = REQUEST_TIMEOUT_MS;
+    this.server.maxConnections = MAX_CONNECTIONS;
     bus.subscribe('drain', ({serverId, draining}) => {
-      if (draining) this.drained.add(serverId);
-      else this.drained.delete(serverId);
-      this.publish();
+      const now = this.clock.now();
+      if (draining) this.registry.drain(serverId, now);
+      else this.registry.undrain(serverId, now);
+      this.publishChange();
     });
   }
 
@@ -55,7 +74,10 @@
       this.server.listen(port, address, resolve);
     });
     this.port = (this.server.address() as AddressInfo).port;
-    this.timer = setInterval(() => this.sweep(), SWEEP_INTERVAL_MS);
+    this.timer = setInterval(() => {
+      this.registry.tick(this.clock.now());
+      this.publishChange();
+    }, SWEEP_INTERVAL_MS);
   }
 
   override async stop(): Promise<void> {
@@ -64,54 +86,94 @@
     await new Promise(resolve => this.server.close(resolve));
   }
 
-  private async take(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const chunks: Buffer[] = [];
-    for await (const chunk of req) chunks.push(chunk as Buffer);
+  private async serve(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    if (req.url !== ANNOUNCE_PATH) {
+      refuse(res, 404, {code: 'not-found', message: `Use ${ANNOUNCE_PATH}.`});
+      return;
+    }
+    if (req.method !== 'POST') {
+      refuse(res, 405, {code: 'method-not-allowed', message: 'Use POST.'});
+      return;
+    }
     try {
-      const text = Buffer.concat(chunks).toString();
-      const announced = JSON.parse(text) as LocalServer & {name: string};
-      const {name, ...rest} = announced;
-      this.put({...rest, id: name});
-      res.writeHead(204).end();
+      this.take(await readText(req), res);
     } catch (err) {
-      this.logger.warn({err}, 'malformed announcement');
-      res.writeHead(400).end();
+      this.logger.debug({err}, 'announcement cut off');
+      res.destroy();
     }
   }
 
-  private put(server: LocalServer): void {
-    const known = this.entries.get(server.id);
-    const now = this.clock.now();
-    const sameRun =
-      known?.server.incarnation === server.incarnation &&
-      known.server.state === server.state;
-    const readySinceMs = sameRun ? known.server.readySinceMs : now;
-    const lapsesAtMs = now + ANNOUNCEMENT_LIFETIME_MS;
-    this.entries.set(server.id, {
-      server: {...server, readySinceMs},
-      lapsesAtMs,
-    });
-    if (!sameRun) this.publish();
+  private take(text: string, res: ServerResponse): void {
+    const parsed = parseAnnouncement(text);
+    if (parsed.isErr()) {
+      const findings = parsed.error;
+      this.logger.warn({findings}, 'malformed announcement');
+      const message = 'The announcement is malformed.';
+      refuse(res, 400, {code: 'malformed', message, findings});
+      return;
+    }
+    const result = this.registry.announce(parsed.value, this.clock.now());
+    if (result.isErr()) {
+      this.logger.warn({err: result.error}, 'announcement refused');
+      refuse(res, 409, result.error);
+      return;
+    }
+    this.publishChange();
+    sendJson(res, 200, result.value);
   }
 
-  private sweep(): void {
-    const now = this.clock.now();
-    let changed = false;
-    for (const [id, {lapsesAtMs}] of this.entries) {
-      if (lapsesAtMs > now) continue;
-      this.entries.delete(id);
-      this.logger.info({serverId: id}, 'announcement lapsed');
-      changed = true;
+  private publishChange(): void {
+    for (const {type, name, incarnation} of this.registry.takeEvents()) {
+      this.logger.info({serverId: name, incarnation}, `server ${type}`);
     }
-    if (changed) this.publish();
+    const servers = this.registry.servers().map(toLocalServer);
+    const text = JSON.stringify(servers);
+    if (text === this.published) return;
+    this.published = text;
+    this.bus.publish('local-servers', {servers});
   }
+}
 
-  private publish(): void {
-    const servers = [...this.entries.values()].map(({server}) =>
-      this.drained.has(server.id)
-        ? {...server, state: 'draining' as const}
-        : server,
-    );
-    this.bus.publish('local-servers', {servers});
+/** Reads a body, and a little more than allowed when it is too long. */
+async function readText(req: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for await (const chunk of req) {
+    chunks.push(chunk as Buffer);
+    bytes += (chunk as Buffer).length;
+    if (bytes > MAX_ANNOUNCEMENT_BYTES) break;
   }
+  return Buffer.concat(chunks).toString();
+}
+
+function refuse(res: ServerResponse, status: number, body: RefusalBody): void {
+  sendJson(res, status, body);
+}
+
+function sendJson(res: ServerResponse, status: number, body: object): void {
+  const headers = {'content-type': 'application/json'};
+  res.writeHead(status, headers).end(JSON.stringify(body));
+}
+
+function toLocalServer({
+  announcement,
+  state,
+  readySinceMs,
+}: RegisteredServer): LocalServer {
+  const {name, group, incarnation, slots, connections, address, port} =
+    announcement;
+  return {
+    id: name,
+    group,
+    incarnation,
+    state: state as ServerState,
+    slots,
+    connections,
+    readySinceMs,
+    address,
+    port,
+  };
 }
--- a/packages/node/src/tasks/membership-task.ts
+++ b/packages/node/src/tasks/membership-task.ts
@@ -1,123 +1,184 @@
-/** Tells other nodes of this one and learns of them. */
+/** Runs the membership decision: its timer, its messages, its seeds. */
 
-import type {Clock} from '@turmericmill/utils';
-import type {MemberRecord, MessageOf, ServerRecord} from '@turmericmill/wire';
+import {
+  Membership,
+  TICK_INTERVAL_MS,
+  type Endpoint,
+  type MembershipEffect,
+  type MembershipInput,
+  type MembershipMessage,
+  type MembershipView,
+  type NodeIdentity,
+} from '@turmericmill/membership';
+import type {LogClient} from '@turmericmill/platform';
+import type {Clock, RandomSource} from '@turmericmill/utils';
+import type {Message, ServerRecord} from '@turmericmill/wire';
+import type Logger from 'bunyan';
 
-import type {Bus} from '../bus.js';
+import type {Bus, LocalServer} from '../bus.js';
 import {Task} from '../task.js';
+import {parseEndpoint, SeedStream} from './seed-stream.js';
 
-const SYNC_INTERVAL_MS = 500;
-const MEMBER_LIFETIME_MS = 3000;
+/** Least time in ms between two publications of the view. */
+const VIEW_INTERVAL_MS = 50;
 
-/** This node's own record, and where it finds the first others. */
+/** Who this node is, and where it finds the first others. */
 export interface MembershipOptions {
-  self: MemberRecord;
+  identity: NodeIdentity;
+  /** Mesh addresses as `ip:port`. */
   seeds: string[];
 }
 
-/** Full exchange with every member at a fixed interval. */
+/** What the task is given. */
+export interface MembershipParts {
+  bus: Bus;
+  clock: Clock;
+  random: RandomSource;
+  log: LogClient;
+  logger: Logger;
+  /** A later process runs under this node's id: this one has to stop. */
+  onReplaced?: () => void;
+}
+
+const DATAGRAM_TYPES: ReadonlySet<string> = new Set([
+  'probe',
+  'probeRequest',
+  'probeAck',
+  'memberGossip',
+  'memberDigest',
+]);
+
 export class MembershipTask extends Task {
-  private readonly members = new Map<string, MemberRecord>();
-  private readonly expiresAtMs = new Map<string, number>();
-  private self: MemberRecord;
-  private timer: NodeJS.Timeout | undefined;
+  private readonly membership: Membership;
+  private readonly seedStream: SeedStream;
+  private readonly ownSeeds: Endpoint[];
+  private tickTimer: NodeJS.Timeout | undefined;
+  private viewTimer: NodeJS.Timeout | undefined;
+  private viewPending = false;
+  private leaving = false;
+  private servers: ServerRecord[] = [];
 
   constructor(
-    private readonly options: MembershipOptions,
-    private readonly bus: Bus,
-    private readonly clock: Clock,
+    options: MembershipOptions,
+    private readonly parts: MembershipParts,
   ) {
     super();
-    this.self = options.self;
-    bus.subscribe('local-servers', ({servers}) => {
-      const records: ServerRecord[] = servers.map(
-        ({address: unusedAddress, port: unusedPort, ...record}) => record,
-      );
-      this.self = {
-        ...this.self,
-        servers: records,
-        revision: this.self.revision + 1,
-      };
-      this.publish();
-      this.sync();
+    const {bus, clock, random, log, logger} = parts;
+    this.membership = new Membership(options.identity, clock.now(), random);
+    this.ownSeeds = options.seeds.flatMap(text => parseEndpoint(text) ?? []);
+    this.seedStream = new SeedStream(log, clock, random, logger, endpoints =>
+      this.setSeeds(endpoints),
+    );
+    bus.subscribe('local-servers', ({servers}) => this.setServers(servers));
+    bus.subscribe('datagram', ({address, port, message}) => {
+      if (!isDatagram(message)) return;
+      this.handle({type: 'message', from: {address, port}, message});
     });
-    bus.onPeerMessage('memberSync', ({body, peer}) => {
-      for (const member of body.members) {
-        if (member.id === peer.nodeId) this.take(member);
-        else this.greet(member);
-      }
+    bus.onPeerMessage('memberSync', ({type, body}) => {
+      const from = {address: '', port: 0};
+      this.handle({type: 'message', from, message: {type, body}});
     });
   }
 
+  /** What this node knows of the others. */
+  get view(): MembershipView {
+    return this.membership.view;
+  }
+
   override start(): void {
-    this.publish();
-    this.sync();
-    this.timer = setInterval(() => {
-      this.expire();
-      this.sync();
-    }, SYNC_INTERVAL_MS);
+    this.setSeeds([]);
+    this.publishView();
+    this.seedStream.start();
+    this.tickTimer = setInterval(
+      () => this.handle({type: 'tick'}),
+      TICK_INTERVAL_MS,
+    );
   }
 
-  override stop(): void {
-    clearInterval(this.timer);
+  /** Shows the servers beside this node as draining from now on. */
+  beginLeave(): void {
+    this.leaving = true;
+    this.announceServers();
   }
 
-  private take(member: MemberRecord): void {
-    if (member.id === this.self.id) return;
-    const known = this.members.get(member.id);
-    if (known && member.incarnation < known.incarnation) return;
-    const now = this.clock.now();
-    this.expiresAtMs.set(member.id, now + MEMBER_LIFETIME_MS);
-    const same =
-      known?.incarnation === member.incarnation &&
-      known.revision === member.revision;
-    this.members.set(member.id, member);
-    if (!same) this.publish();
+  override stop(): void {
+    clearInterval(this.tickTimer);
+    clearTimeout(this.viewTimer);
+    this.viewTimer = undefined;
+    this.seedStream.stop();
+    this.handle({type: 'leave'});
+    clearTimeout(this.viewTimer);
   }
 
-  /** A member that others tell of counts once it has spoken for itself. */
-  private greet(member: MemberRecord): void {
-    const {id, address, port} = member;
-    if (id === this.self.id || this.members.has(id)) return;
-    const message = this.syncMessage();
-    this.bus.publish('send-address', {address, port, message});
+  private setSeeds(endpoints: readonly Endpoint[]): void {
+    this.handle({
+      type: 'seeds',
+      endpoints: [...this.ownSeeds, ...endpoints],
+    });
   }
 
-  private syncMessage(): MessageOf<'memberSync'> {
-    const members = [this.self, ...this.members.values()];
-    return {type: 'memberSync', body: {reply: false, members, regions: []}};
+  private setServers(servers: readonly LocalServer[]): void {
+    this.servers = servers.map(
+      ({address: unusedAddress, port: unusedPort, ...record}) => record,
+    );
+    this.announceServers();
   }
 
-  private sync(): void {
-    const message = this.syncMessage();
-    const known = new Set<string>();
-    for (const {id, address, port} of this.members.values()) {
-      known.add(`${address}:${port}`);
-      this.bus.publish('send-peer', {nodeId: id, message});
-    }
-    for (const seed of this.options.seeds) {
-      const [address = '', port = '0'] = seed.split(':');
-      if (known.has(seed) || seed === this.ownAddress()) continue;
-      this.bus.publish('send-address', {address, port: Number(port), message});
-    }
+  private announceServers(): void {
+    const servers = this.leaving
+      ? this.servers.map(server => ({...server, state: 'draining' as const}))
+      : this.servers;
+    this.handle({type: 'servers-changed', servers});
   }
 
-  private ownAddress(): string {
-    return `${this.self.address}:${this.self.port}`;
+  private handle(input: MembershipInput): void {
+    const {clock, random} = this.parts;
+    const effects = this.membership.handle(input, clock.now(), random);
+    for (const effect of effects) this.carryOut(effect);
   }
 
-  private expire(): void {
-    const now = this.clock.now();
-    for (const [id, expiresAtMs] of this.expiresAtMs) {
-      if (expiresAtMs > now) continue;
-      this.expiresAtMs.delete(id);
-      this.members.delete(id);
-      this.publish();
+  private carryOut(effect: MembershipEffect): void {
+    const {bus, logger} = this.parts;
+    switch (effect.type) {
+      case 'send-datagram':
+        bus.publish('send-datagram', {...effect.to, message: effect.message});
+        break;
+      case 'send-sync':
+        bus.publish('send-address', {...effect.to, message: effect.message});
+        break;
+      case 'view-changed':
+        this.publishViewSoon();
+        break;
+      case 'persist-seed':
+        this.seedStream.append(effect.endpoint);
+        break;
+      case 'identity-taken':
+        logger.error({by: effect.by}, 'another process has this node id');
+        this.parts.onReplaced?.();
+        break;
     }
   }
 
-  private publish(): void {
-    const members = [this.self, ...this.members.values()];
-    this.bus.publish('view-changed', {members});
+  /** The first change at once, those that follow gathered. */
+  private publishViewSoon(): void {
+    this.viewPending = true;
+    if (this.viewTimer) return;
+    this.publishView();
+    this.viewTimer = setTimeout(() => {
+      this.viewTimer = undefined;
+      if (this.viewPending) this.publishViewSoon();
+    }, VIEW_INTERVAL_MS);
   }
+
+  private publishView(): void {
+    this.viewPending = false;
+    const members = this.membership.view.members(
+      ({status}) => status === 'alive' || status === 'suspect',
+    );
+    this.parts.bus.publish('view-changed', {members});
+  }
+}
+
+function isDatagram(message: Message): message is MembershipMessage {
+  return DATAGRAM_TYPES.has(message.type);
 }
--- /dev/null
+++ b/packages/node/src/tasks/seed-stream.ts
@@ -0,0 +1,129 @@
+/**
+ * Reads and appends endpoints of nodes in the log's seed stream. With the log
+ * down, the seeds of the settings and those read before go on to serve.
+ */
+
+import type {Endpoint} from '@turmericmill/membership';
+import type {LogClient, LogRecord} from '@turmericmill/platform';
+import type {Clock, RandomSource} from '@turmericmill/utils';
+import type Logger from 'bunyan';
+
+/** Newest records read. */
+const MAX_RECORDS = 200;
+
+/** Average time in ms between two reads. */
+const READ_PERIOD_MS = 5 * 60 * 1000;
+
+/** Base and cap in ms of the jittered time between tries. */
+const RETRY_BASE_MS = 500;
+const RETRY_CAP_MS = 30_000;
+
+/** Time in ms after which the endpoint of a record is no longer tried. */
+const SEED_LIFETIME_MS = 60 * 60 * 1000;
+
+/** One record of the stream. */
+interface SeedRecord extends Endpoint {
+  atMs: number;
+}
+
+export class SeedStream {
+  private timer: NodeJS.Timeout | undefined;
+  private stopped = false;
+  private failures = 0;
+
+  constructor(
+    private readonly log: LogClient,
+    private readonly clock: Clock,
+    private readonly random: RandomSource,
+    private readonly logger: Logger,
+    private readonly onSeeds: (endpoints: Endpoint[]) => void,
+  ) {}
+
+  /** Reads now and then; the first time within a jittered moment. */
+  start(): void {
+    this.readAfter(this.random.jitter(RETRY_BASE_MS, 0, RETRY_CAP_MS));
+  }
+
+  stop(): void {
+    this.stopped = true;
+    clearTimeout(this.timer);
+  }
+
+  /** Appends an endpoint; a failure is left to the next turn. */
+  append({address, port}: Endpoint): void {
+    const record: SeedRecord = {address, port, atMs: this.clock.now()};
+    void this.log.append('seeds', JSON.stringify(record)).then(result => {
+      if (result.isErr()) {
+        this.logger.info({err: result.error}, 'seed not appended');
+      }
+    });
+  }
+
+  private readAfter(delayMs: number): void {
+    if (this.stopped) return;
+    this.timer = setTimeout(() => void this.read(), delayMs);
+  }
+
+  private async read(): Promise<void> {
+    const bounds = await this.log.bounds('seeds');
+    if (bounds.isErr()) {
+      this.retry();
+      return;
+    }
+    const {earliest, next} = bounds.value;
+    const from = Math.max(earliest, next - MAX_RECORDS);
+    const options = {limit: MAX_RECORDS, waitMs: 0};
+    const page = await this.log.read('seeds', from, options);
+    if (page.isErr()) {
+      this.retry();
+      return;
+    }
+    this.failures = 0;
+    if (!this.stopped) this.onSeeds(this.endpointsOf(page.value.records));
+    this.readAfter((0.5 + this.random.next()) * READ_PERIOD_MS);
+  }
+
+  private retry(): void {
+    const delayMs = this.random.jitter(
+      RETRY_BASE_MS,
+      this.failures,
+      RETRY_CAP_MS,
+    );
+    this.failures += 1;
+    this.readAfter(RETRY_BASE_MS + delayMs);
+  }
+
+  private endpointsOf(records: readonly LogRecord[]): Endpoint[] {
+    const oldestMs = this.clock.now() - SEED_LIFETIME_MS;
+    const found = new Map<string, Endpoint>();
+    for (const {body} of records) {
+      const record = parseSeed(body);
+      if (!record || record.atMs < oldestMs) continue;
+      const {address, port} = record;
+      found.set(`${address}:${port}`, {address, port});
+    }
+    return [...found.values()];
+  }
+}
+
+/** Parses `ip:port`; undefined when malformed. */
+export function parseEndpoint(text: string): Endpoint | undefined {
+  const colon = text.lastIndexOf(':');
+  const port = Number(text.slice(colon + 1));
+  if (colon <= 0 || !Number.isInteger(port) || port < 1) return undefined;
+  const address = text.slice(0, colon).replace(/^\[|\]$/g, '');
+  return {address, port};
+}
+
+function parseSeed(body: string): SeedRecord | undefined {
+  let value: unknown;
+  try {
+    value = JSON.parse(body);
+  } catch {
+    return undefined;
+  }
+  const {address, port, atMs} = (value ?? {}) as Partial<SeedRecord>;
+  if (typeof address !== 'string' || !Number.isInteger(port)) return undefined;
+  if (typeof atMs !== 'number') return undefined;
+  return {address, port: port as number, atMs};
+}
