--- a/packages/membership/src/anti-entropy.ts
+++ b/packages/membership/src/anti-entropy.ts
@@ -107,12 +107,17 @@
   ): MembershipEffect[] {
     const sender = unpackMember(sync.sender);
     if (!sender) return [];
+    const spread = this.joining ? 'not' : 'on-probes';
     let news = 0;
     for (const packed of [sync.sender, ...sync.members]) {
       const record = unpackMember(packed);
-      if (record && this.updates.apply({type: 'record', record}, nowMs)) {
-        news += 1;
-      }
+      if (!record) continue;
+      const isNews = this.updates.apply(
+        {type: 'record', record},
+        nowMs,
+        spread,
+      );
+      if (isNews) news += 1;
     }
     if (news > 0) this.compareSoon(nowMs, random);
     if (sender.region === this.updates.ownRecord.region) this.joining = false;
--- a/packages/membership/src/member-updates.ts
+++ b/packages/membership/src/member-updates.ts
@@ -23,6 +23,9 @@
 } from './membership-types.js';
 import {Suspicions} from './suspicions.js';
 
+/** How news are passed on; `not` for what the others have told a joiner. */
+export type SpreadMode = 'at-once' | 'on-probes' | 'not';
+
 export class MemberUpdates {
   readonly table = new MemberTable();
   readonly suspicions = new Suspicions();
@@ -81,8 +84,14 @@
   }
 
   /** Merges one piece of news; true when it was new. */
-  apply(update: MemberUpdate, nowMs: number): boolean {
-    if (update.type === 'record') return this.applyRecord(update.record, nowMs);
+  apply(
+    update: MemberUpdate,
+    nowMs: number,
+    spread: SpreadMode = 'at-once',
+  ): boolean {
+    if (update.type === 'record') {
+      return this.applyRecord(update.record, nowMs, spread);
+    }
     const {id, incarnation, status} = update;
     return this.applyStatus(id, incarnation, status, nowMs);
   }
@@ -118,7 +127,11 @@
     if (this.table.forgetExpired(nowMs) > 0) this.markChanged();
   }
 
-  private applyRecord(record: MemberRecord, nowMs: number): boolean {
+  private applyRecord(
+    record: MemberRecord,
+    nowMs: number,
+    spread: SpreadMode,
+  ): boolean {
     if (record.region !== this.own.region) return false;
     if (record.id === this.own.id) {
       this.applyOwnRecord(record, nowMs);
@@ -126,7 +139,7 @@
     }
     const outcome = this.table.mergeRecord(record, nowMs);
     if (!outcome) return false;
-    this.settle(outcome, nowMs);
+    this.settle(outcome, nowMs, spread);
     const {entry, formerHolder} = outcome;
     if (formerHolder) {
       this.resolveEndpoint(entry.record, formerHolder.record, nowMs);
@@ -174,13 +187,19 @@
     if (outcome) this.settle(outcome, nowMs);
   }
 
-  private settle(outcome: MergeOutcome, nowMs: number): void {
+  private settle(
+    outcome: MergeOutcome,
+    nowMs: number,
+    spread: SpreadMode = 'at-once',
+  ): void {
     const {record, penalty} = outcome.entry;
     this.followStatus(record, outcome.before, nowMs);
+    this.markChanged();
+    if (spread === 'not') return;
     const whole = outcome.detailsChanged || record.status === 'alive';
     const update = whole ? packMember(record) : packStatus(record);
-    this.dissemination.publish(update, !penalty.isDamped(nowMs));
-    this.markChanged();
+    const urgent = spread === 'at-once' && !penalty.isDamped(nowMs);
+    this.dissemination.publish(update, urgent);
   }
 
   private followStatus(
--- a/packages/node/src/tasks/membership-task.ts
+++ b/packages/node/src/tasks/membership-task.ts
@@ -4,6 +4,7 @@
   Membership,
   TICK_INTERVAL_MS,
   type Endpoint,
+  type MembershipCounters,
   type MembershipEffect,
   type MembershipInput,
   type MembershipMessage,
@@ -80,6 +81,11 @@
     });
   }
 
+  /** Counts since the start. */
+  get counters(): Readonly<MembershipCounters> {
+    return this.membership.counters;
+  }
+
   /** What this node knows of the others. */
   get view(): MembershipView {
     return this.membership.view;
