--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -3,7 +3,6 @@
 import {HttpLogClient} from '@turmericmill/platform';
 import {LeastExpectedCostBalancer} from '@turmericmill/routing';
 import {SystemClock, SystemRandom} from '@turmericmill/utils';
-import type {MemberRecord} from '@turmericmill/wire';
 import {MAX_PROTOCOL_VERSION, MIN_PROTOCOL_VERSION} from '@turmericmill/wire';
 import type Logger from 'bunyan';
 
@@ -55,7 +54,7 @@
 
   constructor(
     private readonly settings: NodeSettings,
-    logger: Logger,
+    private readonly logger: Logger,
   ) {
     const {bus, clock, random} = this;
     const {nodeId, dataCentre, region} = settings;
@@ -111,11 +110,7 @@
   async start(): Promise<NodePorts> {
     await this.transport.start();
     await this.announce.start();
-    this.membership = new MembershipTask(
-      {self: this.ownRecord(), seeds: this.settings.seeds},
-      this.bus,
-      this.clock,
-    );
+    this.membership = this.makeMembership();
     this.membership.start();
     this.config.start();
     this.metrics?.start();
@@ -140,6 +135,7 @@
 
   private async shutDown(): Promise<void> {
     this.view.setStopping();
+    this.membership?.beginLeave();
     this.announce.drainAll();
     const {shutdownGraceMs, drainSpreadMs} = this.settings.limits;
     const deadlineMs = this.clock.now() + shutdownGraceMs;
@@ -189,18 +185,18 @@
     });
   }
 
-  private ownRecord(): MemberRecord {
-    const {nodeId, dataCentre, region, mesh} = this.settings;
-    return {
+  private makeMembership(): MembershipTask {
+    const {nodeId, dataCentre, region, mesh, seeds} = this.settings;
+    const identity = {
       id: nodeId,
       incarnation: this.incarnation,
-      status: 'alive',
       address: mesh.address,
       port: this.transport.port,
       dataCentre,
       region,
-      servers: [],
-      revision: 0,
     };
+    const {bus, clock, random, log, logger} = this;
+    const parts = {bus, clock, random, log, logger};
+    return new MembershipTask({identity, seeds}, parts);
   }
 }
