Claims: at most one run for each idempotency key

Cause: a caller's second try with the same idempotency key may arrive at any node, and must not run again whatever failed in between.

Change: each key belongs to a partition with a stream of its own. A writer collects claims into batches and grants one only after it has folded its batch in its place in the stream; the first claim in log order holds the key. The entry node asks, runs at most once and releases what it never runs. Tries are idempotent by their id, so that they may be asked again of any writer.

Checks that matter fail a test when removed: order of the fold, release by the holder only, voided claims, deadline of a grant, appends in doubt, coverage of a trimmed stream, the shared rate of appends.

--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,2 +1,2 @@
 /** Route match, balancing, admission, retries, at-most-once, quarantine, balances. */
-export {};
+export * from './claims/index.js';
--- /dev/null
+++ b/packages/routing/tests/claims/claim-harness.ts
@@ -0,0 +1,293 @@
+/** A few writers and entry nodes around a small log that can fail. */
+
+import {ManualClock, SeededRandom} from '@turmericmill/utils';
+import type {ClaimOutcome, ClaimReply} from '@turmericmill/wire';
+
+import {
+  ClaimClient,
+  ClaimWriter,
+  type ClaimClientEffect,
+  type ClaimWriterEffect,
+  type RunEnd,
+} from '../../src/claims/index.js';
+
+export const WINDOW_MS = 60_000;
+
+/** What the log does with the next append. */
+export type AppendFault = 'ok' | 'none' | 'lost' | 'late' | 'never';
+
+export interface Refusal {
+  outcome: string;
+  reason: string;
+}
+
+/** A step that is due at a time; steps of a paused host wait. */
+interface Step {
+  atMs: number;
+  host?: string;
+  run: () => void;
+}
+
+export class ClaimCluster {
+  readonly clock = new ManualClock(1_000_000);
+  readonly random: SeededRandom;
+  readonly records: string[] = [];
+  earliest = 0;
+  isLogDown = false;
+  appendFaults: AppendFault[] = [];
+  /** Network and log delays in ms, at random up to these. */
+  delayMs = 2;
+  lateMs = 40;
+  /** Chance that a message between nodes is lost or comes twice. */
+  lossRate = 0;
+  readonly runs = new Map<string, number>();
+  readonly ends = new Map<number, Refusal | 'answered' | 'run'>();
+  /** Calls that were run and are told how to end. */
+  onRun: (callId: number) => RunEnd | undefined = () => undefined;
+  private steps: Step[] = [];
+  private readonly writers = new Map<string, ClaimWriter>();
+  private readonly clients = new Map<string, ClaimClient>();
+  private readonly paused = new Map<string, number>();
+  private readonly callKeys = new Map<number, string>();
+  private readonly owners = new Map<number, string>();
+  /** The writer that each entry node believes in. */
+  readonly beliefs = new Map<string, string>();
+  belief = 'w1';
+  private nextCall = 1;
+  private starts = 1;
+
+  constructor(seed: number) {
+    this.random = new SeededRandom(seed);
+  }
+
+  addWriter(name: string, maxKeys = 1000): void {
+    const options = {
+      writer: `${name}:${this.starts++}`,
+      partition: 0,
+      windowMs: WINDOW_MS,
+      appendIntervalMs: 20,
+      retryBaseMs: 20,
+      retryCapMs: 200,
+      maxRecordBytes: 4096,
+      maxQueueBytes: 16 * 1024,
+      maxKeys,
+      maxAnswerBytes: 1000,
+    };
+    this.writers.set(name, new ClaimWriter(options, this.random));
+  }
+
+  addEntry(name: string): void {
+    const options = {
+      entry: name,
+      claimTimeoutMs: 500,
+      askAgainMs: 50,
+      lingerMs: 5000,
+      maxKeptAnswerBytes: 500,
+    };
+    this.clients.set(name, new ClaimClient(options));
+  }
+
+  setRole(writer: string, hasRole: boolean): void {
+    const now = this.clock.now();
+    this.onWriter(writer, this.writers.get(writer)?.setRole(hasRole, now));
+  }
+
+  writerStatus(writer: string) {
+    return this.writers.get(writer)?.status;
+  }
+
+  /** Forgets a host; what was under way from it or to it is lost. */
+  crash(host: string): void {
+    this.writers.delete(host);
+    this.clients.delete(host);
+    this.steps = this.steps.filter(step => step.host !== host);
+  }
+
+  pause(host: string, ms: number): void {
+    this.paused.set(host, this.clock.now() + ms);
+  }
+
+  /** Starts a call with a key and returns its id. */
+  call(entry: string, key: string, digest = 'd', timeoutMs = 1000): number {
+    const callId = this.nextCall++;
+    const now = this.clock.now();
+    this.callKeys.set(callId, key);
+    this.owners.set(callId, entry);
+    const call = {
+      partition: 0,
+      key,
+      requestDigest: digest,
+      deadlineMs: now + timeoutMs,
+    };
+    this.onClient(entry, this.clients.get(entry)?.start(callId, call, now));
+    return callId;
+  }
+
+  finish(callId: number, end: RunEnd): void {
+    const entry = this.owners.get(callId) ?? '';
+    const now = this.clock.now();
+    this.onClient(entry, this.clients.get(entry)?.finished(callId, end, now));
+  }
+
+  /** Lets `ms` pass in steps of 1 ms. */
+  pass(ms: number): void {
+    for (let i = 0; i < ms; i++) {
+      const now = this.clock.advance(1);
+      this.runDue(now);
+      for (const [name, writer] of this.writers) {
+        if (!this.isPaused(name)) this.onWriter(name, writer.tick(now));
+      }
+      for (const [name, client] of this.clients) {
+        if (!this.isPaused(name)) this.onClient(name, client.tick(now));
+      }
+    }
+  }
+
+  private runDue(now: number): void {
+    const due = this.steps.filter(step => this.isDue(step, now));
+    this.steps = this.steps.filter(step => !due.includes(step));
+    due.sort((a, b) => a.atMs - b.atMs);
+    for (const step of due) step.run();
+  }
+
+  private isDue(step: Step, now: number): boolean {
+    return step.atMs <= now && !(step.host && this.isPaused(step.host));
+  }
+
+  private isPaused(host: string): boolean {
+    return (this.paused.get(host) ?? 0) > this.clock.now();
+  }
+
+  private later(run: () => void, host?: string, extraMs = 0): void {
+    const delayMs = 1 + this.random.nextInt(this.delayMs) + extraMs;
+    const step: Step = {atMs: this.clock.now() + delayMs, run};
+    if (host) step.host = host;
+    this.steps.push(step);
+  }
+
+  /** Delivers a message once, twice or not at all. */
+  private send(host: string, run: () => void): void {
+    const luck = this.random.next();
+    if (luck < this.lossRate) return;
+    this.later(run, host);
+    const isTwice = luck > 1 - this.lossRate;
+    if (isTwice) this.later(run, host, this.random.nextInt(this.lateMs));
+  }
+
+  private onWriter(name: string, effects: ClaimWriterEffect[] = []): void {
+    for (const effect of effects) {
+      if (effect.type === 'append') this.append(name, effect.body);
+      else if (effect.type === 'read') this.read(name, effect.from);
+      else this.send(effect.to, () => this.replied(effect.to, effect.reply));
+    }
+  }
+
+  private append(name: string, body: string): void {
+    const fault = this.isLogDown ? 'none' : (this.appendFaults.shift() ?? 'ok');
+    const writer = this.writers.get(name);
+    const land = () => this.records.push(body) - 1;
+    const end = (offset?: number) => {
+      const result =
+        offset !== undefined
+          ? ({type: 'ok', offset} as const)
+          : ({type: fault === 'none' ? 'none' : 'unknown'} as const);
+      if (this.writers.get(name) !== writer) return;
+      this.onWriter(name, writer?.appended(result, this.clock.now()));
+    };
+    if (fault === 'late') this.later(land, undefined, this.lateMs);
+    this.later(() => {
+      const offset = fault === 'ok' || fault === 'lost' ? land() : undefined;
+      const told = fault === 'ok' ? offset : undefined;
+      this.later(() => end(told), name);
+    });
+  }
+
+  private read(name: string, from: number): void {
+    const writer = this.writers.get(name);
+    this.later(() => {
+      const result = this.readNow(from);
+      this.later(() => {
+        if (this.writers.get(name) !== writer) return;
+        this.onWriter(name, writer?.readDone(result, this.clock.now()));
+      }, name);
+    });
+  }
+
+  private readNow(from: number) {
+    const {earliest} = this;
+    if (this.isLogDown) return {type: 'failed'} as const;
+    if (from < earliest) return {type: 'expired', earliest} as const;
+    const records = this.records
+      .slice(from, from + 3)
+      .map((body, i) => ({offset: from + i, body}));
+    return {type: 'ok', records, next: this.records.length} as const;
+  }
+
+  private onClient(name: string, effects: ClaimClientEffect[] = []): void {
+    for (const effect of effects) this.carryOut(name, effect);
+  }
+
+  private carryOut(name: string, effect: ClaimClientEffect): void {
+    switch (effect.type) {
+      case 'ask':
+        this.toWriter(name, w => w.request(name, effect.req, this.clock.now()));
+        break;
+      case 'report':
+        this.toWriter(name, w => this.report(w, effect.outcome));
+        break;
+      case 'run':
+        this.run(effect.callId);
+        break;
+      case 'answer':
+        this.end(effect.callId, 'answered');
+        break;
+      case 'refuse': {
+        const {outcome, reason} = effect;
+        this.end(effect.callId, {outcome, reason});
+      }
+    }
+  }
+
+  private report(writer: ClaimWriter, outcome: ClaimOutcome) {
+    return writer.outcome(outcome, this.clock.now());
+  }
+
+  private toWriter(
+    entry: string,
+    run: (writer: ClaimWriter) => ClaimWriterEffect[],
+  ): void {
+    const name = this.beliefs.get(entry) ?? this.belief;
+    this.send(name, () => {
+      const writer = this.writers.get(name);
+      if (writer) this.onWriter(name, run(writer));
+    });
+  }
+
+  private replied(entry: string, reply: ClaimReply): void {
+    const now = this.clock.now();
+    this.onClient(entry, this.clients.get(entry)?.reply(reply, now));
+  }
+
+  private run(callId: number): void {
+    if (this.ends.has(callId)) throw new Error(`Call ${callId} ran late.`);
+    this.ends.set(callId, 'run');
+    const end = this.onRun(callId);
+    const key = this.callKeys.get(callId) ?? '';
+    if (end?.type !== 'not-run') {
+      this.runs.set(key, (this.runs.get(key) ?? 0) + 1);
+    }
+    if (end) {
+      this.later(() => this.finish(callId, end), this.owners.get(callId));
+    }
+  }
+
+  private end(callId: number, end: Refusal | 'answered'): void {
+    if (this.ends.has(callId)) throw new Error(`Call ${callId} ended twice.`);
+    this.ends.set(callId, end);
+  }
+}
+
+export const ANSWER: RunEnd = {
+  type: 'answered',
+  answer: {status: 200, headers: [], body: Buffer.from('posted')},
+};
--- a/packages/wire/src/messages/claims.ts
+++ b/packages/wire/src/messages/claims.ts
@@ -6,8 +6,13 @@
 export interface ClaimRequest {
   requestId: number;
   partition: number;
-  /** Customer and idempotency key. */
+  /** Digest of customer and idempotency key. */
   key: string;
+  /**
+   * Identifies the try at one entry node, unique over all nodes and starts.
+   * Asking again with the same id repeats the answer and claims nothing more.
+   */
+  claimId: string;
   /** Digest of method, path and body: the same key must mean the same. */
   requestDigest: string;
   remainingMs: number;
@@ -32,6 +37,8 @@
 export interface ClaimReply {
   requestId: number;
   verdict: ClaimVerdict;
+  /** True when the key may be claimed all the same: release it. */
+  inDoubt: boolean;
   /** Present when the verdict is `answered`. */
   answer?: KeptAnswer;
 }
@@ -40,6 +47,8 @@
 export interface ClaimOutcome {
   partition: number;
   key: string;
+  /** The try that held the claim; the outcome of any other is ignored. */
+  claimId: string;
   outcome: 'answered' | 'released';
   answer?: KeptAnswer;
 }
