Balances: usage as cumulative counts, folded to a lower bound

Cause: customers have prepaid a number of calls; they must be served until it is used up, and never be refused before.

What is lost is lost in the customer's favour.

--- /dev/null
+++ b/packages/routing/src/balances/balance-gate.ts
@@ -0,0 +1,43 @@
+/** Refuses calls of customers whose balance is shown to be used up. */
+
+import type {CallCounts} from './usage-record.js';
+
+/** Share of a balance from which a customer is near its limit. */
+export const NEAR_LIMIT_SHARE = 0.9;
+
+export class BalanceGate {
+  private prepaid: ReadonlyMap<string, number> = new Map();
+  private readonly used = new Map<string, number>();
+
+  /** Sets the balances of the configuration in force, in calls. */
+  configure(prepaid: ReadonlyMap<string, number>): void {
+    this.prepaid = prepaid;
+  }
+
+  /** Takes totals; they only grow, so late ones do no harm. */
+  update(totals: CallCounts): void {
+    for (const [customer, calls] of Object.entries(totals)) {
+      const known = this.used.get(customer) ?? 0;
+      this.used.set(customer, Math.max(known, calls));
+    }
+  }
+
+  /** True unless the balance is shown to be used up. */
+  allows(customer: string): boolean {
+    return this.usedBy(customer) < this.prepaidOf(customer);
+  }
+
+  /** True when the customer's calls should be reported at short intervals. */
+  isNear(customer: string): boolean {
+    const limit = this.prepaidOf(customer) * NEAR_LIMIT_SHARE;
+    return this.usedBy(customer) >= limit;
+  }
+
+  private usedBy(customer: string): number {
+    return this.used.get(customer) ?? 0;
+  }
+
+  private prepaidOf(customer: string): number {
+    return this.prepaid.get(customer) ?? Infinity;
+  }
+}
--- /dev/null
+++ b/packages/routing/src/balances/usage-collector.ts
@@ -0,0 +1,80 @@
+/**
+ * Collects the rows of a region's nodes into records. Several collectors at
+ * once, and records appended twice, are harmless: rows merge by the highest
+ * count.
+ */
+
+import type {UsageRow} from './usage-record.js';
+
+export interface UsageCollectorOptions {
+  /** Time in ms between two appends. */
+  appendIntervalMs: number;
+  maxRecordBytes: number;
+  /** Largest number of rows held; further ones are dropped. */
+  maxRows: number;
+}
+
+/** Bytes of a record that are kept for its head. */
+const HEAD_BYTES = 256;
+
+export class UsageCollector {
+  private readonly pending = new Map<string, UsageRow>();
+  private appending: UsageRow[] = [];
+  private appendAtMs = 0;
+
+  constructor(private readonly options: UsageCollectorOptions) {}
+
+  /** Number of rows to append. */
+  get size(): number {
+    return this.pending.size;
+  }
+
+  /** Takes a node's report. */
+  take({nodeId, incarnation, calls}: UsageRow): void {
+    const key = rowKey({nodeId, incarnation});
+    const known = this.pending.get(key);
+    if (!known && this.pending.size >= this.options.maxRows) return;
+    if (!known) {
+      this.pending.set(key, {nodeId, incarnation, calls: {...calls}});
+      return;
+    }
+    for (const [customer, count] of Object.entries(calls)) {
+      const highest = Math.max(known.calls[customer] ?? 0, count);
+      known.calls[customer] = highest;
+    }
+  }
+
+  /** The body to append now; `appended` has to follow before the next. */
+  due(nowMs: number): string | undefined {
+    if (nowMs < this.appendAtMs || this.appending.length > 0) return undefined;
+    if (this.pending.size === 0) return undefined;
+    this.appendAtMs = nowMs + this.options.appendIntervalMs;
+    const encoded = this.takeRows();
+    return `{"type":"usage","atMs":${nowMs},"rows":[${encoded.join(',')}]}`;
+  }
+
+  /** Rows whose append may have failed are kept and appended again. */
+  appended(succeeded: boolean): void {
+    const rows = this.appending;
+    this.appending = [];
+    if (!succeeded) for (const row of rows) this.take(row);
+  }
+
+  private takeRows(): string[] {
+    const encoded: string[] = [];
+    let bytes = HEAD_BYTES;
+    for (const [key, row] of this.pending) {
+      const text = JSON.stringify(row);
+      bytes += Buffer.byteLength(text) + 1;
+      if (bytes > this.options.maxRecordBytes && encoded.length > 0) break;
+      encoded.push(text);
+      this.appending.push(row);
+      this.pending.delete(key);
+    }
+    return encoded;
+  }
+}
+
+function rowKey({nodeId, incarnation}: Omit<UsageRow, 'calls'>): string {
+  return `${nodeId} ${incarnation}`;
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -14,5 +14,5 @@
   type MatchHeaders,
   type MatchRequest,
 } from './routes/routing-table.js';
-/** Route match, balancing, admission, retries, at-most-once, quarantine, balances. */
+export * from './balances/index.js';
 export * from './claims/index.js';
