Claims in the node: idempotency-key is honoured on at-most-once routes

Cause: the decisions on claims stood without sockets, timers and the log.

Calls with the header `idempotency-key` on at-most-once routes are dispatched under a claim; a later try receives the kept answer, marked by `x-turmericmill-replayed`. A reply names its try, so that one meant for an earlier start of a node grants nothing.

--- a/packages/node/src/calls/caller-exchange.ts
+++ b/packages/node/src/calls/caller-exchange.ts
@@ -2,8 +2,9 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
-import type {FlatHeaders, ServerLoad} from '@turmericmill/wire';
+import type {FlatHeaders, KeptAnswer, ServerLoad} from '@turmericmill/wire';
 
+import type {AnswerCopy} from './answer-copy.js';
 import type {CallEvents, CallFailure, CallLeg, FirstBody} from './call-leg.js';
 import {endToEndHeaders} from './headers.js';
 import {refusalStatus} from './refusal.js';
@@ -13,6 +14,8 @@
 export const OUTCOME_HEADER = 'x-turmericmill-outcome';
 /** Header that tells why a call was refused. */
 export const REASON_HEADER = 'x-turmericmill-reason';
+/** Header that marks the kept answer of an earlier try. */
+export const REPLAYED_HEADER = 'x-turmericmill-replayed';
 /** Bytes of an answer that are written before more are granted. */
 const CREDIT_STEP_BYTES = 64 * 1024;
 
@@ -30,6 +33,8 @@
   private answered = false;
   private left = false;
   private streaming = false;
+  /** When set, receives a copy of the answer. */
+  copy: AnswerCopy | undefined;
 
   constructor(
     readonly req: IncomingMessage,
@@ -73,6 +78,19 @@
     });
   }
 
+  /** True when the caller is gone; nothing can be answered any more. */
+  get hasLeft(): boolean {
+    return this.left || this.res.destroyed;
+  }
+
+  /** Answers with the kept answer of an earlier try. */
+  replay({status, headers, body}: KeptAnswer): void {
+    if (this.hasLeft) return;
+    const replayed = [...headers, REPLAYED_HEADER, 'true'];
+    this.answerStart(status, replayed);
+    this.res.end(body);
+  }
+
   /** Answers the caller that the call was refused or its outcome is open. */
   refuse(failure: CallFailure): void {
     if (this.left || this.res.headersSent) return;
@@ -101,9 +119,11 @@
       answerStart: (code, headers, serverLoad) => {
         status = code;
         load = serverLoad;
+        this.copy?.start(code, headers);
         this.answerStart(code, headers);
       },
       answerData: chunk => {
+        this.copy?.data(chunk);
         this.res.write(chunk, () => {
           uncredited += chunk.length;
           if (uncredited < CREDIT_STEP_BYTES) return;
--- /dev/null
+++ b/packages/node/src/calls/claimed-dispatcher.ts
@@ -0,0 +1,96 @@
+/** Runs a call with an idempotency key only under a claim. */
+
+import {
+  claimKey,
+  requestDigest,
+  type MatchedRoute,
+  type RunEnd,
+} from '@turmericmill/routing';
+
+import {MAX_KEPT_ANSWER_BYTES, type ClaimsTask} from '../tasks/claims-task.js';
+import {AnswerCopy} from './answer-copy.js';
+import {NO_LOAD, type FirstBody} from './call-leg.js';
+import type {CallerExchange, TryEnd} from './caller-exchange.js';
+import {CallDispatcher, type CallDemand} from './dispatcher.js';
+import {MAX_KEPT_BODY_BYTES} from './request-body.js';
+
+/** Names the request among all of the customer's. */
+const KEY_HEADER = 'idempotency-key';
+
+/** Claims the keys of at-most-once calls; passes all others on. */
+export class ClaimedDispatcher extends CallDispatcher {
+  constructor(
+    private readonly claims: ClaimsTask,
+    private readonly inner: CallDispatcher,
+  ) {
+    super();
+  }
+
+  override async dispatch(
+    exchange: CallerExchange,
+    route: MatchedRoute,
+    demand: CallDemand,
+    body: FirstBody,
+  ): Promise<TryEnd> {
+    const key = exchange.req.headers[KEY_HEADER];
+    if (route.repetition !== 'at-most-once' || typeof key !== 'string') {
+      return this.inner.dispatch(exchange, route, demand, body);
+    }
+    const decision = await this.claims.claim({
+      key: claimKey(demand.customer, key),
+      requestDigest: digestOf(exchange, demand, body),
+      deadlineMs: demand.deadlineMs,
+    });
+    switch (decision.type) {
+      case 'refuse':
+        return {kind: 'failed', failure: decision.failure};
+      case 'answer': {
+        exchange.replay(decision.answer);
+        const {status} = decision.answer;
+        return {kind: 'answered', status, load: {...NO_LOAD}};
+      }
+      case 'run':
+        return this.run(decision.callId, exchange, route, demand, body);
+    }
+  }
+
+  private async run(
+    callId: number,
+    exchange: CallerExchange,
+    route: MatchedRoute,
+    demand: CallDemand,
+    body: FirstBody,
+  ): Promise<TryEnd> {
+    if (exchange.hasLeft) {
+      this.claims.finished(callId, {type: 'not-run'});
+      return {kind: 'left'};
+    }
+    const copy = new AnswerCopy(MAX_KEPT_ANSWER_BYTES);
+    exchange.copy = copy;
+    let end: TryEnd | undefined;
+    try {
+      end = await this.inner.dispatch(exchange, route, demand, body);
+      return end;
+    } finally {
+      this.claims.finished(callId, runEndOf(end, copy));
+    }
+  }
+}
+
+function runEndOf(end: TryEnd | undefined, copy: AnswerCopy): RunEnd {
+  if (end?.kind === 'failed') return {type: end.failure.outcome};
+  const answer = end?.kind === 'answered' ? copy.take() : undefined;
+  return answer ? {type: 'answered', answer} : {type: 'unknown'};
+}
+
+/** A body that is not held whole counts with its beginning and its length. */
+function digestOf(
+  exchange: CallerExchange,
+  demand: CallDemand,
+  body: FirstBody,
+): string {
+  const length = exchange.req.headers['content-length'] ?? '';
+  const beginning = body.chunk.subarray(0, MAX_KEPT_BODY_BYTES);
+  const path = `${demand.path} ${length}`;
+  return requestDigest(demand.method, path, beginning);
+}
--- a/packages/node/src/calls/dispatcher.ts
+++ b/packages/node/src/calls/dispatcher.ts
@@ -39,12 +39,24 @@
   candidates(group: string): readonly Candidate[];
 }
 
+/** Takes calls to backend servers. */
+export abstract class CallDispatcher {
+  /** Resolves with the last try's end; a failure has not been answered yet. */
+  abstract dispatch(
+    exchange: CallerExchange,
+    route: MatchedRoute,
+    demand: CallDemand,
+    body: FirstBody,
+  ): Promise<TryEnd>;
+}
+
 /** Chooses servers and runs tries until one is answered or none may follow. */
-export class Dispatcher {
-  constructor(private readonly parts: DispatcherParts) {}
+export class Dispatcher extends CallDispatcher {
+  constructor(private readonly parts: DispatcherParts) {
+    super();
+  }
 
-  /** Resolves with the last try's end; a failure has not been answered yet. */
-  async dispatch(
+  override async dispatch(
     exchange: CallerExchange,
     route: MatchedRoute,
     demand: CallDemand,
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -10,7 +10,8 @@
 import {AdminServer} from './admin/index.js';
 import {Bus} from './bus.js';
 import {CandidateIndex} from './calls/candidate-index.js';
-import {Dispatcher} from './calls/dispatcher.js';
+import {ClaimedDispatcher} from './calls/claimed-dispatcher.js';
+import {Dispatcher, type CallDispatcher} from './calls/dispatcher.js';
 import {IncomingCalls} from './calls/incoming-calls.js';
 import {LocalRunner} from './calls/local-runner.js';
 import {RemoteRunner} from './calls/remote-runner.js';
@@ -18,6 +19,7 @@
 import {LiveNodeView} from './live-node-view.js';
 import type {NodeSettings} from './settings/index.js';
 import {AnnounceTask} from './tasks/announce-task.js';
+import {ClaimsTask} from './tasks/claims-task.js';
 import {ConfigTask} from './tasks/config-task.js';
 import {IngressTask} from './tasks/ingress-task.js';
 import {MembershipTask} from './tasks/membership-task.js';
@@ -37,6 +39,7 @@
   readonly transport: TransportTask;
   readonly announce: AnnounceTask;
   readonly config: ConfigTask;
+  readonly claims: ClaimsTask;
   readonly ingress: IngressTask;
   readonly local: LocalRunner;
   private readonly view: LiveNodeView;
@@ -76,6 +79,8 @@
       random,
       logger,
     );
+    const start = {nodeId, incarnation: this.incarnation};
+    this.claims = new ClaimsTask(start, this.log, bus, clock, random);
     this.local = new LocalRunner(bus);
     new IncomingCalls(bus, this.local, clock);
     this.ingress = new IngressTask(
@@ -110,6 +115,7 @@
     );
     this.membership.start();
     this.config.start();
+    this.claims.start();
     await this.ingress.start();
     const admin = await this.admin.start();
     return {
@@ -129,6 +135,7 @@
     );
     await this.ingress.stop();
     clearTimeout(grace);
+    this.claims.stop();
     this.config.stop();
     this.membership?.stop();
     await this.announce.stop();
@@ -138,12 +145,12 @@
     await this.log.close();
   }
 
-  private makeDispatcher(): Dispatcher {
+  private makeDispatcher(): CallDispatcher {
     const {bus, clock, random} = this;
     bus.subscribe('view-changed', ({members}) => {
       this.candidates = new CandidateIndex(members);
     });
-    return new Dispatcher({
+    const dispatcher = new Dispatcher({
       nodeId: this.settings.nodeId,
       local: this.local,
       remote: new RemoteRunner(bus, clock),
@@ -152,6 +159,7 @@
       random,
       candidates: group => this.candidates.ofGroup(group),
     });
+    return new ClaimedDispatcher(this.claims, dispatcher);
   }
 
   private ownRecord(): MemberRecord {
--- a/packages/node/src/tasks/ingress-task.ts
+++ b/packages/node/src/tasks/ingress-task.ts
@@ -18,7 +18,7 @@
   CallStatisticsRecorder,
   type CallEnd,
 } from '../calls/call-statistics.js';
-import type {CallDemand, Dispatcher} from '../calls/dispatcher.js';
+import type {CallDemand, CallDispatcher} from '../calls/dispatcher.js';
 import type {ListenAddress, NodeLimits} from '../settings/index.js';
 import {Task} from '../task.js';
 
@@ -38,7 +38,7 @@
   constructor(
     private readonly listen: ListenAddress,
     limits: NodeLimits,
-    private readonly dispatcher: Dispatcher,
+    private readonly dispatcher: CallDispatcher,
     bus: Bus,
     private readonly clock: Clock,
     private readonly logger: Logger,
--- a/packages/routing/src/claims/claim-client.ts
+++ b/packages/routing/src/claims/claim-client.ts
@@ -111,7 +111,7 @@
   reply(reply: ClaimReply, nowMs: number): ClaimClientEffect[] {
     const callId = reply.requestId;
     const asked = this.tries.get(callId);
-    if (!asked) return [];
+    if (asked?.claimId !== reply.claimId) return [];
     if (asked.state !== 'asking') {
       const isLateGrant = reply.verdict === 'granted' && asked.wasNotRun;
       if (isLateGrant) this.release(asked);
--- a/packages/routing/src/claims/claim-key.ts
+++ b/packages/routing/src/claims/claim-key.ts
@@ -18,6 +18,12 @@
   return hash.digest().subarray(0, DIGEST_BYTES).toString('base64url');
 }
 
+/**
+ * Number of partitions of all keys. All nodes have to agree on it, so it is
+ * part of the protocol.
+ */
+export const CLAIM_PARTITIONS = 16;
+
 /** The fixed-size key of a customer's idempotency key. */
 export function claimKey(customer: string, idempotencyKey: string): string {
   return digest([customer, idempotencyKey]);
--- a/packages/routing/src/claims/claim-queue.ts
+++ b/packages/routing/src/claims/claim-queue.ts
@@ -7,6 +7,7 @@
 export interface Asker {
   from: string;
   requestId: number;
+  claimId: string;
   /** Time in ms. */
   deadlineMs: number;
 }
--- a/packages/routing/src/claims/claim-writer.ts
+++ b/packages/routing/src/claims/claim-writer.ts
@@ -59,6 +59,14 @@
     return {state: this.state, keys: this.ledger.size};
   }
 
+  /** Time in ms at which `tick` has something to do; it may come earlier. */
+  get wakeAtMs(): number {
+    const {state} = this;
+    if (state === 'waiting') return this.retryAtMs;
+    if (state !== 'ready') return Infinity;
+    return this.queue.length > 0 ? this.appendAtMs : this.heartbeatAtMs;
+  }
+
   /** Tells whether the membership names this node as the writer. */
   setRole(hasRole: boolean, nowMs: number): ClaimWriterEffect[] {
     if (hasRole === this.hasRole) return [];
@@ -75,11 +83,12 @@
   /** Takes a try at a claim from an entry node. */
   request(from: string, req: ClaimRequest, nowMs: number): ClaimWriterEffect[] {
     const deadlineMs = nowMs + req.remainingMs;
-    const asker = {from, requestId: req.requestId, deadlineMs};
+    const {requestId, claimId} = req;
+    const asker = {from, requestId, claimId, deadlineMs};
     const early = this.earlyVerdict(req, nowMs);
     if (early) this.reply(asker, req.key, early);
     else {
-      const {key, claimId, requestDigest} = req;
+      const {key, requestDigest} = req;
       const claim = {type: 'claim', key, claimId, requestDigest} as const;
       const taken = this.queue.push(claim, asker);
       if (!taken) this.reply(asker, key, 'unavailable');
@@ -280,8 +289,8 @@
     verdict: ClaimVerdict,
     inDoubt = false,
   ): void {
-    const {requestId} = asker;
-    const reply: ClaimReply = {requestId, verdict, inDoubt};
+    const {requestId, claimId} = asker;
+    const reply: ClaimReply = {requestId, claimId, verdict, inDoubt};
     const answer = this.ledger.find(key)?.answer;
     if (verdict === 'answered' && answer) reply.answer = answer;
     this.effects.push({type: 'reply', to: asker.from, reply});
--- /dev/null
+++ b/packages/routing/tests/claims/claim-client.test.ts
@@ -0,0 +1,97 @@
+import {expect} from 'chai';
+
+import type {ClaimReply} from '@turmericmill/wire';
+
+import {ClaimClient} from '../../src/claims/index.js';
+
+const OPTIONS = {
+  entry: 'e1:2',
+  claimTimeoutMs: 500,
+  askAgainMs: 50,
+  lingerMs: 5000,
+  maxKeptAnswerBytes: 10,
+};
+const CALL = {partition: 0, key: 'k', requestDigest: 'd', deadlineMs: 1000};
+
+function reply(verdict: ClaimReply['verdict'], claimId = 'e1:2.1'): ClaimReply {
+  return {requestId: 1, claimId, verdict, inDoubt: false};
+}
+
+/** Types of the effects of a started client's next step. */
+function typesAfter(step: (client: ClaimClient) => {type: string}[]): string[] {
+  const client = new ClaimClient(OPTIONS);
+  client.start(1, CALL, 0);
+  return step(client).map(effect => effect.type);
+}
+
+describe('claim client', () => {
+  const cases: {
+    name: string;
+    step: (client: ClaimClient) => {type: string}[];
+    effects: string[];
+  }[] = [
+    {
+      name: 'ignores a reply to the same request id of an earlier start',
+      step: c => c.reply(reply('granted', 'e1:1.1'), 10),
+      effects: [],
+    },
+    {
+      name: 'runs once however often it is granted',
+      step: c => [
+        ...c.reply(reply('granted'), 10),
+        ...c.reply(reply('granted'), 11),
+      ],
+      effects: ['run'],
+    },
+    {
+      name: 'asks again when it hears nothing',
+      step: c => [...c.tick(49), ...c.tick(50), ...c.tick(51)],
+      effects: ['ask'],
+    },
+    {
+      name: 'gives up at its limit and releases',
+      step: c => c.tick(500),
+      effects: ['report', 'refuse'],
+    },
+    {
+      name: 'releases a grant that comes after it gave up',
+      step: c => {
+        c.tick(500);
+        return c.reply(reply('granted'), 501);
+      },
+      effects: ['report'],
+    },
+    {
+      name: 'does not release while it runs',
+      step: c => {
+        c.reply(reply('granted'), 10);
+        return [...c.reply(reply('granted'), 20), ...c.tick(900)];
+      },
+      effects: [],
+    },
+    {
+      name: 'keeps no answer above its bound',
+      step: c => {
+        c.reply(reply('granted'), 10);
+        const answer = {status: 200, headers: [], body: Buffer.alloc(11)};
+        return c.finished(1, {type: 'answered', answer}, 20);
+      },
+      effects: [],
+    },
+    {
+      name: 'forgets an ended try',
+      step: c => {
+        c.tick(500);
+        c.tick(5500);
+        expect(c.size).to.equal(0);
+        return c.reply(reply('granted'), 5501);
+      },
+      effects: [],
+    },
+  ];
+  for (const {name, step, effects} of cases) {
+    it(name, () => {
+      expect(typesAfter(step)).to.deep.equal(effects);
+    });
+  }
+});
--- a/packages/wire/src/messages/claims.ts
+++ b/packages/wire/src/messages/claims.ts
@@ -36,6 +36,8 @@
 
 export interface ClaimReply {
   requestId: number;
+  /** The try that is answered; request ids repeat after a node's restart. */
+  claimId: string;
   verdict: ClaimVerdict;
   /** True when the key may be claimed all the same: release it. */
   inDoubt: boolean;
