Balances in the node: calls are metered and used-up balances refused

Cause: the decisions on balances stood without the transport and the log.

Change: each node counts answered calls of customers with a balance and reports them to its region's collector, named by rendezvous hashing. The collector appends rows, folds the stream, and tells its region the totals of customers near their limit; these are reported at short intervals from then on. Calls of a used-up balance are refused with 402 as not run.

--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -14,6 +14,7 @@
 import {Dispatcher, type CallDispatcher} from './calls/dispatcher.js';
 import {IncomingCalls} from './calls/incoming-calls.js';
 import {LocalRunner} from './calls/local-runner.js';
+import {MeteredDispatcher} from './calls/metered-dispatcher.js';
 import {RemoteRunner} from './calls/remote-runner.js';
 import {FleetVersions} from './fleet-versions.js';
 import {LiveNodeView} from './live-node-view.js';
@@ -23,6 +24,7 @@
 import {ConfigTask} from './tasks/config-task.js';
 import {IngressTask} from './tasks/ingress-task.js';
 import {MembershipTask} from './tasks/membership-task.js';
+import {UsageTask} from './tasks/usage-task.js';
 import {TransportTask} from './transport/transport-task.js';
 
 /** Ports in use, for those settings that left the choice to the platform. */
@@ -40,6 +42,7 @@
   readonly announce: AnnounceTask;
   readonly config: ConfigTask;
   readonly claims: ClaimsTask;
+  readonly usage: UsageTask;
   readonly ingress: IngressTask;
   readonly local: LocalRunner;
   private readonly view: LiveNodeView;
@@ -81,6 +84,10 @@
     );
     const start = {nodeId, incarnation: this.incarnation};
     this.claims = new ClaimsTask(start, this.log, bus, clock, random);
+    this.usage = new UsageTask(
+      {...start, region},
+      {log: this.log, bus, clock, random},
+    );
     this.local = new LocalRunner(bus);
     new IncomingCalls(bus, this.local, clock);
     this.ingress = new IngressTask(
@@ -116,6 +123,7 @@
     this.membership.start();
     this.config.start();
     this.claims.start();
+    this.usage.start();
     await this.ingress.start();
     const admin = await this.admin.start();
     return {
@@ -136,6 +144,7 @@
     await this.ingress.stop();
     clearTimeout(grace);
     this.claims.stop();
+    this.usage.stop();
     this.config.stop();
     this.membership?.stop();
     await this.announce.stop();
@@ -159,7 +168,8 @@
       random,
       candidates: group => this.candidates.ofGroup(group),
     });
-    return new ClaimedDispatcher(this.claims, dispatcher);
+    const metered = new MeteredDispatcher(this.usage, dispatcher);
+    return new ClaimedDispatcher(this.claims, metered);
   }
 
   private ownRecord(): MemberRecord {
--- a/packages/routing/src/balances/usage-collector.ts
+++ b/packages/routing/src/balances/usage-collector.ts
@@ -4,6 +4,8 @@
  * count.
  */
 
+import {rendezvousTop} from '@turmericmill/utils';
+
 import type {UsageRow} from './usage-record.js';
 
 export interface UsageCollectorOptions {
@@ -78,3 +80,11 @@
 function rowKey({nodeId, incarnation}: Omit<UsageRow, 'calls'>): string {
   return `${nodeId} ${incarnation}`;
 }
+
+/** The member of a region that collects its nodes' usage. */
+export function usageCollector(
+  region: string,
+  members: readonly string[],
+): string | undefined {
+  return rendezvousTop(`usage-${region}`, members, 1)[0];
+}
--- a/packages/routing/src/balances/usage-ledger.ts
+++ b/packages/routing/src/balances/usage-ledger.ts
@@ -62,6 +62,11 @@
     this.moveTime(record);
   }
 
+  /** Goes on at `offset`, because what is before it has expired. */
+  skipTo(offset: number): void {
+    this.next = Math.max(this.next, offset);
+  }
+
   /** The incarnation of the open row of a node. */
   openIncarnation(nodeId: string): number | undefined {
     return this.rows.get(nodeId)?.incarnation;
