--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -143,7 +143,7 @@
     );
     await this.ingress.stop();
     clearTimeout(grace);
-    this.claims.stop();
+    await this.claims.stop();
     this.usage.stop();
     this.config.stop();
     this.membership?.stop();
--- a/packages/node/src/tasks/claim-writers.ts
+++ b/packages/node/src/tasks/claim-writers.ts
@@ -42,6 +42,8 @@
 
 export class ClaimWriters {
   private readonly writers = new Map<number, ClaimWriter>();
+  /** Calls to the log that have not ended. */
+  private readonly open = new Set<Promise<void>>();
 
   constructor(private readonly parts: ClaimWritersParts) {}
 
@@ -81,6 +83,12 @@
     }
   }
 
+  /** Gives up all partitions; resolves when the log has answered. */
+  async stop(): Promise<void> {
+    this.setRoles(new Set());
+    while (this.open.size > 0) await Promise.all(this.open);
+  }
+
   /** Time in ms at which `tick` is due. */
   get wakeAtMs(): number {
     const times = [...this.writers.values()].map(writer => writer.wakeAtMs);
@@ -98,11 +106,16 @@
       if (effect.type === 'reply') {
         this.parts.deliver(effect.to, effect.reply);
       } else if (effect.type === 'append') {
-        void this.append(writer, effect.partition, effect.body);
-      } else void this.read(writer, effect.partition, effect.from);
+        this.track(this.append(writer, effect.partition, effect.body));
+      } else this.track(this.read(writer, effect.partition, effect.from));
     }
   }
 
+  private track(call: Promise<void>): void {
+    const tracked = call.finally(() => this.open.delete(tracked));
+    this.open.add(tracked);
+  }
+
   private async append(writer: ClaimWriter, partition: number, body: string) {
     const {log, clock} = this.parts;
     const result = await log.append(streamOf(partition), body);
--- a/packages/node/src/tasks/claims-task.ts
+++ b/packages/node/src/tasks/claims-task.ts
@@ -91,10 +91,10 @@
   }
 
   /** Gives up all partitions; open tries end by their own time limits. */
-  override stop(): void {
-    this.writers.setRoles(new Set());
+  override async stop(): Promise<void> {
     this.stopped = true;
     clearTimeout(this.timer);
+    await this.writers.stop();
   }
 
   /** Resolves when the call may run, is answered, or is refused. */
--- a/packages/routing/src/claims/claim-queue.ts
+++ b/packages/routing/src/claims/claim-queue.ts
@@ -29,6 +29,7 @@
 export class ClaimQueue {
   private items: QueuedOperation[] = [];
   private bytes = 0;
+  private urgent = 0;
 
   /** @param maxItemBytes the largest operation that fits in a record */
   constructor(
@@ -40,6 +41,11 @@
     return this.items.length;
   }
 
+  /** True when there are claims or releases; answers alone can wait. */
+  get isUrgent(): boolean {
+    return this.urgent > 0;
+  }
+
   /** Adds an operation at the end; false when the queue is full. */
   push(operation: ClaimLogOperation, asker?: Asker): boolean {
     const encoded = encodeOperation(operation);
@@ -48,7 +54,7 @@
     if (this.bytes + bytes > this.maxBytes) return false;
     const item = {operation, encoded, bytes, mayHaveLanded: false};
     this.items.push(asker ? {...item, asker} : item);
-    this.bytes += bytes;
+    this.count([item], 1);
     return true;
   }
 
@@ -62,7 +68,7 @@
       mayHaveLanded: item.mayHaveLanded || mayHaveLanded,
     }));
     this.items = [...again, ...this.items];
-    for (const item of again) this.bytes += item.bytes;
+    this.count(again, 1);
   }
 
   /** Takes operations from the front whose encodings fit in `maxBytes`. */
@@ -97,14 +103,21 @@
     const taken = this.items.filter(test);
     if (taken.length === 0) return taken;
     this.items = this.items.filter(item => !test(item));
-    for (const item of taken) this.bytes -= item.bytes;
+    this.count(taken, -1);
     return taken;
   }
 
   private drop(count: number): QueuedOperation[] {
     const taken = this.items.slice(0, count);
     this.items = this.items.slice(count);
-    for (const item of taken) this.bytes -= item.bytes;
+    this.count(taken, -1);
     return taken;
   }
+
+  private count(items: readonly QueuedOperation[], sign: 1 | -1): void {
+    for (const {bytes, operation} of items) {
+      this.bytes += sign * bytes;
+      if (operation.type !== 'answer') this.urgent += sign;
+    }
+  }
 }
--- a/packages/routing/src/claims/claim-writer-types.ts
+++ b/packages/routing/src/claims/claim-writer-types.ts
@@ -14,7 +14,7 @@
   /** Time in ms for which a key is remembered; below the log's retention. */
   windowMs: number;
   /**
-   * Shortest time in ms between two appends to the stream. Several writers at
+   * Mean time in ms between two appends to the stream, but for short bursts. Several writers at
    * once each wait that many times as long.
    */
   appendIntervalMs: number;
--- a/packages/routing/src/claims/claim-writer.ts
+++ b/packages/routing/src/claims/claim-writer.ts
@@ -11,11 +11,17 @@
   ClaimReply,
   ClaimRequest,
   ClaimVerdict,
+  KeptAnswer,
 } from '@turmericmill/wire';
 
+import {AppendPacer} from './append-pacer.js';
 import {ClaimLedger, MAX_TIME_STEP_MS} from './claim-ledger.js';
 import {ClaimQueue, type Asker, type QueuedOperation} from './claim-queue.js';
-import {encodeBatch, type StreamRecord} from './claim-record.js';
+import {
+  encodeBatch,
+  type AnswerOperation,
+  type StreamRecord,
+} from './claim-record.js';
 import {WRITER_CHART, type WriterEvent} from './claim-writer-chart.js';
 import type {
   AppendResult,
@@ -40,8 +46,9 @@
   private inFlightSeq = 0;
   private appendedBody = '';
   private nextSeq = 1;
-  private appendAtMs = 0;
-  private heartbeatAtMs = 0;
+  private readonly pacer: AppendPacer;
+  /** Answers that are not folded yet, by key. */
+  private readonly recentAnswers = new Map<string, AnswerOperation>();
   private retryAtMs = 0;
   private attempt = 0;
 
@@ -51,6 +58,8 @@
   ) {
     this.ledger = new ClaimLedger(options);
     const maxItemBytes = options.maxRecordBytes - BATCH_HEAD_BYTES;
+    const heartbeatMs = Math.min(options.windowMs / 2, MAX_TIME_STEP_MS);
+    this.pacer = new AppendPacer(options.appendIntervalMs, heartbeatMs);
     this.queue = new ClaimQueue(options.maxQueueBytes, maxItemBytes);
   }
 
@@ -64,14 +73,14 @@
     const {state} = this;
     if (state === 'waiting') return this.retryAtMs;
     if (state !== 'ready') return Infinity;
-    return this.queue.length > 0 ? this.appendAtMs : this.heartbeatAtMs;
+    return this.pacer.dueAtMs(this.queue.isUrgent);
   }
 
   /** Tells whether the membership names this node as the writer. */
   setRole(hasRole: boolean, nowMs: number): ClaimWriterEffect[] {
     if (hasRole === this.hasRole) return [];
     this.hasRole = hasRole;
-    if (!hasRole) this.giveUpRole();
+    if (!hasRole) this.giveUpRole(nowMs);
     else if (this.state === 'idle') {
       this.ledger.restart(0, nowMs);
       this.move('gain');
@@ -104,12 +113,20 @@
     if (outcome.outcome === 'released') {
       this.queue.push({type: 'release', key, claimId});
     } else if (answer) {
-      this.queue.push({type: 'answer', key, claimId, answer});
+      this.keepAnswer({type: 'answer', key, claimId, answer}, nowMs);
     }
     this.proceed(nowMs);
     return this.flush();
   }
 
+  private keepAnswer(operation: AnswerOperation, nowMs: number): void {
+    const {key, claimId} = operation;
+    if (this.ledger.find(key)?.claimId !== claimId) return;
+    if (this.recentAnswers.has(key) || !this.queue.push(operation)) return;
+    this.recentAnswers.set(key, operation);
+    this.pacer.noteAnswer(nowMs);
+  }
+
   /** Takes the end of the append that was asked for. */
   appended(result: AppendResult, nowMs: number): ClaimWriterEffect[] {
     this.ioOpen = false;
@@ -169,6 +186,8 @@
     if (this.state === 'waiting') return 'unavailable';
     if (this.state !== 'ready' && this.state !== 'appending') return undefined;
     const verdict = this.ledger.verdict(req);
+    const isKnown = this.recentAnswerOf(req.key) !== undefined;
+    if (verdict === 'claimed' && isKnown) return 'answered';
     if (verdict && verdict !== 'granted') return verdict;
     if (nowMs < this.ledger.coveredAtMs) return 'unavailable';
     if (verdict) return verdict;
@@ -177,13 +196,11 @@
 
   /** Starts whatever the state and the time allow. */
   private proceed(nowMs: number): void {
-    if (this.state !== 'ready' || nowMs < this.appendAtMs) return;
+    if (this.state !== 'ready' || nowMs < this.wakeAtMs) return;
     if (nowMs < this.ledger.coveredAtMs) {
       this.refuse(this.queue.takeClaims(), 'unavailable');
     }
-    if (this.queue.length > 0 || nowMs >= this.heartbeatAtMs) {
-      this.appendBatch(nowMs);
-    }
+    if (nowMs >= this.wakeAtMs) this.appendBatch(nowMs);
   }
 
   private appendBatch(nowMs: number): void {
@@ -196,9 +213,8 @@
       atMs: nowMs,
       untilMs: nowMs + windowMs,
     };
-    const writers = Math.max(1, this.ledger.activeWriters);
-    this.appendAtMs = nowMs + this.options.appendIntervalMs * writers;
-    this.heartbeatAtMs = nowMs + Math.min(windowMs / 2, MAX_TIME_STEP_MS);
+    const {activeWriters} = this.ledger;
+    this.pacer.appended(activeWriters, this.queue.length > 0, nowMs);
     this.move('append');
     this.append(
       encodeBatch(
@@ -217,6 +233,7 @@
     this.inFlight = [];
     this.attempt = 0;
     for (const {operation, asker} of items) {
+      if (operation.type === 'answer') this.recentAnswers.delete(operation.key);
       if (operation.type !== 'claim' || !asker) continue;
       const verdict = this.ledger.verdict(operation) ?? 'unavailable';
       this.reply(asker, operation.key, verdict);
@@ -249,7 +266,7 @@
   /** Ends an operation of the log: drops the role, or goes on. */
   private afterIo(nowMs: number): void {
     if (!this.hasRole) {
-      this.giveUpRole();
+      this.giveUpRole(nowMs);
       return;
     }
     if (this.state === 'ready' && this.inFlight.length > 0) {
@@ -259,13 +276,22 @@
     this.proceed(nowMs);
   }
 
-  /** Tells askers to ask the new writer; it decides the same tries anew. */
-  private giveUpRole(): void {
+  /**
+   * Tells askers to ask the new writer; it decides the same tries anew. What is
+   * known of ended calls is appended first.
+   */
+  private giveUpRole(nowMs: number): void {
     this.refuse(this.queue.takeClaims(), 'not-writer');
     if (this.ioOpen) return;
     this.refuse(this.inFlight, 'not-writer');
     this.inFlight = [];
+    if (this.state === 'ready' && this.queue.length > 0) {
+      this.appendBatch(nowMs);
+      return;
+    }
     this.queue.clear();
+    this.recentAnswers.clear();
+    this.pacer.dropAnswers();
     this.ledger.restart(0, 0);
     this.move('lose');
   }
@@ -291,11 +317,18 @@
   ): void {
     const {requestId, claimId} = asker;
     const reply: ClaimReply = {requestId, claimId, verdict, inDoubt};
-    const answer = this.ledger.find(key)?.answer;
+    const answer = this.ledger.find(key)?.answer ?? this.recentAnswerOf(key);
     if (verdict === 'answered' && answer) reply.answer = answer;
     this.effects.push({type: 'reply', to: asker.from, reply});
   }
 
+  /** The answer that the holder of a key reported, if not folded yet. */
+  private recentAnswerOf(key: string): KeptAnswer | undefined {
+    const recent = this.recentAnswers.get(key);
+    if (recent?.claimId !== this.ledger.find(key)?.claimId) return undefined;
+    return recent?.answer;
+  }
+
   private read(): void {
     if (!this.hasRole && this.inFlight.length === 0) return;
     this.ioOpen = true;
--- a/packages/routing/tests/claims/claim-faults.test.ts
+++ b/packages/routing/tests/claims/claim-faults.test.ts
@@ -52,6 +52,32 @@
     expect(cluster.ends.get(second)).to.equal('answered');
   });
 
+  forSeeds('return an answer that is not in the log yet', cluster => {
+    cluster.onRun = () => ANSWER;
+    const first = cluster.call('e1', 'k');
+    while (!cluster.ends.has(first)) cluster.pass(1);
+    cluster.pass(8);
+    const before = cluster.records.length;
+    const second = cluster.call('e2', 'k');
+    cluster.pass(8);
+    expect(cluster.ends.get(second)).to.equal('answered');
+    expect(cluster.records.length).to.equal(before);
+  });
+
+  forSeeds('hand the answers on when the role is given up', cluster => {
+    cluster.onRun = () => ANSWER;
+    const first = cluster.call('e1', 'k');
+    while (!cluster.ends.has(first)) cluster.pass(1);
+    cluster.pass(8);
+    cluster.setRole('w1', false);
+    moveWriter(cluster);
+    cluster.pass(50);
+    const second = cluster.call('e2', 'k');
+    cluster.pass(100);
+    expect(cluster.ends.get(second)).to.equal('answered');
+    expect(cluster.writerStatus('w1')?.state).to.equal('idle');
+  });
+
   forSeeds('return the answer also after the writer moved', cluster => {
     cluster.onRun = () => ANSWER;
     cluster.call('e1', 'k');
