Claims: later tries wait for the answer of the first

Cause: callers mostly try again because they gave up waiting. The mesh then cancelled the first run, and told the second try at once that the key is taken; the answer was lost though the call had run.

Change: a keyed call goes on when its caller leaves once the request is sent. A later try asks again for up to a second before it is told `claimed`, and runs if the first is released meanwhile.

Conclusion: a caller that leaves and tries again at another node receives the first run's answer; with the change to the exchange removed that test fails.

--- a/packages/node/src/calls/caller-exchange.ts
+++ b/packages/node/src/calls/caller-exchange.ts
@@ -33,7 +33,10 @@
   private answered = false;
   private left = false;
   private streaming = false;
-  /** When set, receives a copy of the answer. */
+  /**
+   * When set, receives a copy of the answer. A call whose request is sent then
+   * goes on when its caller leaves, so that a later try finds the answer.
+   */
   copy: AnswerCopy | undefined;
 
   constructor(
@@ -62,6 +65,7 @@
       const onClose = () => {
         if (this.res.writableFinished) return;
         this.left = true;
+        if (this.copy && this.leg && !this.streaming) return;
         this.leg?.cancel();
         resolve({kind: 'left'});
       };
@@ -124,12 +128,14 @@
       },
       answerData: chunk => {
         this.copy?.data(chunk);
-        this.res.write(chunk, () => {
+        const written = () => {
           uncredited += chunk.length;
           if (uncredited < CREDIT_STEP_BYTES) return;
           this.leg?.credit(uncredited);
           uncredited = 0;
-        });
+        };
+        if (this.left) written();
+        else this.res.write(chunk, written);
       },
       answerEnd: trailers => {
         this.answerEnd(trailers);
@@ -149,10 +155,12 @@
 
   private answerStart(status: number, headers: FlatHeaders): void {
     this.answered = true;
+    if (this.left) return;
     this.res.writeHead(status, endToEndHeaders(headers));
   }
 
   private answerEnd(trailers: FlatHeaders): void {
+    if (this.left) return;
     for (let i = 0; i + 1 < trailers.length; i += 2) {
       this.res.addTrailers([
         [trailers[i] as string, trailers[i + 1] as string],
--- a/packages/node/src/tasks/claims-task.ts
+++ b/packages/node/src/tasks/claims-task.ts
@@ -26,7 +26,9 @@
 
 /** Longest time in ms for which a call waits for its claim. */
 const CLAIM_TIMEOUT_MS = 2_000;
-const ASK_AGAIN_MS = 250;
+const ASK_AGAIN_MS = 100;
+/** Longest time in ms to wait for the answer of the try that holds the key. */
+const CLAIMED_WAIT_MS = 1_000;
 const LINGER_MS = 5_000;
 /** Largest body of an answer that is kept, in bytes. */
 export const MAX_KEPT_ANSWER_BYTES = 4096;
@@ -70,6 +72,7 @@
     this.client = new ClaimClient({
       entry: start,
       claimTimeoutMs: CLAIM_TIMEOUT_MS,
+      claimedWaitMs: CLAIMED_WAIT_MS,
       askAgainMs: ASK_AGAIN_MS,
       lingerMs: LINGER_MS,
       maxKeptAnswerBytes: MAX_KEPT_ANSWER_BYTES,
--- a/packages/routing/src/claims/claim-client.ts
+++ b/packages/routing/src/claims/claim-client.ts
@@ -29,6 +29,11 @@
   entry: string;
   /** Longest time in ms to wait for a grant. */
   claimTimeoutMs: number;
+  /**
+   * Longest time in ms for which a try waits for the answer of the one that
+   * holds its key.
+   */
+  claimedWaitMs: number;
   /** Time in ms after which an unanswered question is asked again. */
   askAgainMs: number;
   /** Time in ms for which an ended try answers late grants. */
@@ -69,6 +74,8 @@
   claimId: string;
   giveUpAtMs: number;
   askAgainAtMs: number;
+  /** Set when another try holds the key: time in ms until which to wait. */
+  claimedUntilMs: number;
   /** Set when ended: time in ms at which the try is forgotten. */
   forgetAtMs: number;
   /** False once the call was run: then a late grant must not be released. */
@@ -99,6 +106,7 @@
       claimId: `${entry}.${callId.toString(36)}`,
       giveUpAtMs: Math.min(call.deadlineMs, nowMs + claimTimeoutMs),
       askAgainAtMs: 0,
+      claimedUntilMs: Infinity,
       forgetAtMs: Infinity,
       wasNotRun: true,
     };
@@ -145,7 +153,7 @@
   }
 
   private tickAsking(callId: number, open: Try, nowMs: number): void {
-    if (nowMs >= open.giveUpAtMs) {
+    if (nowMs >= Math.min(open.giveUpAtMs, open.claimedUntilMs)) {
       this.giveUp(callId, open, 'expired', true, nowMs);
     } else if (nowMs >= open.askAgainAtMs) {
       this.ask(callId, open, nowMs);
@@ -169,8 +177,7 @@
         } else this.refuse(callId, 'unknown', 'claimed', CLAIMED_DETAIL);
         break;
       case 'claimed':
-        this.end(asked, 'refused', nowMs);
-        this.refuse(callId, 'unknown', 'claimed', CLAIMED_DETAIL);
+        this.waitForHolder(callId, asked, nowMs);
         break;
       case 'mismatch':
         this.end(asked, 'refused', nowMs);
@@ -205,7 +212,18 @@
   ): void {
     this.end(asked, event, nowMs);
     if (release) this.release(asked);
-    this.refuse(callId, 'not-run', 'claims-unavailable', NOT_RUN_DETAIL);
+    if (asked.claimedUntilMs === Infinity) {
+      this.refuse(callId, 'not-run', 'claims-unavailable', NOT_RUN_DETAIL);
+    } else this.refuse(callId, 'unknown', 'claimed', CLAIMED_DETAIL);
+  }
+
+  /** The holder may still be answered, or release the key. */
+  private waitForHolder(callId: number, asked: Try, nowMs: number): void {
+    const untilMs = nowMs + this.options.claimedWaitMs;
+    asked.claimedUntilMs = Math.min(asked.claimedUntilMs, untilMs);
+    if (nowMs < asked.claimedUntilMs) return;
+    this.end(asked, 'refused', nowMs);
+    this.refuse(callId, 'unknown', 'claimed', CLAIMED_DETAIL);
   }
 
   private end(open: Try, type: ClientEvent['type'], nowMs: number): void {
@@ -215,7 +233,8 @@
 
   private ask(callId: number, open: Try, nowMs: number): void {
     const {partition, key, requestDigest} = open.call;
-    const remainingMs = open.giveUpAtMs - nowMs;
+    const untilMs = Math.min(open.giveUpAtMs, open.claimedUntilMs);
+    const remainingMs = untilMs - nowMs;
     const {claimId} = open;
     open.askAgainAtMs = nowMs + this.options.askAgainMs;
     const ids = {requestId: callId, partition, key, claimId};
--- a/packages/routing/tests/claims/claim-client.test.ts
+++ b/packages/routing/tests/claims/claim-client.test.ts
@@ -7,6 +7,7 @@
 const OPTIONS = {
   entry: 'e1:2',
   claimTimeoutMs: 500,
+  claimedWaitMs: 200,
   askAgainMs: 50,
   lingerMs: 5000,
   maxKeptAnswerBytes: 10,
@@ -17,6 +18,8 @@
   return {requestId: 1, claimId, verdict, inDoubt: false};
 }
 
+const ANSWER = {status: 200, headers: [], body: Buffer.from('x')};
+
 /** Types of the effects of a started client's next step. */
 function typesAfter(step: (client: ClaimClient) => {type: string}[]): string[] {
   const client = new ClaimClient(OPTIONS);
@@ -78,6 +81,32 @@
       },
       effects: [],
     },
+    {
+      name: 'waits for the answer of the try that holds the key',
+      step: c => [
+        ...c.reply(reply('claimed'), 10),
+        ...c.tick(60),
+        ...c.reply({...reply('answered'), answer: ANSWER}, 70),
+      ],
+      effects: ['ask', 'answer'],
+    },
+    {
+      name: 'runs when the holder released the key',
+      step: c => [
+        ...c.reply(reply('claimed'), 10),
+        ...c.reply(reply('granted'), 70),
+      ],
+      effects: ['run'],
+    },
+    {
+      name: 'waits for the holder no longer than its bound',
+      step: c => [
+        ...c.reply(reply('claimed'), 10),
+        ...c.reply(reply('claimed'), 100),
+        ...c.tick(210),
+      ],
+      effects: ['report', 'refuse'],
+    },
     {
       name: 'forgets an ended try',
       step: c => {
--- a/packages/routing/tests/claims/claim-harness.ts
+++ b/packages/routing/tests/claims/claim-harness.ts
@@ -38,6 +38,8 @@
   /** Network and log delays in ms, at random up to these. */
   delayMs = 2;
   lateMs = 40;
+  /** Applies to entry nodes that are added afterwards. */
+  claimedWaitMs = 0;
   /** Chance that a message between nodes is lost or comes twice. */
   lossRate = 0;
   readonly runs = new Map<string, number>();
@@ -80,6 +82,7 @@
     const options = {
       entry: name,
       claimTimeoutMs: 500,
+      claimedWaitMs: this.claimedWaitMs,
       askAgainMs: 50,
       lingerMs: 5000,
       maxKeptAnswerBytes: 500,
--- a/packages/routing/tests/claims/claim-random.test.ts
+++ b/packages/routing/tests/claims/claim-random.test.ts
@@ -52,6 +52,7 @@
       const cluster = new ClaimCluster(seed);
       const {random} = cluster;
       cluster.lossRate = 0.05;
+      cluster.claimedWaitMs = seed % 2 === 0 ? 300 : 0;
       for (const entry of ['e1', 'e2', 'e3']) cluster.addEntry(entry);
       for (const writer of ['w1', 'w2', 'w3']) cluster.addWriter(writer);
       cluster.onRun = () =>
--- a/packages/testkit/src/bench/claims-model.ts
+++ b/packages/testkit/src/bench/claims-model.ts
@@ -52,7 +52,8 @@
   private readonly client = new ClaimClient({
     entry: 'entry',
     claimTimeoutMs: 2_000,
-    askAgainMs: 250,
+    claimedWaitMs: 1_000,
+    askAgainMs: 100,
     lingerMs: 5_000,
     maxKeptAnswerBytes: 4096,
   });
--- a/packages/testkit/tests/claims-path.test.ts
+++ b/packages/testkit/tests/claims-path.test.ts
@@ -186,6 +186,24 @@
     expect(runs()).to.equal(1);
   });
 
+  it('keep the answer of a call whose caller left', async () => {
+    const key = keyWrittenBy(1);
+    const leave = new AbortController();
+    const left = request(`http://127.0.0.1:${nodes[2]!.ports.calls}/posting`, {
+      method: 'POST',
+      headers: {'idempotency-key': key, 'x-customer': 'bank'},
+      body: 'amount=1',
+      signal: leave.signal,
+    }).catch(() => undefined);
+    while (runs() === 0) await new Promise(setImmediate);
+    leave.abort();
+    await left;
+    const again = await post(nodes[0]!, key);
+    expect(again).to.deep.include({status: 200, replayed: 'true'});
+    expect(again.text).to.equal('amount=1');
+    expect(runs()).to.equal(1);
+  });
+
   it('refuse another request under the same key', async () => {
     const key = keyWrittenBy(2);
     await post(nodes[0]!, key);
