--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -24,6 +24,7 @@
 import {ConfigTask} from './tasks/config-task.js';
 import {IngressTask} from './tasks/ingress-task.js';
 import {MembershipTask} from './tasks/membership-task.js';
+import {MetricsTask} from './tasks/metrics-task.js';
 import {UsageTask} from './tasks/usage-task.js';
 import {TransportTask} from './transport/transport-task.js';
 
@@ -45,13 +46,16 @@
   readonly usage: UsageTask;
   readonly ingress: IngressTask;
   readonly local: LocalRunner;
+  private readonly incoming: IncomingCalls;
   private readonly view: LiveNodeView;
   private readonly admin: AdminServer;
+  private readonly metrics: MetricsTask | undefined;
   private membership: MembershipTask | undefined;
   private readonly log: HttpLogClient;
   private readonly clock = new SystemClock();
   private readonly random = new SystemRandom();
   private readonly incarnation = this.clock.now();
+  private stopped: Promise<void> | undefined;
   private candidates = new CandidateIndex();
 
   constructor(
@@ -89,7 +93,7 @@
       {log: this.log, bus, clock, random},
     );
     this.local = new LocalRunner(bus);
-    new IncomingCalls(bus, this.local, clock);
+    this.incoming = new IncomingCalls(bus, this.local, clock);
     this.ingress = new IngressTask(
       settings.calls,
       settings.limits,
@@ -106,6 +110,7 @@
       fleet,
       inFlight: serverId => this.local.inFlightOf(serverId),
     });
+    this.metrics = this.makeMetrics();
     this.admin = new AdminServer(settings.admin, this.view, entry => {
       logger.info(entry, 'administration request');
     });
@@ -122,6 +127,7 @@
     );
     this.membership.start();
     this.config.start();
+    this.metrics?.start();
     this.claims.start();
     this.usage.start();
     await this.ingress.start();
@@ -134,15 +140,30 @@
     };
   }
 
-  /** Ends calls in flight in good order, then all tasks. */
-  async stop(): Promise<void> {
+  /**
+   * Shuts down without cutting a call: the servers drain, the other nodes learn
+   * of it, calls in flight end, then the sockets close.
+   */
+  stop(): Promise<void> {
+    this.stopped ??= this.shutDown();
+    return this.stopped;
+  }
+
+  private async shutDown(): Promise<void> {
     this.view.setStopping();
-    const grace = setTimeout(
-      () => this.ingress.abort(),
-      this.settings.limits.shutdownGraceMs,
-    );
+    this.announce.drainAll();
+    const {shutdownGraceMs, drainSpreadMs} = this.settings.limits;
+    const deadlineMs = this.clock.now() + shutdownGraceMs;
+    const spreadMs = this.announce.isEmpty ? 0 : drainSpreadMs;
+    const spread = new Promise(resolve => setTimeout(resolve, spreadMs));
+    await Promise.all([this.ingress.drain(deadlineMs), spread]);
+    await this.incoming.whenIdle(deadlineMs);
+    await this.stopTasks();
+  }
+
+  private async stopTasks(): Promise<void> {
     await this.ingress.stop();
-    clearTimeout(grace);
+    await this.metrics?.stop();
     await this.claims.stop();
     this.usage.stop();
     this.config.stop();
@@ -172,6 +193,17 @@
     return new ClaimedDispatcher(this.claims, metered);
   }
 
+  private makeMetrics(): MetricsTask | undefined {
+    const {metrics, nodeId, dataCentre} = this.settings;
+    if (!metrics) return undefined;
+    return new MetricsTask(metrics, nodeId, dataCentre, {
+      statistics: this.ingress.statistics,
+      traffic: this.transport.counts,
+      version: () => this.config.state.version,
+      callsInFlight: () => this.ingress.callsInFlight,
+    });
+  }
+
   private ownRecord(): MemberRecord {
     const {nodeId, dataCentre, region, mesh} = this.settings;
     return {
