--- a/packages/testkit/tests/claims-path.test.ts
+++ b/packages/testkit/tests/claims-path.test.ts
@@ -153,7 +153,7 @@
 
   afterEach(async () => {
     for (const server of servers) await server.stop();
-    for (const {node} of nodes) await node.stop();
+    await Promise.all(nodes.map(({node}) => node.stop()));
     await log.stop();
   });
 
