--- a/packages/node/src/calls/dispatcher.ts
+++ b/packages/node/src/calls/dispatcher.ts
@@ -56,15 +56,27 @@
   repeated: boolean;
 }
 
+/** Takes calls to backend servers. */
+export abstract class CallDispatcher {
+  /** Resolves with the last try's end; a failure has not been answered yet. */
+  abstract dispatch(
+    exchange: CallerExchange,
+    route: MatchedRoute,
+    demand: CallDemand,
+    body: FirstBody,
+  ): Promise<TryEnd>;
+}
+
 /** Chooses servers and runs tries until one is answered or none may follow. */
-export class Dispatcher {
+export class Dispatcher extends CallDispatcher {
   /** Retry budgets by service. */
   private readonly budgets = new Map<string, RetryBudget>();
 
-  constructor(private readonly parts: DispatcherParts) {}
+  constructor(private readonly parts: DispatcherParts) {
+    super();
+  }
 
-  /** Resolves with the last try's end; a failure has not been answered yet. */
-  async dispatch(
+  override async dispatch(
     exchange: CallerExchange,
     route: MatchedRoute,
     demand: CallDemand,
