Command line: parsing, help, profile, reads and drain

Each command is a class in a file of its own; flags are checked against their specs with all faults together, values come from flags, environment or profile in this order, and every failure has a documented exit code. status, servers, calls and drain talk to the administration API of the first node that answers; drain asks each given node until one is the node named.

--- /dev/null
+++ b/packages/cli/src/admin/admin-answers.ts
@@ -0,0 +1,65 @@
+/** Answers of the administration API that the command line reads. */
+
+import type {LatencySummary} from '@turmericmill/utils';
+
+/** Nodes of one data centre by the version that they enforce. */
+export interface DataCentreVersions {
+  dataCentre: string;
+  nodes: number;
+  versions: Record<string, number>;
+}
+
+/** `GET /v1/status`. */
+export interface FleetStatus {
+  version: number;
+  digest: string;
+  dataCentres: DataCentreVersions[];
+  laggards: string[];
+  unreachable: string[];
+}
+
+/** One row of `GET /v1/servers`. */
+export interface ServerRow {
+  node: string;
+  dataCentre: string;
+  server: string;
+  group: string;
+  incarnation: number;
+  state: string;
+  nodeStatus: string;
+  slots: number;
+  connections: number;
+}
+
+/** `GET /v1/servers`. */
+export interface ServerList {
+  total: number;
+  servers: ServerRow[];
+}
+
+/** Calls of one customer or class. */
+export interface CallSummary {
+  answered: number;
+  notRun: number;
+  unknown: number;
+  latency: LatencySummary;
+}
+
+/** `GET /v1/calls`. */
+export interface CallStatistics {
+  sinceMs: number;
+  customers: Record<string, CallSummary>;
+  classes: Record<string, CallSummary>;
+}
+
+/** `POST /v1/drain` and `POST /v1/undrain`. */
+export interface DrainAnswer {
+  node: string;
+  servers: {server: string; state: string; inFlight: number}[];
+}
+
+/** Body of `POST /v1/drain` and `POST /v1/undrain`. */
+export interface DrainRequest {
+  node: string;
+  server?: string;
+}
--- /dev/null
+++ b/packages/cli/src/commands/calls-command.ts
@@ -0,0 +1,75 @@
+/** `turmericmill calls`: outcomes and latencies by customer and class. */
+
+import type {Result} from '@turmericmill/utils';
+
+import type {CallStatistics, CallSummary} from '../admin/admin-answers.js';
+import type {CliContext} from '../cli-context.js';
+import type {CliError} from '../cli-error.js';
+import {Command, type CommandInput, type CommandOutput} from '../command.js';
+import {ADMIN_FLAGS, ConnectionOptions} from '../connection-flags.js';
+import {renderTable} from '../output/table.js';
+
+const FIGURES = [
+  'ANSWERED',
+  'NOT RUN',
+  'UNKNOWN',
+  'P50 MS',
+  'P90 MS',
+  'P99 MS',
+  'MAX MS',
+];
+
+/** Shows the calls that entered the mesh at one node. */
+export class CallsCommand extends Command {
+  override readonly name = 'calls';
+  override readonly summary = 'show outcomes and latencies of calls';
+  override readonly flags = ADMIN_FLAGS;
+  override readonly examples = [
+    'calls --admin http://10.0.0.1:7073 --token "$TOKEN"',
+    'calls --profile nairobi.json --json',
+  ];
+
+  override async run(
+    context: CliContext,
+    {flags}: CommandInput,
+  ): Promise<Result<CommandOutput, CliError>> {
+    const options = await ConnectionOptions.load(context, flags);
+    const client = options.andThen(loaded => loaded.openAdmin());
+    if (client.isErr()) return client;
+    const statistics = await client.value.calls();
+    return statistics.map(value => ({value, text: renderCalls(value)}));
+  }
+}
+
+function renderCalls({sinceMs, customers, classes}: CallStatistics): string {
+  return [
+    `Calls that entered at this node since ${new Date(sinceMs).toISOString()}`,
+    '',
+    renderSummaries('CUSTOMER', customers),
+    '',
+    renderSummaries('CLASS', classes),
+  ].join('\n');
+}
+
+function renderSummaries(
+  subject: string,
+  summaries: Record<string, CallSummary>,
+): string {
+  const rows = Object.entries(summaries).map(([name, summary]) => {
+    const {latency} = summary;
+    const latencies = [
+      latency.p50Ms,
+      latency.p90Ms,
+      latency.p99Ms,
+      latency.maxMs,
+    ];
+    return [
+      name,
+      summary.answered,
+      summary.notRun,
+      summary.unknown,
+      ...latencies.map(ms => ms.toFixed(2)),
+    ];
+  });
+  return renderTable([subject, ...FIGURES], rows);
+}
--- /dev/null
+++ b/packages/cli/src/commands/servers-command.ts
@@ -0,0 +1,75 @@
+/** `turmericmill servers`: the backend servers that the mesh knows. */
+
+import type {Result} from '@turmericmill/utils';
+
+import type {ServerList} from '../admin/admin-answers.js';
+import type {ServerQuery} from '../admin/admin-client.js';
+import type {CliContext} from '../cli-context.js';
+import type {CliError} from '../cli-error.js';
+import {
+  Command,
+  type CommandInput,
+  type CommandOutput,
+  type FlagSpecs,
+} from '../command.js';
+import {ADMIN_FLAGS, ConnectionOptions} from '../connection-flags.js';
+import {renderTable} from '../output/table.js';
+
+const HEAD = [
+  'NODE/SERVER',
+  'DATA CENTRE',
+  'GROUP',
+  'STATE',
+  'NODE STATUS',
+  'SLOTS',
+  'CONNECTIONS',
+];
+
+/** Lists backend servers. */
+export class ServersCommand extends Command {
+  override readonly name = 'servers';
+  override readonly summary = 'list the backend servers that are announced';
+  override readonly flags: FlagSpecs = {
+    ...ADMIN_FLAGS,
+    group: {
+      type: 'string',
+      value: 'TEAM/NAME',
+      summary: 'only the servers of this group',
+    },
+    limit: {type: 'number', value: 'N', summary: 'list at most N servers'},
+  };
+  override readonly examples = [
+    'servers --profile nairobi.json',
+    'servers --profile nairobi.json --group nyota/homeowner-api --json',
+  ];
+
+  override async run(
+    context: CliContext,
+    {flags}: CommandInput,
+  ): Promise<Result<CommandOutput, CliError>> {
+    const options = await ConnectionOptions.load(context, flags);
+    const client = options.andThen(loaded => loaded.openAdmin());
+    if (client.isErr()) return client;
+    const query: ServerQuery = {};
+    const group = flags.text('group');
+    const limit = flags.number('limit');
+    if (group !== undefined) query.group = group;
+    if (limit !== undefined) query.limit = limit;
+    const list = await client.value.servers(query);
+    return list.map(value => ({value, text: renderServers(value)}));
+  }
+}
+
+function renderServers({total, servers}: ServerList): string {
+  const rows = servers.map(row => [
+    `${row.node}/${row.server}`,
+    row.dataCentre,
+    row.group,
+    row.state,
+    row.nodeStatus,
+    row.slots,
+    row.connections,
+  ]);
+  const count = `${servers.length} of ${total} servers`;
+  return `${renderTable(HEAD, rows)}\n\n${count}`;
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,2 +1,10 @@
-/** The operators' command line. */
-export {};
+/** The operators' command line, to be run in process. */
+export * from './admin/admin-answers.js';
+export {AdminClient, type ServerQuery} from './admin/admin-client.js';
+export {HttpAdminClient} from './admin/http-admin-client.js';
+export * from './cli-context.js';
+export type {CliError} from './cli-error.js';
+export {DiskFileReader} from './disk-file-reader.js';
+export {EXITS, type ExitName} from './exit-code.js';
+export {createProcessContext} from './process-context.js';
+export {runCli} from './run-cli.js';
--- /dev/null
+++ b/packages/cli/src/parse-command-line.ts
@@ -0,0 +1,98 @@
+/** Parses the arguments of one command and checks them against its specs. */
+
+import meow from 'meow';
+
+import {Err, Ok, type Result} from '@turmericmill/utils';
+
+import type {CliError} from './cli-error.js';
+import {
+  FlagValues,
+  type Command,
+  type CommandInput,
+  type FlagSpecs,
+} from './command.js';
+
+/** Flags that every command takes. */
+export const COMMON_FLAGS: FlagSpecs = {
+  profile: {
+    type: 'string',
+    value: 'FILE',
+    summary: 'JSON file with usual flags (TURMERICMILL_PROFILE)',
+  },
+  json: {type: 'boolean', summary: 'print the result as JSON'},
+  help: {type: 'boolean', summary: 'show this text'},
+};
+
+/** The flag as it is written: `logToken` is `--log-token`. */
+export function flagName(name: string): string {
+  return `--${name.replace(/[A-Z]/g, letter => `-${letter.toLowerCase()}`)}`;
+}
+
+/** Checks `argv`, which comes without the command's name. */
+export function parseCommandLine(
+  command: Command,
+  argv: readonly string[],
+): Result<CommandInput, CliError> {
+  const specs = {...COMMON_FLAGS, ...command.flags};
+  const {input, flags} = parse(specs, argv);
+  const values = new FlagValues(flags);
+  if (values.isSet('help')) return Ok({args: input, flags: values});
+  const faults = [
+    ...findArgumentFaults(command, input),
+    ...findFlagFaults(specs, flags),
+  ];
+  if (faults.length === 0) return Ok({args: input, flags: values});
+  const hint = `See turmericmill ${command.name} --help.`;
+  return Err({exit: 'usage', message: [...faults, hint].join('\n')});
+}
+
+function parse(
+  specs: FlagSpecs,
+  argv: readonly string[],
+): {input: string[]; flags: Record<string, unknown>} {
+  const flags = Object.entries(specs).map(
+    ([name, {type, isMultiple}]) =>
+      [name, isMultiple ? {type, isMultiple} : {type}] as const,
+  );
+  const {input, flags: values} = meow({
+    importMeta: import.meta,
+    argv: [...argv],
+    flags: Object.fromEntries(flags) as Record<string, {type: 'string'}>,
+    autoHelp: false,
+    autoVersion: false,
+  });
+  return {input, flags: values};
+}
+
+function findArgumentFaults(
+  command: Command,
+  input: readonly string[],
+): string[] {
+  const required = command.args.filter(arg => !arg.startsWith('['));
+  if (input.length < required.length) {
+    return [`Missing argument ${required[input.length] ?? ''}.`];
+  }
+  const surplus = input.slice(command.args.length);
+  return surplus.map(arg => `Unexpected argument "${arg}".`);
+}
+
+function findFlagFaults(
+  specs: FlagSpecs,
+  flags: Record<string, unknown>,
+): string[] {
+  const unknown = Object.keys(flags)
+    .filter(name => !(name in specs))
+    .map(name => `Unknown flag ${flagName(name)}.`);
+  const known = Object.entries(specs).flatMap(([name, spec]) => {
+    const value = flags[name];
+    if (value === undefined) {
+      return spec.isRequired ? [`Missing flag ${flagName(name)}.`] : [];
+    }
+    const isNumber = typeof value === 'number' && Number.isFinite(value);
+    if (spec.type === 'number' && !isNumber) {
+      return [`${flagName(name)} wants a number.`];
+    }
+    return value === '' ? [`${flagName(name)} wants a value.`] : [];
+  });
+  return [...unknown, ...known];
+}
--- /dev/null
+++ b/packages/cli/src/process-context.ts
@@ -0,0 +1,38 @@
+/** The context of the command line as a process. */
+
+import {randomUUID} from 'node:crypto';
+import {setTimeout as sleep} from 'node:timers/promises';
+
+import {HttpLogClient} from '@turmericmill/platform';
+import {SystemClock} from '@turmericmill/utils';
+
+import {HttpAdminClient} from './admin/http-admin-client.js';
+import type {CliContext} from './cli-context.js';
+import {DiskFileReader} from './disk-file-reader.js';
+
+/** Builds the context from the process's streams and environment. */
+export function createProcessContext(): CliContext {
+  const opened: {close(): Promise<void>}[] = [];
+  const keep = <T extends {close(): Promise<void>}>(client: T): T => {
+    opened.push(client);
+    return client;
+  };
+  return {
+    writer: {
+      out: line => void process.stdout.write(`${line}\n`),
+      err: line => void process.stderr.write(`${line}\n`),
+    },
+    files: new DiskFileReader(),
+    env: process.env,
+    clock: new SystemClock(),
+    sleep: async ms => {
+      await sleep(ms);
+    },
+    newId: randomUUID,
+    openLog: target => keep(new HttpLogClient(target)),
+    openAdmin: target => keep(new HttpAdminClient(target)),
+    close: async () => {
+      await Promise.all(opened.map(client => client.close()));
+    },
+  };
+}
--- a/packages/node/src/admin/admin-server.ts
+++ b/packages/node/src/admin/admin-server.ts
@@ -161,11 +161,13 @@
 }
 
 function writeJson(res: ServerResponse, status: number, body: object): void {
+  const text = JSON.stringify(body);
   res.writeHead(status, {
     'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
     'cache-control': 'no-store',
   });
-  res.end(JSON.stringify(body));
+  res.end(text);
 }
 
 /** Answers what the HTTP parser has refused, in the form of other errors. */
