--- a/packages/cli/src/cli-context.ts
+++ b/packages/cli/src/cli-context.ts
@@ -1,5 +1,6 @@
 /** What commands use of the world, so that tests can replace it. */
 
+import type {SourceFile} from '@turmericmill/config';
 import type {LogClient} from '@turmericmill/platform';
 import type {Clock, Result} from '@turmericmill/utils';
 
@@ -14,13 +15,6 @@
   err(line: string): void;
 }
 
-/** A file of a file set. */
-export interface SourceFile {
-  /** Path as shown in findings. */
-  file: string;
-  text: string;
-}
-
 /** Reads what operators keep on disk. */
 export interface FileReader {
   /** All `.json` files below `directory`, in path order. */
--- /dev/null
+++ b/packages/cli/src/commands/plan-command.ts
@@ -0,0 +1,61 @@
+/** `turmericmill plan`: what a publication would change. */
+
+import {diffResources} from '@turmericmill/config';
+import {Ok, type Result} from '@turmericmill/utils';
+
+import type {CliContext} from '../cli-context.js';
+import type {CliError} from '../cli-error.js';
+import {
+  Command,
+  type CommandInput,
+  type CommandOutput,
+  type FlagSpecs,
+} from '../command.js';
+import {LOG_FLAGS} from '../connection-flags.js';
+import {loadFileSet} from '../log/team-set.js';
+import {
+  countChanges,
+  describeChanges,
+  renderChanges,
+} from '../output/changes.js';
+import {LogSession} from './log-session.js';
+import {TEAM_FLAGS} from './team-flag.js';
+
+/** Compares a file set with the version in the log. */
+export class PlanCommand extends Command {
+  override readonly name = 'plan';
+  override readonly summary = 'show what publishing a file set would change';
+  override readonly args = ['DIR'];
+  override readonly flags: FlagSpecs = {...TEAM_FLAGS, ...LOG_FLAGS};
+  override readonly examples = [
+    'plan files --team nyota --log http://10.0.0.9:7080',
+    'plan files --profile nairobi.json --json',
+  ];
+
+  override async run(
+    context: CliContext,
+    {args, flags}: CommandInput,
+  ): Promise<Result<CommandOutput, CliError>> {
+    const opened = await LogSession.open(context, flags);
+    if (opened.isErr()) return opened;
+    const {log, options} = opened.value;
+    const team = options.team();
+    if (team.isErr()) return team;
+    const {resources, version} = log.state;
+    const set = await loadFileSet(
+      context,
+      args[0] ?? '',
+      team.value,
+      resources,
+    );
+    if (set.isErr()) return set;
+    const writes = diffResources(resources, team.value, set.value);
+    const changes = describeChanges(resources, writes);
+    const summary = `Against version ${version}: ${countChanges(changes)}.`;
+    const text =
+      changes.length === 0
+        ? `Nothing differs from version ${version}.`
+        : `${renderChanges(changes)}\n\n${summary}`;
+    return Ok({value: {base: version, changes}, text});
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/publish-command.ts
@@ -0,0 +1,69 @@
+/** `turmericmill publish`: makes a file set the team's configuration. */
+
+import {diffResources} from '@turmericmill/config';
+import {Err, Ok, type Result} from '@turmericmill/utils';
+
+import type {CliContext} from '../cli-context.js';
+import type {CliError} from '../cli-error.js';
+import {
+  Command,
+  type CommandInput,
+  type CommandOutput,
+  type FlagSpecs,
+} from '../command.js';
+import {ADMIN_FLAGS, LOG_FLAGS} from '../connection-flags.js';
+import {loadFileSet} from '../log/team-set.js';
+import {LogSession} from './log-session.js';
+import {PUBLISH_FLAGS} from './team-flag.js';
+
+/** Publishes a file set as a whole. */
+export class PublishCommand extends Command {
+  override readonly name = 'publish';
+  override readonly summary = 'publish a file set as a whole';
+  override readonly args = ['DIR'];
+  override readonly flags: FlagSpecs = {
+    ...PUBLISH_FLAGS,
+    base: {
+      type: 'number',
+      value: 'VERSION',
+      summary: 'version that the files were made from; newest by default',
+    },
+    ...LOG_FLAGS,
+    ...ADMIN_FLAGS,
+  };
+  override readonly examples = [
+    'publish files --team nyota --author amina --profile nairobi.json',
+    'publish files --profile nairobi.json --base 41 --wait --timeout 10',
+  ];
+
+  override async run(
+    context: CliContext,
+    {args, flags}: CommandInput,
+  ): Promise<Result<CommandOutput, CliError>> {
+    const opened = await LogSession.open(context, flags);
+    if (opened.isErr()) return opened;
+    const {log, options} = opened.value;
+    const team = options.team();
+    if (team.isErr()) return team;
+    const base = flags.number('base') ?? log.state.version;
+    const baseState = log.stateAt(base);
+    if (!baseState) {
+      const message = `There is no version ${base}; see \`history\`.`;
+      return Err({exit: 'not-found', message});
+    }
+    const set = await loadFileSet(
+      context,
+      args[0] ?? '',
+      team.value,
+      log.state.resources,
+    );
+    if (set.isErr()) return set;
+    const writes = diffResources(baseState.resources, team.value, set.value);
+    if (writes.length === 0) {
+      const text = `Nothing differs from version ${base}; nothing published.`;
+      return Ok({value: {version: base, published: false}, text});
+    }
+    const message = flags.text('message');
+    return opened.value.publish({team: team.value, base, writes, message});
+  }
+}
--- a/packages/cli/src/connection-flags.ts
+++ b/packages/cli/src/connection-flags.ts
@@ -106,6 +106,11 @@
     return team === undefined ? missing('team', 'team') : Ok(team);
   }
 
+  /** True when a log service is given. */
+  hasLog(): boolean {
+    return this.urls('log').length > 0;
+  }
+
   /** Opens the log service, or a usage error when it is not given. */
   openLog(): Result<LogClient, CliError> {
     const urls = this.urls('log');
--- a/packages/cli/src/disk-file-reader.ts
+++ b/packages/cli/src/disk-file-reader.ts
@@ -3,9 +3,10 @@
 import {readdir, readFile} from 'node:fs/promises';
 import {join} from 'node:path';
 
+import type {SourceFile} from '@turmericmill/config';
 import {Err, Ok, type Result} from '@turmericmill/utils';
 
-import type {FileReader, SourceFile} from './cli-context.js';
+import type {FileReader} from './cli-context.js';
 import type {CliError} from './cli-error.js';
 
 /** Reads through the file system of the operator's machine. */
--- /dev/null
+++ b/packages/cli/src/log/config-log.ts
@@ -0,0 +1,120 @@
+/** The configuration stream as an operator's program reads it. */
+
+import {
+  emptyConfigState,
+  foldRecord,
+  parsePart,
+  type ConfigState,
+  type Verdict,
+} from '@turmericmill/distribution';
+import type {LogClient, LogError, LogRecord} from '@turmericmill/platform';
+import {Err, Ok, type Result} from '@turmericmill/utils';
+
+import type {CliError} from '../cli-error.js';
+
+const PAGE_RECORDS = 500;
+
+/** A publication that was decided on. */
+export interface HistoryEntry {
+  offset: number;
+  id: string;
+  team: string;
+  author: string;
+  base: number;
+  message: string;
+  verdict: Extract<Verdict, {status: 'accepted' | 'rejected'}>;
+}
+
+/** Folds the stream up to its end and keeps what each publication led to. */
+export class ConfigLog {
+  private current = emptyConfigState();
+  private readonly history: HistoryEntry[] = [];
+  private readonly statesByVersion = new Map<number, ConfigState>([
+    [this.current.version, this.current],
+  ]);
+  private readonly appended = new Set<string>();
+
+  constructor(private readonly client: LogClient) {}
+
+  /** The state after the last record read. */
+  get state(): ConfigState {
+    return this.current;
+  }
+
+  /** Publications that were decided on, the oldest first. */
+  get entries(): readonly HistoryEntry[] {
+    return this.history;
+  }
+
+  /** The state at `version`, if the log still reaches back to it. */
+  stateAt(version: number): ConfigState | undefined {
+    return this.statesByVersion.get(version);
+  }
+
+  /** What became of the publication `id`, if it was decided on. */
+  entryOf(id: string): HistoryEntry | undefined {
+    return this.history.find(entry => entry.id === id);
+  }
+
+  /** True when record `part` of publication `id` was read. */
+  hasPart(id: string, part: number): boolean {
+    return this.appended.has(partKey(id, part));
+  }
+
+  /** Reads all records up to the end of the stream. */
+  async catchUp(): Promise<Result<void, CliError>> {
+    for (;;) {
+      const from = this.current.nextOffset;
+      const options = {limit: PAGE_RECORDS, waitMs: 0};
+      const page = await this.client.read('config', from, options);
+      if (page.isErr()) return Err(toCliError(page.error));
+      for (const record of page.value.records) this.fold(record);
+      if (this.current.nextOffset >= page.value.next) return Ok(undefined);
+      if (page.value.records.length === 0) return Err(EMPTY_PAGE);
+    }
+  }
+
+  private fold(record: LogRecord): void {
+    const {state, verdict} = foldRecord(this.current, record);
+    this.current = state;
+    this.statesByVersion.set(state.version, state);
+    const part = parsePart(record.body);
+    if (!part) return;
+    this.appended.add(partKey(part.id, part.part));
+    if (verdict.status !== 'accepted' && verdict.status !== 'rejected') return;
+    const {id, team, author, base, message = ''} = part;
+    const {offset} = record;
+    this.history.push({offset, id, team, author, base, message, verdict});
+  }
+}
+
+const EMPTY_PAGE: CliError = {
+  exit: 'unreachable',
+  message: 'The log service answered an empty page before its end.',
+};
+
+function partKey(id: string, part: number): string {
+  return `${id} ${part}`;
+}
+
+/** The error that ends a command when the log failed. */
+export function toCliError({code, message, bounds}: LogError): CliError {
+  switch (code) {
+    case 'trimmed': {
+      const earliest = bounds?.earliest ?? 'unknown';
+      return {
+        exit: 'unreachable',
+        message: `The log holds no records before offset ${earliest}.`,
+      };
+    }
+    case 'too-large':
+    case 'refused':
+      return {exit: 'refused', message: `The log refused: ${message}`};
+    case 'unavailable':
+    case 'outcome-unknown':
+      return {
+        exit: 'unreachable',
+        message: `The log service was not reached: ${message}`,
+      };
+  }
+}
--- a/packages/cli/tests/fake-context.ts
+++ b/packages/cli/tests/fake-context.ts
@@ -1,5 +1,6 @@
 /** A context of the command line without processes, disks or sockets. */
 
+import type {SourceFile} from '@turmericmill/config';
 import {Err, ManualClock, Ok, type Result} from '@turmericmill/utils';
 import type {LogClient} from '@turmericmill/platform';
 
@@ -14,7 +15,6 @@
   type FleetStatus,
   type ServerList,
   type ServerQuery,
-  type SourceFile,
 } from '../src/index.js';
 
 /** An administration API that answers with what it was given. */
--- /dev/null
+++ b/packages/cli/tests/publish.test.ts
@@ -0,0 +1,178 @@
+import {expect} from 'chai';
+
+import {CliHarness, fleetStatus} from './fake-context.js';
+import {FakeLogClient, type AppendFault} from './fake-log.js';
+
+const FILES = {
+  classes: [{name: 'interactive', priority: 'interactive'}],
+  backendServerGroups: [{name: 'lamps', maxSlots: 12, maxConnections: 130}],
+  services: [{name: 'lamps', backendServerGroup: 'lamps', timeoutMs: 500}],
+  routes: [
+    {
+      name: 'status',
+      match: {pathPrefix: '/lamps'},
+      service: 'lamps',
+      class: 'interactive',
+    },
+  ],
+};
+
+describe('commands on the log', () => {
+  let cli: CliHarness;
+  let log: FakeLogClient;
+
+  beforeEach(() => {
+    cli = new CliHarness();
+    log = new FakeLogClient();
+    cli.log = log;
+    cli.env['TURMERICMILL_TEAM'] = 'nyota';
+    cli.env['TURMERICMILL_AUTHOR'] = 'amina';
+    write(FILES);
+  });
+
+  function write(content: object, file = 'files/a.json'): void {
+    cli.files.set(file, JSON.stringify(content, null, 2));
+  }
+
+  function withTimeout(timeoutMs: number): object {
+    const [service] = FILES.services;
+    return {...FILES, services: [{...service, timeoutMs}]};
+  }
+
+  it('publishes, changes, and shows what it did', async () => {
+    const runs = [await cli.run('plan', 'files')];
+    runs.push(await cli.run('publish', 'files', '--message', 'first'));
+    write(withTimeout(800));
+    runs.push(await cli.run('plan', 'files'));
+    runs.push(await cli.run('publish', 'files'));
+    runs.push(await cli.run('publish', 'files'));
+    runs.push(await cli.run('show'));
+    runs.push(await cli.run('show', '1'));
+    runs.push(await cli.run('show', 'nyota/service/lamps'));
+    runs.push(await cli.run('rollback', '0'));
+    runs.push(await cli.run('rollback', '0'));
+    runs.push(await cli.run('history'));
+    runs.push(await cli.run('history', '--limit', '1', '--json'));
+    expect(runs).toMatchSnapshot();
+  });
+
+  const faults: {faults: AppendFault[]; code: number; records: number}[] = [
+    {faults: ['answer-lost'], code: 0, records: 1},
+    {faults: ['request-lost'], code: 0, records: 1},
+    {faults: ['unavailable', 'answer-lost'], code: 0, records: 1},
+    {faults: Array<AppendFault>(5).fill('unavailable'), code: 3, records: 0},
+    {faults: Array<AppendFault>(5).fill('request-lost'), code: 6, records: 0},
+    {faults: ['refused'], code: 1, records: 0},
+  ];
+  for (const {faults: appendFaults, code, records} of faults) {
+    it(`exits with ${code} after ${appendFaults.join(', ')}`, async () => {
+      log.appendFaults = [...appendFaults];
+      const res = await cli.run('publish', 'files');
+      expect(res.code).to.equal(code);
+      expect(log.records).to.have.length(records);
+    });
+  }
+
+  it('takes effect once when a lost record arrives after its retry', async () => {
+    log.appendFaults = ['request-lost'];
+    await cli.run('publish', 'files');
+    log.take(log.records[0]?.body ?? '');
+    const {out} = await cli.run('history', '--json');
+    expect(JSON.parse(out)).to.have.length(1);
+  });
+
+  it('reports an unknown outcome when the verdict cannot be read', async () => {
+    log.beforeAppend = () => {
+      log.readFaults = Array<'unavailable'>(9).fill('unavailable');
+    };
+    const res = await cli.run('publish', 'files');
+    expect(res.code).to.equal(6);
+    expect(res.err).to.contain('publication-1');
+  });
+
+  it('exits with 4 when another publication came first', async () => {
+    await cli.run('publish', 'files');
+    write(withTimeout(800));
+    await cli.run('publish', 'files');
+    write(withTimeout(900));
+    const res = await cli.run('publish', 'files', '--base', '0');
+    expect(res.code).to.equal(4);
+    expect(res.err).to.contain('nyota/service/lamps');
+  });
+
+  const refused: {name: string; content: string; says: string}[] = [
+    {name: 'malformed JSON', content: '{', says: 'malformed-json'},
+    {name: 'an unknown field', content: '{"rutes": []}', says: '"routes"'},
+    {name: 'an empty set', content: '{}', says: 'empty-set'},
+    {
+      name: 'a dangling reference',
+      content: JSON.stringify({routes: FILES.routes}),
+      says: 'dangling-reference',
+    },
+  ];
+  for (const {name, content, says} of refused) {
+    for (const command of ['validate', 'plan', 'publish']) {
+      it(`${command} refuses ${name}`, async () => {
+        cli.files.set('files/a.json', content);
+        const res = await cli.run(command, 'files');
+        expect(res.code).to.equal(1);
+        expect(res.err).to.contain('files/a.json:1:');
+        expect(res.err).to.contain(says);
+        expect(log.records).to.deep.equal([]);
+      });
+    }
+  }
+
+  it('validates without a log service', async () => {
+    cli.env = {};
+    const res = await cli.run('validate', 'files', '--team', 'nyota');
+    expect(res).to.deep.include({code: 0, out: 'files is valid: 4 resources.'});
+  });
+
+  const missing: {argv: string[]; code: number}[] = [
+    {argv: ['publish', 'files', '--base', '5'], code: 8},
+    {argv: ['rollback', '5'], code: 8},
+    {argv: ['show', '5'], code: 8},
+    {argv: ['show', 'nyota/route/none'], code: 8},
+    {argv: ['publish', 'none'], code: 1},
+  ];
+  for (const {argv, code} of missing) {
+    it(`exits with ${code} on ${argv.join(' ')}`, async () => {
+      expect((await cli.run(...argv)).code).to.equal(code);
+      expect(log.records).to.deep.equal([]);
+    });
+  }
+
+  it('tells that the beginning of the log has expired', async () => {
+    log.earliest = 40;
+    const res = await cli.run('history');
+    expect(res.code).to.equal(3);
+    expect(res.err).to.contain('no records before offset 40');
+  });
+
+  describe('publish --wait', () => {
+    it('shows progress and ends when all enforce it', async () => {
+      cli.admin.statuses = [
+        fleetStatus(-1, {[-1]: 3}),
+        fleetStatus(0, {[-1]: 2, 0: 1}, ['a-2', 'a-3']),
+        fleetStatus(0, {0: 3}),
+      ];
+      expect(await cli.run('publish', 'files', '--wait')).toMatchSnapshot();
+    });
+
+    it('names the laggards when the time is over', async () => {
+      cli.admin.statuses = [fleetStatus(0, {[-1]: 1, 0: 2}, ['a-2'], ['b-1'])];
+      const argv = ['publish', 'files', '--wait', '--timeout', '2'];
+      const res = await cli.run(...argv);
+      expect(res.code).to.equal(5);
+      expect(res.err).to.contain('behind: a-2; unreachable: b-1');
+    });
+
+    it('publishes nothing when the fleet cannot be asked', async () => {
+      cli.admin.failure = {exit: 'unauthorized', message: 'No.'};
+      const res = await cli.run('publish', 'files', '--wait');
+      expect(res.code).to.equal(7);
+      expect(log.records).to.deep.equal([]);
+    });
+  });
+});
--- a/packages/distribution/src/index.ts
+++ b/packages/distribution/src/index.ts
@@ -24,6 +24,8 @@
 export {
   buildPublication,
   MAX_PARTS,
+  parsePart,
   type Publication,
   type PublicationError,
+  type PublicationPart,
 } from './publication.js';
