Log stand-in: faults, retention and control

Tests need the log's failures at will. The stand-in can be down, silent, slow, lose an answer after the action or a request before it, let answers overtake each other, cap appends per second and trim; in process or by HTTP.

--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -9,7 +9,12 @@
   NodeProcess,
   type LaunchSettings,
 } from './launch/node-process.js';
-export {LogServer, type LogCounts} from './log-service/log-server.js';
+export {NO_FAULTS, type LogFaults} from './log-service/log-faults.js';
+export {
+  LogServer,
+  type LogCounts,
+  type LogServerOptions,
+} from './log-service/log-server.js';
 export {MemoryLog} from './log-service/memory-log.js';
 export {BackendProcess} from './launch/backend-process.js';
 export {cpuTimeMs, residentBytes} from './launch/cpu-time.js';
--- a/packages/testkit/src/log-service/log-server.ts
+++ b/packages/testkit/src/log-service/log-server.ts
@@ -9,9 +9,20 @@
 
 import {MAX_RECORD_BYTES} from '@turmericmill/platform';
 
+import {AnswerCrosser} from './answer-crosser.js';
+import {control, type TrimRequest} from './log-control.js';
+import {
+  NO_FAULTS,
+  planCall,
+  type AppendWindow,
+  type CallPlan,
+  type LogFaults,
+} from './log-faults.js';
 import {MemoryLog} from './memory-log.js';
 
 const STREAM_PATH = /^\/streams\/([a-z0-9-]+)(\/records)?$/;
+const CONTROL_PATH = '/control';
+const KEEP_ALIVE_MS = 60_000;
 
 /** Exact counts of what the log was asked for. */
 export interface LogCounts {
@@ -21,17 +32,34 @@
   bytesOut: number;
 }
 
+/** How the stand-in is set up. */
+export interface LogServerOptions {
+  /** Bearer token that callers have to send; none by default. */
+  token?: string;
+}
+
+interface ReadQuery {
+  from: number;
+  limit: number;
+  waitMs: number;
+}
+
 /** The stand-in's HTTP server. */
 export class LogServer {
   readonly log = new MemoryLog();
   readonly counts: LogCounts = {appends: 0, reads: 0, bytesIn: 0, bytesOut: 0};
+  private current: LogFaults = {...NO_FAULTS};
+  private window: AppendWindow = {startMs: 0, appends: 0};
+  private readonly crosser = new AnswerCrosser();
   private readonly server = createServer((req, res) => {
     void this.handle(req, res);
   });
 
+  constructor(private readonly options: LogServerOptions = {}) {}
+
   /** Listens on loopback and returns the base URL. Port 0 picks a free one. */
   async start(port = 0): Promise<string> {
-    this.server.keepAliveTimeout = 60_000;
+    this.server.keepAliveTimeout = KEEP_ALIVE_MS;
     await new Promise<void>(resolve => {
       this.server.listen(port, '127.0.0.1', resolve);
     });
@@ -40,72 +68,155 @@
   }
 
   async stop(): Promise<void> {
+    this.crosser.release();
     this.server.closeAllConnections();
     await new Promise(resolve => this.server.close(resolve));
   }
 
-  private async handle(req: IncomingMessage, res: ServerResponse) {
+  /** The faults in force. */
+  get faults(): LogFaults {
+    return this.current;
+  }
+
+  /** Changes the faults that are given. */
+  setFaults(faults: Partial<LogFaults>): void {
+    this.current = {...this.current, ...faults};
+    if (!this.current.crossAnswers) this.crosser.release();
+  }
+
+  /** Removes the records of a stream before an offset. */
+  trim({stream, before}: TrimRequest): void {
+    this.log.trim(stream, before);
+  }
+
+  private async handle(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
     const url = new URL(req.url ?? '/', 'http://log');
+    const body = await readText(req).catch(() => undefined);
+    if (body === undefined) return;
+    const call = `${req.method ?? ''} ${url.pathname}`;
+    if (url.pathname.startsWith(CONTROL_PATH)) {
+      this.answerControl(res, call, body);
+    } else if (!this.isAllowed(req)) {
+      this.reply(res, 401, errorBody('refused', 'A token is needed.'));
+    } else {
+      this.serve(req, res, url, body);
+    }
+  }
+
+  private answerControl(res: ServerResponse, call: string, body: string): void {
+    const answer = control(this, call, body);
+    if (answer.isOk()) write(res, 200, answer.value);
+    else write(res, 400, errorBody('refused', answer.error));
+  }
+
+  private isAllowed(req: IncomingMessage): boolean {
+    const {token} = this.options;
+    if (token === undefined) return true;
+    return req.headers.authorization === `Bearer ${token}`;
+  }
+
+  private serve(
+    req: IncomingMessage,
+    res: ServerResponse,
+    url: URL,
+    body: string,
+  ): void {
     const match = STREAM_PATH.exec(url.pathname);
     const name = match?.[1];
+    const isRecords = match?.[2] !== undefined;
+    const isAppend = req.method === 'POST' && isRecords;
     if (name === undefined) {
       this.reply(res, 404, errorBody('not-found', 'No such path.'));
-    } else if (req.method === 'POST' && match?.[2]) {
-      await this.append(req, res, name);
-    } else if (req.method === 'GET' && match?.[2]) {
+    } else if (!isAppend && req.method !== 'GET') {
+      this.reply(res, 405, errorBody('refused', 'Method not allowed.'));
+    } else if (isAppend) {
+      this.append(res, name, body, this.plan(true));
+    } else if (this.plan(false) !== 'serve') {
+      this.fail(res);
+    } else if (isRecords) {
       this.read(res, name, url.searchParams);
-    } else if (req.method === 'GET') {
-      this.reply(res, 200, this.log.bounds(name));
     } else {
-      this.reply(res, 405, errorBody('method', 'Method not allowed.'));
+      this.reply(res, 200, this.log.bounds(name));
     }
   }
 
-  private async append(
-    req: IncomingMessage,
+  private plan(isAppend: boolean): CallPlan {
+    const decision = planCall(this.current, this.window, isAppend, Date.now());
+    this.current = decision.faults;
+    this.window = decision.window;
+    return decision.plan;
+  }
+
+  /** Refuses a call, or leaves it without an answer while silent. */
+  private fail(res: ServerResponse): void {
+    if (this.current.silent) return;
+    this.reply(res, 503, errorBody('unavailable', 'The log is down.'));
+  }
+
+  private append(
     res: ServerResponse,
     name: string,
-  ): Promise<void> {
-    const chunks: Buffer[] = [];
-    for await (const chunk of req) chunks.push(chunk as Buffer);
-    const body = Buffer.concat(chunks);
+    body: string,
+    plan: CallPlan,
+  ): void {
     this.counts.appends += 1;
-    this.counts.bytesIn += body.length;
-    if (body.length > MAX_RECORD_BYTES) {
+    this.counts.bytesIn += Buffer.byteLength(body);
+    if (plan === 'refuse' || plan === 'hang') {
+      this.fail(res);
+    } else if (plan === 'lose-request') {
+      res.destroy();
+    } else if (Buffer.byteLength(body) > MAX_RECORD_BYTES) {
       this.reply(res, 413, errorBody('too-large', 'The record is too large.'));
-      return;
+    } else {
+      const offset = this.log.append(name, body);
+      this.log.trim(name, offset + 1 - this.current.maxRecords);
+      if (plan === 'lose-answer') res.destroy();
+      else this.reply(res, 200, {offset});
     }
-    const offset = this.log.append(name, body.toString());
-    this.reply(res, 200, {offset});
   }
 
-  private read(res: ServerResponse, name: string, query: URLSearchParams) {
-    const from = Number(query.get('from') ?? 0);
-    const limit = Number(query.get('limit') ?? 100);
-    const waitMs = Number(query.get('waitMs') ?? 0);
+  private read(
+    res: ServerResponse,
+    name: string,
+    params: URLSearchParams,
+  ): void {
+    const query = parseReadQuery(params);
     this.counts.reads += 1;
+    if (!query) {
+      this.reply(res, 400, errorBody('refused', 'Malformed query.'));
+      return;
+    }
+    const {from, waitMs} = query;
+    const {next} = this.log.bounds(name);
+    if (from < next || waitMs === 0) this.answerRead(res, name, query);
+    else this.wait(res, name, query);
+  }
+
+  private answerRead(
+    res: ServerResponse,
+    name: string,
+    {from, limit}: ReadQuery,
+  ): void {
     const bounds = this.log.bounds(name);
     if (from < bounds.earliest) {
       const body = errorBody('trimmed', `Records before ${bounds.earliest}.`);
       this.reply(res, 410, {...body, bounds});
-    } else if (from < bounds.next || waitMs === 0) {
-      this.reply(res, 200, this.log.read(name, from, limit));
     } else {
-      this.wait(res, name, {from, limit, waitMs});
+      this.reply(res, 200, this.log.read(name, from, limit));
     }
   }
 
-  private wait(
-    res: ServerResponse,
-    name: string,
-    {from, limit, waitMs}: {from: number; limit: number; waitMs: number},
-  ): void {
+  private wait(res: ServerResponse, name: string, query: ReadQuery): void {
     const finish = () => {
       clearTimeout(timer);
       stopWaiting();
-      this.reply(res, 200, this.log.read(name, from, limit));
+      if (this.current.down || this.current.silent) this.fail(res);
+      else this.answerRead(res, name, query);
     };
-    const timer = setTimeout(finish, waitMs);
+    const timer = setTimeout(finish, query.waitMs);
     const stopWaiting = this.log.onAppend(name, finish);
     res.once('close', () => {
       clearTimeout(timer);
@@ -114,17 +225,46 @@
   }
 
   private reply(res: ServerResponse, status: number, body: object): void {
-    if (res.destroyed) return;
-    const text = JSON.stringify(body);
-    this.counts.bytesOut += Buffer.byteLength(text);
-    res.writeHead(status, {
-      'content-type': 'application/json',
-      'content-length': Buffer.byteLength(text),
-    });
-    res.end(text);
+    const send = () => {
+      this.counts.bytesOut += write(res, status, body);
+    };
+    const {delayMs, crossAnswers} = this.current;
+    const pass = crossAnswers ? () => this.crosser.pass(send) : send;
+    if (delayMs > 0) setTimeout(pass, delayMs).unref();
+    else pass();
   }
 }
 
+/** Writes an answer and returns the bytes of its body. */
+function write(res: ServerResponse, status: number, body: object): number {
+  if (res.destroyed) return 0;
+  const text = JSON.stringify(body);
+  const bytes = Buffer.byteLength(text);
+  res.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': bytes,
+  });
+  res.end(text);
+  return bytes;
+}
+
+async function readText(req: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of req) chunks.push(chunk as Buffer);
+  return Buffer.concat(chunks).toString();
+}
+
+function parseReadQuery(params: URLSearchParams): ReadQuery | undefined {
+  const from = Number(params.get('from') ?? 0);
+  const limit = Number(params.get('limit') ?? 100);
+  const waitMs = Number(params.get('waitMs') ?? 0);
+  const isValid =
+    [from, limit, waitMs].every(Number.isSafeInteger) &&
+    Math.min(from, waitMs) >= 0 &&
+    limit > 0;
+  return isValid ? {from, limit, waitMs} : undefined;
+}
+
 function errorBody(code: string, message: string): {error: object} {
   return {error: {code, message}};
 }
