Stand-ins for backend servers and callers, with an audit

The backend server can lag, shed, start cold, crash, go silent on present connections and mislead at its health endpoint; it honours cancel and deadline. The caller compares each answer with its own request, and the audit compares what callers were told with the runs that servers counted.

--- /dev/null
+++ b/packages/testkit/src/backend-server/announcer.ts
@@ -0,0 +1,62 @@
+/** Announces a backend server to the node beside it, again and again. */
+
+import {Agent, request} from 'undici';
+
+const INTERVAL_MS = 1000;
+const TIMEOUT_MS = 2000;
+
+/** States that a server announces. */
+export type AnnouncedState = 'starting' | 'ready' | 'draining';
+
+/** Body of an announcement. */
+export interface Announcement {
+  name: string;
+  /** Backend server group as `team/name`. */
+  group: string;
+  slots: number;
+  connections: number;
+  address: string;
+  port: number;
+  state: AnnouncedState;
+  incarnation: number;
+}
+
+/** Repeats what `current` tells; undefined holds an announcement back. */
+export class Announcer {
+  private readonly agent = new Agent({
+    headersTimeout: TIMEOUT_MS,
+    connect: {timeout: TIMEOUT_MS},
+  });
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly announceUrl: string,
+    private readonly current: () => Announcement | undefined,
+  ) {}
+
+  /** Announces once and then at an interval. */
+  async start(): Promise<void> {
+    await this.announce();
+    this.timer = setInterval(() => {
+      this.announce().catch(() => undefined);
+    }, INTERVAL_MS);
+  }
+
+  /** Announces now. */
+  async announce(): Promise<void> {
+    const announcement = this.current();
+    if (!announcement) return;
+    const res = await request(`${this.announceUrl}/v1/announce`, {
+      method: 'POST',
+      headers: {'content-type': 'application/json'},
+      body: JSON.stringify(announcement),
+      dispatcher: this.agent,
+    });
+    await res.body.dump();
+  }
+
+  async stop(): Promise<void> {
+    clearInterval(this.timer);
+    await this.agent.destroy();
+  }
+}
--- a/packages/testkit/src/backend-server/backend-server.ts
+++ b/packages/testkit/src/backend-server/backend-server.ts
@@ -6,11 +6,25 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import type {AddressInfo} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
 
-import {request} from 'undici';
+import {
+  Announcer,
+  type AnnouncedState,
+  type Announcement,
+} from './announcer.js';
+import {HealthHistory} from './health-report.js';
+import {RunLedger, type RunEnd, type RunRecord} from './run-ledger.js';
+import {
+  GOOD_BEHAVIOUR,
+  workTimeMs,
+  type ServerBehaviour,
+} from './server-behaviour.js';
 
-const ANNOUNCE_INTERVAL_MS = 1000;
+const DEADLINE_HEADER = 'x-turmericmill-deadline-ms';
+const KEEP_ALIVE_MS = 60_000;
+/** Longest delay that a timer of the platform takes. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
 
 /** What the server tells of itself, and where. */
 export interface BackendServerOptions {
@@ -25,93 +39,212 @@
   workMs?: number;
 }
 
-/** One run of a request, for the audit. */
-export interface RunRecord {
-  method: string;
-  path: string;
-  requestId: string;
-}
-
 /** Answers each call with its own method, path, request id and body. */
 export class BackendServer {
-  readonly runs: RunRecord[] = [];
-  private readonly server: Server;
-  private readonly incarnation = Date.now();
-  private timer: NodeJS.Timeout | undefined;
+  behaviour: ServerBehaviour;
+  private server: Server | undefined;
+  private announcer: Announcer | undefined;
+  private readonly sockets = new Set<Socket>();
+  private readonly silenced = new WeakSet<Socket>();
+  private readonly health = new HealthHistory();
+  private incarnation = 0;
+  private startedAtMs = 0;
   private port = 0;
-  private state: 'ready' | 'draining' = 'ready';
+  private inFlight = 0;
+  private state: AnnouncedState = 'ready';
+
+  constructor(
+    private readonly options: BackendServerOptions,
+    readonly ledger = new RunLedger(),
+  ) {
+    this.behaviour = {...GOOD_BEHAVIOUR, workMs: options.workMs ?? 0};
+  }
+
+  get name(): string {
+    return this.options.name;
+  }
 
-  constructor(private readonly options: BackendServerOptions) {
-    this.server = createServer((req, res) => void this.answer(req, res));
-    this.server.keepAliveTimeout = 60_000;
+  /** Runs of this server, or of all servers that share its ledger. */
+  get runs(): readonly RunRecord[] {
+    return this.ledger.runs;
   }
 
-  /** Listens on loopback and announces itself from now on. */
+  get url(): string {
+    return `http://127.0.0.1:${this.port}`;
+  }
+
+  /** Listens on loopback as a new incarnation and announces itself. */
   async start(): Promise<void> {
+    this.startedAtMs = Date.now();
+    this.incarnation = Math.max(this.incarnation + 1, this.startedAtMs);
+    this.state = 'ready';
+    const server = createServer((req, res) => void this.answer(req, res));
+    server.keepAliveTimeout = KEEP_ALIVE_MS;
+    server.on('connection', socket => this.track(socket));
     await new Promise<void>(resolve => {
-      this.server.listen(0, '127.0.0.1', resolve);
+      server.listen(0, '127.0.0.1', resolve);
     });
-    this.port = (this.server.address() as AddressInfo).port;
-    await this.announce();
-    this.timer = setInterval(() => {
-      this.announce().catch(() => undefined);
-    }, ANNOUNCE_INTERVAL_MS);
+    this.server = server;
+    this.port = (server.address() as AddressInfo).port;
+    const {announceUrl} = this.options;
+    this.announcer = new Announcer(announceUrl, () => this.announcement());
+    await this.announcer.start();
   }
 
-  /** Takes no new calls from now on. */
+  /** Takes no new calls from now on; calls in flight go on. */
   async drain(): Promise<void> {
     this.state = 'draining';
-    await this.announce();
+    await this.announcer?.announce();
   }
 
+  /** Ends in good order: no announcement, no connection is left. */
   async stop(): Promise<void> {
-    clearInterval(this.timer);
-    this.server.closeAllConnections();
-    await new Promise(resolve => this.server.close(resolve));
+    const {server} = this;
+    this.server = undefined;
+    await this.announcer?.stop();
+    if (!server) return;
+    server.closeAllConnections();
+    await new Promise(resolve => server.close(resolve));
   }
 
-  get url(): string {
-    return `http://127.0.0.1:${this.port}`;
+  /** Ends at once, with all its calls; `start` brings it back. */
+  async crash(): Promise<void> {
+    for (const socket of this.sockets) socket.resetAndDestroy();
+    await this.stop();
   }
 
-  private async announce(): Promise<void> {
-    const {name, group, slots, connections, announceUrl} = this.options;
-    const res = await request(`${announceUrl}/v1/announce`, {
-      method: 'POST',
-      headers: {'content-type': 'application/json'},
-      body: JSON.stringify({
-        name,
-        group,
-        slots,
-        connections,
-        address: '127.0.0.1',
-        port: this.port,
-        state: this.state,
-        incarnation: this.incarnation,
-      }),
-    });
-    await res.body.dump();
+  /**
+   * Present connections go silent for good: what arrives is not read, what is
+   * answered is not sent. New connections work.
+   */
+  silence(): void {
+    for (const socket of this.sockets) {
+      socket.pause();
+      this.silenced.add(socket);
+    }
+  }
+
+  private announcement(): Announcement | undefined {
+    if (!this.behaviour.announces) return undefined;
+    const {name, group, slots, connections} = this.options;
+    const {port, state, incarnation} = this;
+    const address = '127.0.0.1';
+    return {
+      name,
+      group,
+      slots,
+      connections,
+      address,
+      port,
+      state,
+      incarnation,
+    };
+  }
+
+  private track(socket: Socket): void {
+    this.sockets.add(socket);
+    socket.once('close', () => this.sockets.delete(socket));
   }
 
   private async answer(
     req: IncomingMessage,
     res: ServerResponse,
   ): Promise<void> {
-    const requestId = String(req.headers['x-request-id'] ?? '');
-    const method = req.method ?? '';
-    const path = req.url ?? '';
-    this.runs.push({method, path, requestId});
+    if (this.silenced.has(req.socket)) return;
+    if (req.method === 'GET' && req.url === '/health') {
+      this.answerHealth(res);
+    } else if (this.inFlight >= this.behaviour.shedAbove) {
+      req.resume();
+      res.writeHead(503, {'retry-after': '1'}).end();
+    } else {
+      await this.run(req, res);
+    }
+  }
+
+  private answerHealth(res: ServerResponse): void {
+    const report = this.health.report(this.behaviour, Date.now());
+    const {healthy, inFlight} = report;
+    const {slots} = this.options;
+    res.writeHead(healthy ? 200 : 503, {'content-type': 'application/json'});
+    res.end(JSON.stringify({healthy, inFlight, slots}));
+  }
+
+  private async run(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const run = this.ledger.begin({
+      method: req.method ?? '',
+      path: req.url ?? '',
+      requestId: headerOf(req, 'x-request-id'),
+      server: this.name,
+    });
+    if (headerOf(req, this.behaviour.poisonHeader) !== '') {
+      run.end = 'cut';
+      await this.crash();
+      return;
+    }
+    this.changeInFlight(1);
+    run.end = await this.work(req, res).catch((): RunEnd => 'cut');
+    this.changeInFlight(-1);
+    if (run.end === 'expired') res.destroy();
+  }
+
+  private async work(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<RunEnd> {
+    const ended = endOf(res, remainingMs(req));
     const chunks: Buffer[] = [];
     for await (const chunk of req) chunks.push(chunk as Buffer);
-    const {workMs = 0} = this.options;
-    if (workMs > 0) await new Promise(resolve => setTimeout(resolve, workMs));
+    const upMs = Date.now() - this.startedAtMs;
+    const workMs = workTimeMs(this.behaviour, upMs);
+    const early = await Promise.race([ended.early, sleep(workMs)]);
+    ended.stop();
+    if (early !== undefined) return early;
+    if (this.silenced.has(req.socket)) return 'cut';
     const body = Buffer.concat(chunks);
     res.writeHead(200, {
       'content-type': 'application/octet-stream',
       'content-length': body.length,
-      'x-request-id': requestId,
-      'x-served-by': this.options.name,
+      'x-request-id': headerOf(req, 'x-request-id'),
+      'x-served-by': this.name,
     });
     res.end(body);
+    return 'answered';
   }
+
+  private changeInFlight(by: number): void {
+    this.inFlight += by;
+    const healthy = this.inFlight <= this.options.slots;
+    this.health.note({atMs: Date.now(), healthy, inFlight: this.inFlight});
+  }
+}
+
+function headerOf(req: IncomingMessage, name: string): string {
+  const value = req.headers[name];
+  return typeof value === 'string' ? value : '';
+}
+
+/** Time in ms that the caller leaves for the call. */
+function remainingMs(req: IncomingMessage): number {
+  const text = headerOf(req, DEADLINE_HEADER);
+  const value = text === '' ? Number.POSITIVE_INFINITY : Number(text);
+  return Number.isNaN(value) ? Number.POSITIVE_INFINITY : value;
+}
+
+/** Resolves `early` when the caller leaves or the deadline passes. */
+function endOf(
+  res: ServerResponse,
+  limitMs: number,
+): {early: Promise<RunEnd>; stop(): void} {
+  let timer: NodeJS.Timeout | undefined;
+  const early = new Promise<RunEnd>(resolve => {
+    res.once('close', () => resolve('cancelled'));
+    if (limitMs > MAX_TIMER_MS) return;
+    timer = setTimeout(() => resolve('expired'), Math.max(0, limitMs));
+  });
+  return {early, stop: () => clearTimeout(timer)};
+}
+
+function sleep(ms: number): Promise<undefined> {
+  if (ms <= 0) return Promise.resolve(undefined);
+  return new Promise(resolve => setTimeout(() => resolve(undefined), ms));
 }
--- /dev/null
+++ b/packages/testkit/src/caller/caller.ts
@@ -0,0 +1,123 @@
+/** A stand-in for callers: sends requests and keeps what it was told. */
+
+import {randomBytes, randomUUID} from 'node:crypto';
+
+import {Agent, request} from 'undici';
+
+import type {CallRecord, CallVerdict} from './caller-audit.js';
+
+const OUTCOME_HEADER = 'x-turmericmill-outcome';
+const REASON_HEADER = 'x-turmericmill-reason';
+const MAX_FILLER_BYTES = 512;
+const DEFAULT_CONNECTIONS = 64;
+const DEFAULT_TIMEOUT_MS = 30_000;
+
+/** What to send. */
+export interface CallOrder {
+  method: 'GET' | 'POST' | 'PUT' | 'DELETE';
+  path: string;
+  customer?: string;
+  /** True when the call must run at most once. */
+  once?: boolean;
+  idempotencyKey?: string;
+  headers?: Record<string, string>;
+  /** Time in ms after which the caller leaves. */
+  timeoutMs?: number;
+}
+
+/** Sends calls to nodes and compares each answer with its request. */
+export class Caller {
+  readonly calls: CallRecord[] = [];
+  private readonly agent: Agent;
+
+  /** `connections` is the largest number of connections to one node. */
+  constructor(connections = DEFAULT_CONNECTIONS) {
+    this.agent = new Agent({connections, pipelining: 1});
+  }
+
+  /** Sends one call to the node at `url`; never rejects. */
+  async call(url: string, order: CallOrder): Promise<CallRecord> {
+    const requestId = randomUUID();
+    const startedMs = performance.now();
+    const told = await this.send(url, order, requestId);
+    const record: CallRecord = {
+      requestId,
+      method: order.method,
+      path: order.path,
+      once: order.once ?? false,
+      idempotencyKey: order.idempotencyKey ?? '',
+      latencyMs: performance.now() - startedMs,
+      ...told,
+    };
+    this.calls.push(record);
+    return record;
+  }
+
+  async close(): Promise<void> {
+    await this.agent.destroy();
+  }
+
+  private async send(
+    url: string,
+    order: CallOrder,
+    requestId: string,
+  ): Promise<Told> {
+    const hasBody = order.method === 'POST' || order.method === 'PUT';
+    const body = hasBody ? bodyOf(requestId) : '';
+    try {
+      const res = await request(`${url}${order.path}`, {
+        method: order.method,
+        headers: headersOf(order, requestId),
+        body: hasBody ? body : null,
+        dispatcher: this.agent,
+        signal: AbortSignal.timeout(order.timeoutMs ?? DEFAULT_TIMEOUT_MS),
+      });
+      const text = await res.body.text();
+      const header = (name: string) => String(res.headers[name] ?? '');
+      const isOwn = header('x-request-id') === requestId && text === body;
+      return {
+        verdict: verdictOf(res.statusCode, header(OUTCOME_HEADER), isOwn),
+        status: res.statusCode,
+        reason: header(REASON_HEADER),
+        servedBy: header('x-served-by'),
+      };
+    } catch (err) {
+      const reason = err instanceof Error ? err.message : String(err);
+      return {verdict: 'unknown', status: 0, reason, servedBy: ''};
+    }
+  }
+}
+
+type Told = Pick<CallRecord, 'verdict' | 'status' | 'reason' | 'servedBy'>;
+
+function headersOf(
+  order: CallOrder,
+  requestId: string,
+): Record<string, string> {
+  const headers: Record<string, string> = {
+    ...order.headers,
+    'x-request-id': requestId,
+  };
+  if (order.customer !== undefined) headers['x-customer'] = order.customer;
+  if (order.idempotencyKey !== undefined) {
+    headers['idempotency-key'] = order.idempotencyKey;
+  }
+  return headers;
+}
+
+/** A body that no other request has, of a size of its own. */
+function bodyOf(requestId: string): string {
+  const bytes = parseInt(requestId.slice(0, 4), 16) % MAX_FILLER_BYTES;
+  return `${requestId} ${randomBytes(bytes).toString('hex')}`;
+}
+
+/** A 5xx of a backend server itself leaves open whether the call has run. */
+function verdictOf(
+  status: number,
+  outcome: string,
+  isOwn: boolean,
+): CallVerdict {
+  if (outcome === 'not-run') return 'not-run';
+  if (outcome !== '' || status >= 500) return 'unknown';
+  return isOwn ? 'answered' : 'mismatched';
+}
--- /dev/null
+++ b/packages/testkit/src/caller/load.ts
@@ -0,0 +1,53 @@
+/** A steady load of calls, spread over nodes. */
+
+import type {Caller, CallOrder} from './caller.js';
+
+const TICK_MS = 10;
+
+/** Sends calls at a rate until it is stopped. */
+export class Load {
+  private timer: NodeJS.Timeout | undefined;
+  private readonly pending = new Set<Promise<unknown>>();
+  private sent = 0;
+  private startedMs = 0;
+
+  /**
+   * `urls` is asked before each call, so that nodes may come and go; calls go
+   * round them, and through `orders`, in order.
+   */
+  constructor(
+    private readonly caller: Caller,
+    private readonly urls: () => readonly string[],
+    private readonly orders: readonly CallOrder[],
+    private readonly callsPerSecond: number,
+  ) {}
+
+  start(): void {
+    this.startedMs = performance.now();
+    this.timer = setInterval(() => this.sendDue(), TICK_MS);
+  }
+
+  /** Sends no more; resolves when every call has ended. */
+  async stop(): Promise<void> {
+    clearInterval(this.timer);
+    await Promise.all(this.pending);
+  }
+
+  private sendDue(): void {
+    const elapsedMs = performance.now() - this.startedMs;
+    const due = Math.floor((elapsedMs * this.callsPerSecond) / 1000);
+    while (this.sent < due) this.sendNext();
+  }
+
+  private sendNext(): void {
+    const urls = this.urls();
+    const url = urls[this.sent % urls.length];
+    const order = this.orders[this.sent % this.orders.length];
+    this.sent += 1;
+    if (url === undefined || order === undefined) return;
+    const call = this.caller.call(url, order).finally(() => {
+      this.pending.delete(call);
+    });
+    this.pending.add(call);
+  }
+}
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -2,8 +2,25 @@
 export {
   BackendServer,
   type BackendServerOptions,
-  type RunRecord,
 } from './backend-server/backend-server.js';
+export {
+  RunLedger,
+  type RunEnd,
+  type RunRecord,
+} from './backend-server/run-ledger.js';
+export {
+  GOOD_BEHAVIOUR,
+  type HealthReport,
+  type ServerBehaviour,
+} from './backend-server/server-behaviour.js';
+export {
+  auditCalls,
+  type AuditCounts,
+  type CallRecord,
+  type CallVerdict,
+} from './caller/caller-audit.js';
+export {Caller, type CallOrder} from './caller/caller.js';
+export {Load} from './caller/load.js';
 export {
   LAUNCH_TOKEN,
   NodeProcess,
