--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -6,5 +6,6 @@
 export type {CliError} from './cli-error.js';
 export {DiskFileReader} from './disk-file-reader.js';
 export {EXITS, type ExitName} from './exit-code.js';
+export {renderTable} from './output/table.js';
 export {createProcessContext} from './process-context.js';
 export {runCli} from './run-cli.js';
--- a/packages/testkit/src/backend-server/backend-server.ts
+++ b/packages/testkit/src/backend-server/backend-server.ts
@@ -175,6 +175,7 @@
       path: req.url ?? '',
       requestId: headerOf(req, 'x-request-id'),
       server: this.name,
+      atMs: Date.now(),
     });
     if (headerOf(req, this.behaviour.poisonHeader) !== '') {
       run.end = 'cut';
--- a/packages/testkit/src/backend-server/run-ledger.ts
+++ b/packages/testkit/src/backend-server/run-ledger.ts
@@ -9,6 +9,8 @@
   path: string;
   requestId: string;
   server: string;
+  /** Time in ms since the epoch at which the run began. */
+  atMs: number;
   end: RunEnd;
 }
 
--- a/packages/testkit/src/caller/load.ts
+++ b/packages/testkit/src/caller/load.ts
@@ -13,12 +13,12 @@
 
   /**
    * `urls` is asked before each call, so that nodes may come and go; calls go
-   * round them, and through `orders`, in order.
+   * round them. `order` is given the number of the call.
    */
   constructor(
     private readonly caller: Caller,
     private readonly urls: () => readonly string[],
-    private readonly orders: readonly CallOrder[],
+    private readonly order: (call: number) => CallOrder,
     private readonly callsPerSecond: number,
   ) {}
 
@@ -42,9 +42,9 @@
   private sendNext(): void {
     const urls = this.urls();
     const url = urls[this.sent % urls.length];
-    const order = this.orders[this.sent % this.orders.length];
+    const order = this.order(this.sent);
     this.sent += 1;
-    if (url === undefined || order === undefined) return;
+    if (url === undefined) return;
     const call = this.caller.call(url, order).finally(() => {
       this.pending.delete(call);
     });
--- a/packages/testkit/src/launch/node-process.ts
+++ b/packages/testkit/src/launch/node-process.ts
@@ -22,6 +22,13 @@
 /** The token of the administration API of launched nodes. */
 export const LAUNCH_TOKEN = 'launched-node-token';
 
+/** Launched nodes that have not ended; none outlives this process. */
+const RUNNING = new Set<ChildProcess>();
+
+process.once('exit', () => {
+  for (const child of RUNNING) child.kill('SIGKILL');
+});
+
 /** One node process. */
 export class NodeProcess {
   private constructor(
@@ -39,6 +46,8 @@
     const child = spawn(process.execPath, [nodeBinary(), '--settings', file], {
       stdio: ['ignore', 'pipe', 'inherit'],
     });
+    RUNNING.add(child);
+    child.once('exit', () => RUNNING.delete(child));
     const ports = await readyPorts(child);
     return new NodeProcess(settings.nodeId, child, ports, folder);
   }
--- /dev/null
+++ b/packages/testkit/src/mesh/mesh.ts
@@ -0,0 +1,188 @@
+/** A small mesh on loopback: log stand-in, node processes, backend servers. */
+
+import {createProcessContext, runCli, type CliContext} from '@turmericmill/cli';
+import type {NodePorts, Preference} from '@turmericmill/node';
+
+import {
+  BackendServer,
+  type BackendServerOptions,
+} from '../backend-server/backend-server.js';
+import {RunLedger} from '../backend-server/run-ledger.js';
+import {
+  LAUNCH_TOKEN,
+  NodeProcess,
+  type LaunchSettings,
+} from '../launch/node-process.js';
+import {LogServer} from '../log-service/log-server.js';
+import {NodeProbe} from './node-probe.js';
+
+/** Nodes given to each other node as seeds. */
+const MAX_SEEDS = 3;
+
+/** A node of the mesh. */
+export interface MeshNodeOptions {
+  nodeId: string;
+  dataCentre: string;
+  region: string;
+  preference?: Preference;
+}
+
+/** A backend server of the mesh. */
+export type MeshServerOptions = Omit<BackendServerOptions, 'announceUrl'> & {
+  /** The node on the same host. */
+  nodeId: string;
+};
+
+/** What a command line printed, and its exit code. */
+export interface CliRun {
+  code: number;
+  out: string;
+  err: string;
+}
+
+/** Starts and ends the parts of a mesh; all of it listens on loopback. */
+export class Mesh {
+  readonly log = new LogServer();
+  /** Runs of all backend servers. */
+  readonly ledger = new RunLedger();
+  readonly nodes = new Map<string, NodeProcess>();
+  readonly servers = new Map<string, BackendServer>();
+  private readonly options = new Map<string, MeshNodeOptions>();
+  private readonly ports = new Map<string, NodePorts>();
+  private logUrl = '';
+
+  /** Starts the log stand-in. */
+  async start(): Promise<void> {
+    this.logUrl = await this.log.start();
+  }
+
+  /** Starts a node, or starts it again at the ports that it had. */
+  async startNode(options: MeshNodeOptions): Promise<NodeProcess> {
+    const {nodeId} = options;
+    const launched = await NodeProcess.launch(this.launchSettings(options));
+    this.nodes.set(nodeId, launched);
+    this.options.set(nodeId, options);
+    this.ports.set(nodeId, launched.ports);
+    return launched;
+  }
+
+  /** Starts a node that was killed or stopped before. */
+  async restartNode(nodeId: string): Promise<void> {
+    const options = this.options.get(nodeId);
+    if (!options) throw new Error(`There was no node "${nodeId}".`);
+    await this.startNode(options);
+  }
+
+  /** Shuts a node down in good order and returns its exit code. */
+  async stopNode(nodeId: string): Promise<number | null> {
+    const node = this.node(nodeId);
+    this.nodes.delete(nodeId);
+    return node.stop();
+  }
+
+  /** Ends a node without warning. */
+  async killNode(nodeId: string): Promise<void> {
+    const node = this.node(nodeId);
+    this.nodes.delete(nodeId);
+    await node.kill();
+  }
+
+  /** Stops the execution of a node; it does not notice. */
+  pauseNode(nodeId: string): void {
+    this.node(nodeId).child.kill('SIGSTOP');
+  }
+
+  resumeNode(nodeId: string): void {
+    this.node(nodeId).child.kill('SIGCONT');
+  }
+
+  async startServer(options: MeshServerOptions): Promise<BackendServer> {
+    const {nodeId, ...rest} = options;
+    const {announceUrl} = this.node(nodeId);
+    const server = new BackendServer({...rest, announceUrl}, this.ledger);
+    this.servers.set(server.name, server);
+    await server.start();
+    return server;
+  }
+
+  server(name: string): BackendServer {
+    const server = this.servers.get(name);
+    if (!server) throw new Error(`There is no server "${name}".`);
+    return server;
+  }
+
+  node(nodeId: string): NodeProcess {
+    const node = this.nodes.get(nodeId);
+    if (!node) throw new Error(`Node "${nodeId}" does not run.`);
+    return node;
+  }
+
+  /** Base URLs at which callers are served. */
+  callUrls(): string[] {
+    return [...this.nodes.values()].map(node => node.callsUrl);
+  }
+
+  /** One probe for each running node. */
+  probes(): NodeProbe[] {
+    return [...this.nodes.values()].map(
+      ({nodeId, adminUrl}) => new NodeProbe(nodeId, adminUrl, LAUNCH_TOKEN),
+    );
+  }
+
+  /** Runs a command line of the operators against this mesh. */
+  async cli(team: string, ...argv: string[]): Promise<CliRun> {
+    const out: string[] = [];
+    const err: string[] = [];
+    const context: CliContext = createProcessContext();
+    context.env = {
+      TURMERICMILL_LOG: this.logUrl,
+      TURMERICMILL_ADMIN: this.adminUrls().join(','),
+      TURMERICMILL_TOKEN: LAUNCH_TOKEN,
+      TURMERICMILL_TEAM: team,
+      TURMERICMILL_AUTHOR: 'mesh',
+    };
+    context.writer = {
+      out: line => void out.push(line),
+      err: line => void err.push(line),
+    };
+    const code = await runCli(argv, context);
+    await context.close();
+    return {code, out: out.join('\n'), err: err.join('\n')};
+  }
+
+  /** Ends everything; returns the exit codes of the nodes, by node. */
+  async close(): Promise<Record<string, number | null>> {
+    for (const node of this.nodes.values()) node.child.kill('SIGCONT');
+    const codes = await Promise.all(
+      [...this.nodes].map(
+        async ([nodeId, node]) => [nodeId, await node.stop()] as const,
+      ),
+    );
+    this.nodes.clear();
+    const servers = [...this.servers.values()];
+    await Promise.all(servers.map(server => server.stop()));
+    await this.log.stop();
+    return Object.fromEntries(codes);
+  }
+
+  private adminUrls(): string[] {
+    return [...this.nodes.values()].map(node => node.adminUrl);
+  }
+
+  private launchSettings(options: MeshNodeOptions): LaunchSettings {
+    const {logUrl} = this;
+    const others = [...this.nodes.values()].slice(0, MAX_SEEDS);
+    const seeds = others.map(node => node.meshAddress);
+    const settings = {...options, logUrl, seeds};
+    const ports = this.ports.get(options.nodeId);
+    if (!ports) return settings;
+    const at = (port: number) => ({address: '127.0.0.1', port});
+    return {
+      ...settings,
+      mesh: at(ports.mesh),
+      calls: at(ports.calls),
+      announce: at(ports.announce),
+      admin: {...at(ports.admin), token: LAUNCH_TOKEN},
+    };
+  }
+}
--- /dev/null
+++ b/packages/testkit/src/mesh/node-probe.ts
@@ -0,0 +1,41 @@
+/** Asks one node what it enforces and which servers it knows. */
+
+import type {ServerList, VersionInForce} from '@turmericmill/node';
+import {request} from 'undici';
+
+const TIMEOUT_MS = 2000;
+
+/** The administration API of one node. */
+export class NodeProbe {
+  constructor(
+    readonly nodeId: string,
+    private readonly adminUrl: string,
+    private readonly token: string,
+  ) {}
+
+  /** The version in force; undefined when the node does not answer. */
+  async version(): Promise<number | undefined> {
+    const answer = await this.get<VersionInForce>('/v1/version');
+    return answer?.version;
+  }
+
+  /** Number of ready servers known; undefined when there is no answer. */
+  async readyServers(): Promise<number | undefined> {
+    const answer = await this.get<ServerList>('/v1/servers');
+    return answer?.servers.filter(({state}) => state === 'ready').length;
+  }
+
+  private async get<T>(path: string): Promise<T | undefined> {
+    try {
+      const res = await request(`${this.adminUrl}${path}`, {
+        headers: {authorization: `Bearer ${this.token}`},
+        headersTimeout: TIMEOUT_MS,
+      });
+      if (res.statusCode === 200) return (await res.body.json()) as T;
+      await res.body.dump();
+      return undefined;
+    } catch {
+      return undefined;
+    }
+  }
+}
