Scenario language, and scenarios of the failures that operators meet

Scenario files start nodes as processes, servers, load and faults, and expect exact counts of the audit.

--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -35,3 +35,7 @@
 export {MemoryLog} from './log-service/memory-log.js';
 export {BackendProcess} from './launch/backend-process.js';
 export {cpuTimeMs, residentBytes} from './launch/cpu-time.js';
+export {Mesh, type CliRun} from './mesh/mesh.js';
+export {parseScenario} from './scenario/parse-scenario.js';
+export {ScenarioRunner} from './scenario/scenario-runner.js';
+export type {ScenarioStep} from './scenario/scenario-step.js';
--- a/packages/testkit/src/mesh/node-probe.ts
+++ b/packages/testkit/src/mesh/node-probe.ts
@@ -1,6 +1,6 @@
 /** Asks one node what it enforces and which servers it knows. */
 
-import type {ServerList, VersionInForce} from '@turmericmill/node';
+import type {FleetStatus, ServerList, VersionInForce} from '@turmericmill/node';
 import {request} from 'undici';
 
 const TIMEOUT_MS = 2000;
@@ -25,6 +25,12 @@
     return answer?.servers.filter(({state}) => state === 'ready').length;
   }
 
+  /** Number of nodes that enforce a version, as this node counts them. */
+  async nodes(): Promise<number | undefined> {
+    const answer = await this.get<FleetStatus>('/v1/status');
+    return answer?.dataCentres.reduce((sum, {nodes}) => sum + nodes, 0);
+  }
+
   private async get<T>(path: string): Promise<T | undefined> {
     try {
       const res = await request(`${this.adminUrl}${path}`, {
