Distribute configuration by relays, push trees and anti-entropy

Cause: every node read the whole log for itself, and a node that restarted during an outage of the log could have served an older version.

Change: a configuration agent decides for each node. Three relays of each data centre read the log; the others get changes along push trees that follow from the membership, and repair what they missed by anti-entropy and fetches of bounded number with full jitter. A relay lets a version into force only when two witnesses know of it, and a starting node serves only after enough of them have answered or the log was read to its end. Versions in force are summed up along the tree. The node's task only carries the effects out.

--- a/packages/distribution/src/index.ts
+++ b/packages/distribution/src/index.ts
@@ -27,3 +27,33 @@
   type Publication,
   type PublicationError,
 } from './publication.js';
+export {ConfigAgent, type ConfigAgentOptions} from './agent/config-agent.js';
+export type {ConfigEffect} from './agent/effects.js';
+export type {ConfigMessage} from './agent/message-checks.js';
+export {
+  DISTRIBUTION_TIMING,
+  type DistributionPreference,
+  type DistributionTiming,
+} from './agent/preference.js';
+export {
+  PublishDecision,
+  type PublishAction,
+  type PublishOutcome,
+  type PublishRequest,
+} from './publisher/publish-decision.js';
+export {publish, type PublishContext} from './publisher/publish.js';
+export type {LogCall, LogReply} from './relay/log-call.js';
+export {PushTree, PUSH_FANOUT} from './relay/push-tree.js';
+export {
+  encodeSnapshot,
+  SnapshotCollector,
+  type SnapshotFound,
+  type SnapshotHeader,
+} from './relay/snapshot-record.js';
+export {
+  RELAYS_PER_DATA_CENTRE,
+  Topology,
+  type ConfigPeer,
+} from './relay/topology.js';
+export type {ConfigVersion} from './replica/in-force.js';
+export type {StartState} from './replica/readiness.js';
--- /dev/null
+++ b/packages/distribution/src/relay/push-tree.ts
@@ -0,0 +1,46 @@
+/**
+ * Push trees: every node computes the same tree from the same members, with no
+ * message. Nodes whose views differ for a moment may miss a push, which
+ * anti-entropy repairs.
+ */
+
+import {hash32} from '@turmericmill/utils';
+
+/** Children of one node. */
+export const PUSH_FANOUT = 6;
+
+/** A tree over the members of one data centre. */
+export class PushTree {
+  private readonly order: readonly string[];
+  private readonly positions: ReadonlyMap<string, number>;
+
+  /** The order depends on `root`, so that trees of two roots differ. */
+  constructor(
+    readonly root: string,
+    members: readonly string[],
+    private readonly fanout = PUSH_FANOUT,
+  ) {
+    const others = members
+      .filter(member => member !== root)
+      .map(member => ({member, hash: hash32(`${root}\u0000${member}`)}))
+      .sort((a, b) => a.hash - b.hash || (a.member < b.member ? -1 : 1));
+    this.order = [root, ...others.map(({member}) => member)];
+    this.positions = new Map(
+      this.order.map((member, position) => [member, position]),
+    );
+  }
+
+  childrenOf(member: string): string[] {
+    const position = this.positions.get(member);
+    if (position === undefined) return [];
+    const first = position * this.fanout + 1;
+    return this.order.slice(first, first + this.fanout);
+  }
+
+  /** Undefined for the root and for nodes outside the tree. */
+  parentOf(member: string): string | undefined {
+    const position = this.positions.get(member);
+    if (position === undefined || position === 0) return undefined;
+    return this.order[Math.floor((position - 1) / this.fanout)];
+  }
+}
--- /dev/null
+++ b/packages/distribution/src/relay/topology.ts
@@ -0,0 +1,120 @@
+/** Roles and trees that follow from the members a node knows. */
+
+import {rendezvousTop} from '@turmericmill/utils';
+
+import {PushTree} from './push-tree.js';
+
+/** Relays of each data centre. */
+export const RELAYS_PER_DATA_CENTRE = 3;
+
+/** A node as distribution sees it. */
+export interface ConfigPeer {
+  id: string;
+  dataCentre: string;
+  region: string;
+}
+
+/** What one node concludes from one list of live members. Immutable. */
+export class Topology {
+  /** Relays of the own data centre, the first pushing first. */
+  readonly relays: readonly string[];
+  /** Other members of the own data centre. */
+  readonly neighbours: readonly string[];
+  /** Other members of the region. */
+  readonly regionPeers: readonly string[];
+  private readonly membersByDataCentre = new Map<string, string[]>();
+  private readonly regionDataCentres = new Set<string>();
+  private readonly dataCentres = new Map<string, string>();
+  private readonly trees = new Map<string, PushTree>();
+
+  constructor(
+    readonly self: ConfigPeer,
+    peers: readonly ConfigPeer[],
+  ) {
+    const others = peers.filter(peer => peer.id !== self.id);
+    for (const peer of [self, ...others]) this.add(peer);
+    this.relays = this.relaysOf(self.dataCentre);
+    this.neighbours = others
+      .filter(peer => peer.dataCentre === self.dataCentre)
+      .map(peer => peer.id);
+    this.regionPeers = others
+      .filter(peer => peer.region === self.region)
+      .map(peer => peer.id);
+  }
+
+  get isRelay(): boolean {
+    return this.relays.includes(this.self.id);
+  }
+
+  /** Position among the relays of the data centre; -1 if it is none. */
+  get rank(): number {
+    return this.relays.indexOf(this.self.id);
+  }
+
+  /** Whether the node is known. */
+  has(id: string): boolean {
+    return this.dataCentres.has(id);
+  }
+
+  /** The data centre of a known node. */
+  dataCentreOf(id: string): string | undefined {
+    return this.dataCentres.get(id);
+  }
+
+  /** Number of members of a data centre. */
+  sizeOf(dataCentre: string): number {
+    return this.membersByDataCentre.get(dataCentre)?.length ?? 0;
+  }
+
+  /** The relays of a data centre, in an order that all nodes agree on. */
+  relaysOf(dataCentre: string): string[] {
+    const members = this.membersByDataCentre.get(dataCentre) ?? [];
+    const key = `relay ${dataCentre}`;
+    return rendezvousTop(key, members, RELAYS_PER_DATA_CENTRE);
+  }
+
+  /**
+   * Nodes that are told of a version before it comes into force here: the
+   * other relays, and one relay of each other data centre of the region.
+   */
+  witnesses(): string[] {
+    const own = this.relays.filter(id => id !== this.self.id);
+    const elsewhere = [...this.regionDataCentres]
+      .filter(dataCentre => dataCentre !== this.self.dataCentre)
+      .flatMap(dataCentre => this.relaysOf(dataCentre).slice(0, 1));
+    return [...own, ...elsewhere];
+  }
+
+  /** The node at which the reports of a data centre end. */
+  reportRootOf(dataCentre: string): string | undefined {
+    return this.relaysOf(dataCentre)[0];
+  }
+
+  /** The report roots of all other known data centres. */
+  otherReportRoots(): string[] {
+    return [...this.membersByDataCentre.keys()]
+      .filter(dataCentre => dataCentre !== this.self.dataCentre)
+      .flatMap(dataCentre => this.reportRootOf(dataCentre) ?? []);
+  }
+
+  /** The push tree of the own data centre below `root`. */
+  treeOf(root: string): PushTree {
+    let tree = this.trees.get(root);
+    if (!tree) {
+      const members = this.membersByDataCentre.get(this.self.dataCentre) ?? [];
+      tree = new PushTree(root, members);
+      this.trees.set(root, tree);
+    }
+    return tree;
+  }
+
+  private add(peer: ConfigPeer): void {
+    const members = this.membersByDataCentre.get(peer.dataCentre) ?? [];
+    members.push(peer.id);
+    this.membersByDataCentre.set(peer.dataCentre, members);
+    this.dataCentres.set(peer.id, peer.dataCentre);
+    if (peer.region === this.self.region) {
+      this.regionDataCentres.add(peer.dataCentre);
+    }
+  }
+}
--- a/packages/distribution/src/replica/delta-history.ts
+++ b/packages/distribution/src/replica/delta-history.ts
@@ -23,7 +23,7 @@
     const last = this.entries.at(-1);
     if (last && delta.from > last.delta.to) this.clear();
     const bytes = writesBytes(delta.writes);
-    this.entries.push({delta, bytes});
+    this.entries.push({delta: withoutRoot(delta), bytes});
     this.bytes += bytes;
     while (this.bytes > this.maxBytes) {
       this.bytes -= this.entries.shift()?.bytes ?? 0;
@@ -60,6 +60,12 @@
   return {...last, from: first.from, writes: [...writes.values()]};
 }
 
+/** The change as it is given to a peer that asked for it. */
+function withoutRoot(delta: ConfigDelta): ConfigDelta {
+  const {from, to, digest, writes, acceptedAtMs} = delta;
+  return {from, to, digest, writes, acceptedAtMs};
+}
+
 /** The size of writes as JSON text, which bounds their size on the wire. */
 export function writesBytes(writes: readonly ResourceWrite[]): number {
   return JSON.stringify(writes).length;
--- a/packages/distribution/src/replica/fetcher.ts
+++ b/packages/distribution/src/replica/fetcher.ts
@@ -28,7 +28,11 @@
   private peer: string | undefined;
   private deadlineMs = 0;
 
-  constructor(private readonly random: RandomSource) {}
+  constructor(
+    private readonly random: RandomSource,
+    /** Spread of first tries in ms, in which a push may still arrive. */
+    private readonly spreadMs = 0,
+  ) {}
 
   /** The peer that is being fetched from. */
   get activePeer(): string | undefined {
@@ -45,7 +49,8 @@
     if (this.sources.size > MAX_SOURCES && oldest !== undefined) {
       this.sources.delete(oldest);
     }
-    if (this.peer === undefined) this.waitUntilMs ??= nowMs;
+    if (this.peer !== undefined) return;
+    this.waitUntilMs ??= nowMs + this.random.next() * this.spreadMs;
   }
 
   /** Forgets a peer that is gone. */
--- /dev/null
+++ b/packages/distribution/tests/agent/fake-log.ts
@@ -0,0 +1,75 @@
+/** A log in memory with the failures that the platform's log has. */
+
+import type {LogPage, StreamBounds} from '@turmericmill/platform';
+import {Err, Ok} from '@turmericmill/utils';
+
+import type {LogCall, LogReply} from '../../src/index.js';
+
+interface FakeStream {
+  earliest: number;
+  bodies: string[];
+}
+
+/** Answers calls at once; `FakeMesh` adds time, waits and losses. */
+export class FakeLog {
+  down = false;
+  reads = 0;
+  private readonly streams = new Map<string, FakeStream>();
+
+  streamOf(name: string): FakeStream {
+    const stream = this.streams.get(name) ?? {earliest: 0, bodies: []};
+    this.streams.set(name, stream);
+    return stream;
+  }
+
+  boundsOf(name: string): StreamBounds {
+    const {earliest, bodies} = this.streamOf(name);
+    return {earliest, next: bodies.length};
+  }
+
+  append(name: string, body: string): number {
+    return this.streamOf(name).bodies.push(body) - 1;
+  }
+
+  trim(name: string, earliest: number): void {
+    const stream = this.streamOf(name);
+    stream.earliest = Math.max(stream.earliest, earliest);
+  }
+
+  /** Whether a long poll would wait. */
+  hasNothingFor(call: LogCall): boolean {
+    if (call.call !== 'read' || call.waitMs === 0 || this.down) return false;
+    return call.from >= this.boundsOf(call.stream).next;
+  }
+
+  answer(call: LogCall): LogReply {
+    if (this.down) return Err({code: 'unavailable', message: 'down'});
+    const bounds = this.boundsOf(call.stream);
+    switch (call.call) {
+      case 'bounds':
+        return Ok(bounds);
+      case 'append':
+        return Ok(this.append(call.stream, call.body));
+      case 'read':
+        this.reads++;
+        return this.read(call.stream, call.from, call.limit, bounds);
+    }
+  }
+
+  private read(
+    name: string,
+    from: number,
+    limit: number,
+    bounds: StreamBounds,
+  ): LogReply {
+    if (from < bounds.earliest) {
+      return Err({code: 'trimmed', message: 'trimmed', bounds});
+    }
+    const {bodies} = this.streamOf(name);
+    const records = bodies
+      .slice(from, from + limit)
+      .map((body, index) => ({offset: from + index, body}));
+    const page: LogPage = {...bounds, records};
+    return Ok(page);
+  }
+}
--- a/packages/node/src/bus.ts
+++ b/packages/node/src/bus.ts
@@ -1,6 +1,6 @@
 /** Typed messages between the tasks of one node. */
 
-import type {ConfigState} from '@turmericmill/distribution';
+import type {ConfigVersion} from '@turmericmill/distribution';
 import type {RoutingTable} from '@turmericmill/routing';
 import type {
   MemberRecord,
@@ -49,7 +49,7 @@
   /** From membership: the members of this node's scope, with itself. */
   'view-changed': {members: readonly MemberRecord[]};
   /** From configuration: a version was swapped in. */
-  'config-in-force': {state: ConfigState; table: RoutingTable};
+  'config-in-force': {state: ConfigVersion; table: RoutingTable};
   /** From announce: the backend servers beside this node. */
   'local-servers': {servers: readonly LocalServer[]};
   /** From administration: start or end the drain of a local server. */
--- a/packages/node/src/fleet-versions.ts
+++ b/packages/node/src/fleet-versions.ts
@@ -1,47 +1,36 @@
-/** The versions that other nodes have reported to be in force. */
+/** The versions in force on the fleet, as the administration API shows them. */
 
-import type {DataCentreVersions} from './admin/index.js';
+import type {VersionReport} from '@turmericmill/wire';
 
-interface Reported {
-  dataCentre: string;
-  version: number;
-}
+import type {DataCentreVersions} from './admin/index.js';
 
 /** Largest number of nodes named in a list. */
 const MAX_NAMED_NODES = 20;
 
-/** Versions by node. */
-export class FleetVersions {
-  private readonly byNode = new Map<string, Reported>();
+const NO_REPORT: VersionReport = {counts: {}, laggards: []};
 
-  note(nodeId: string, dataCentre: string, version: number): void {
-    this.byNode.set(nodeId, {dataCentre, version});
-  }
+/** Reads the latest report when it is asked. */
+export class FleetVersions {
+  private read: () => VersionReport = () => NO_REPORT;
 
-  /** Forgets nodes that are no longer members. */
-  keepOnly(nodeIds: ReadonlySet<string>): void {
-    for (const nodeId of this.byNode.keys()) {
-      if (!nodeIds.has(nodeId)) this.byNode.delete(nodeId);
-    }
+  /** Sets where the report comes from. */
+  connect(read: () => VersionReport): void {
+    this.read = read;
   }
 
   byDataCentre(): DataCentreVersions[] {
-    const rows = new Map<string, DataCentreVersions>();
-    for (const {dataCentre, version} of this.byNode.values()) {
-      const row = rows.get(dataCentre) ?? {dataCentre, nodes: 0, versions: {}};
-      row.nodes += 1;
-      row.versions[version] = (row.versions[version] ?? 0) + 1;
-      rows.set(dataCentre, row);
-    }
-    return [...rows.values()].sort((a, b) =>
-      a.dataCentre < b.dataCentre ? -1 : 1,
+    const rows = Object.entries(this.read().counts).map(
+      ([dataCentre, versions]) => {
+        const counts = Object.values(versions);
+        const nodes = counts.reduce((sum, count) => sum + count, 0);
+        return {dataCentre, nodes, versions};
+      },
     );
+    return rows.sort((a, b) => (a.dataCentre < b.dataCentre ? -1 : 1));
   }
 
-  /** Some of the nodes below `version`, in order of their names. */
-  laggards(version: number): string[] {
-    const behind = [...this.byNode].filter(([, at]) => at.version < version);
-    const names = behind.map(([nodeId]) => nodeId).sort();
-    return names.slice(0, MAX_NAMED_NODES);
+  /** Some of the nodes that are behind or silent, in order of their names. */
+  laggards(): string[] {
+    return [...this.read().laggards].sort().slice(0, MAX_NAMED_NODES);
   }
 }
--- a/packages/node/src/live-node-view.ts
+++ b/packages/node/src/live-node-view.ts
@@ -88,7 +88,7 @@
       version,
       digest,
       dataCentres: fleet.byDataCentre(),
-      laggards: fleet.laggards(version),
+      laggards: fleet.laggards(),
       unreachable,
     };
   }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -67,15 +67,11 @@
     this.transport = new TransportTask(mesh, bus, clock, logger);
     this.announce = new AnnounceTask(settings.announce, bus, clock, logger);
     const fleet = new FleetVersions();
-    const identity = {nodeId, dataCentre};
-    this.config = new ConfigTask(
-      identity,
-      this.log,
-      bus,
-      fleet,
-      random,
-      logger,
-    );
+    const {preference} = settings;
+    const identity = {nodeId, dataCentre, region, preference};
+    const {log} = this;
+    const parts = {log, bus, fleet, clock, random, logger};
+    this.config = new ConfigTask(identity, parts);
     this.local = new LocalRunner(bus);
     new IncomingCalls(bus, this.local, clock);
     this.ingress = new IngressTask(
--- a/packages/node/src/tasks/config-task.ts
+++ b/packages/node/src/tasks/config-task.ts
@@ -1,13 +1,17 @@
-/** Brings each accepted version of the configuration in force. */
+/** Carries the decisions of the configuration agent out. */
 
 import {
-  emptyConfigState,
-  foldRecord,
-  type ConfigState,
+  ConfigAgent,
+  type ConfigEffect,
+  type ConfigMessage,
+  type ConfigVersion,
+  type DistributionPreference,
+  type LogCall,
+  type LogReply,
 } from '@turmericmill/distribution';
-import type {LogClient, LogRecord} from '@turmericmill/platform';
+import type {LogClient} from '@turmericmill/platform';
 import {RoutingTable} from '@turmericmill/routing';
-import type {RandomSource} from '@turmericmill/utils';
+import type {Clock, RandomSource} from '@turmericmill/utils';
 import type {MemberRecord} from '@turmericmill/wire';
 import type Logger from 'bunyan';
 
@@ -15,99 +19,159 @@
 import type {FleetVersions} from '../fleet-versions.js';
 import {Task} from '../task.js';
 
-const PAGE_RECORDS = 100;
-const LONG_POLL_MS = 10_000;
-const RETRY_BASE_MS = 100;
-const RETRY_CAP_MS = 5000;
+/** Longest time between two looks at the clock. */
+const MAX_TIMER_MS = 60_000;
 
-/** Interval in ms at which the version in force is told to all members. */
-const REPORT_INTERVAL_MS = 1000;
+/** Messages of other nodes that are handed to the agent. */
+const CONFIG_MESSAGES: readonly ConfigMessage['type'][] = [
+  'configHave',
+  'configFetch',
+  'configDelta',
+  'configSnapshotPart',
+  'configBusy',
+  'versionReport',
+  'fleetQuery',
+  'fleetReply',
+];
 
 /** Names the node whose configuration this is. */
 export interface ConfigTaskIdentity {
   nodeId: string;
   dataCentre: string;
+  region: string;
+  preference: DistributionPreference;
 }
 
-/** Tails the log's configuration stream and folds it. */
+/** What the task uses of the node. */
+export interface ConfigTaskParts {
+  log: LogClient;
+  bus: Bus;
+  fleet: FleetVersions;
+  clock: Clock;
+  random: RandomSource;
+  logger: Logger;
+}
+
+/** Owns the node's configuration, its timer and its calls to the log. */
 export class ConfigTask extends Task {
-  state: ConfigState = emptyConfigState();
-  private stopped = false;
-  private from = 0;
-  private failures = 0;
-  private members: readonly MemberRecord[] = [];
+  private readonly agent: ConfigAgent;
   private timer: NodeJS.Timeout | undefined;
+  private stopped = false;
 
   constructor(
-    private readonly identity: ConfigTaskIdentity,
-    private readonly log: LogClient,
-    private readonly bus: Bus,
-    private readonly fleet: FleetVersions,
-    private readonly random: RandomSource,
-    private readonly logger: Logger,
+    {nodeId, dataCentre, region, preference}: ConfigTaskIdentity,
+    private readonly parts: ConfigTaskParts,
   ) {
     super();
-    bus.subscribe('view-changed', ({members}) => {
-      this.members = members;
-      fleet.keepOnly(new Set(members.map(member => member.id)));
-    });
-    bus.onPeerMessage('configHave', ({body, peer}) => {
-      fleet.note(peer.nodeId, peer.dataCentre, body.version);
+    const {bus, clock, random, fleet} = parts;
+    const self = {id: nodeId, dataCentre, region};
+    const nowMs = clock.now();
+    this.agent = new ConfigAgent({self, preference, random, nowMs});
+    bus.subscribe('view-changed', ({members}) => this.onMembers(members));
+    bus.subscribe('peer-lost', ({nodeId: peer}) => {
+      this.act(now => this.agent.onPeerLost(peer, now));
     });
+    for (const type of CONFIG_MESSAGES) {
+      bus.onPeerMessage(type, ({peer, body}) => {
+        const message = {type, body} as ConfigMessage;
+        this.act(now => this.agent.onMessage(peer.nodeId, message, now));
+      });
+    }
+    fleet.connect(() => this.readFleet());
+  }
+
+  /** The version held; in force once the node is settled. */
+  get version(): ConfigVersion {
+    return this.agent.version;
   }
 
   override start(): void {
-    void this.tail();
-    this.timer = setInterval(() => this.report(), REPORT_INTERVAL_MS);
+    this.act(now => this.agent.onTimer(now));
   }
 
   override stop(): void {
     this.stopped = true;
-    clearInterval(this.timer);
+    clearTimeout(this.timer);
   }
 
-  private async tail(): Promise<void> {
-    while (!this.stopped) {
-      const options = {limit: PAGE_RECORDS, waitMs: LONG_POLL_MS};
-      const page = await this.log.read('config', this.from, options);
-      if (this.stopped) return;
-      if (page.isOk()) {
-        this.failures = 0;
-        this.fold(page.value.records);
-      } else {
-        this.logger.warn({err: page.error}, 'cannot read configuration');
-        await this.backOff();
-      }
-    }
+  private onMembers(members: readonly MemberRecord[]): void {
+    const peers = members
+      .filter(({status}) => status === 'alive' || status === 'suspect')
+      .map(({id, dataCentre, region}) => ({id, dataCentre, region}));
+    this.act(now => this.agent.onMembers(peers, now));
   }
 
-  private fold(records: readonly LogRecord[]): void {
-    const before = this.state.version;
-    for (const record of records) {
-      const {state, verdict} = foldRecord(this.state, record);
-      this.state = state;
-      this.from = record.offset + 1;
-      this.logger.info({offset: record.offset, verdict}, 'publication');
+  private readFleet() {
+    this.act(now => this.agent.queryFleet(now));
+    return this.agent.fleetReport(this.parts.clock.now());
+  }
+
+  /** Gives the agent an input and carries out what it asks for. */
+  private act(input: (nowMs: number) => ConfigEffect[]): void {
+    if (this.stopped) return;
+    for (const effect of input(this.parts.clock.now())) this.carryOut(effect);
+    this.setTimer();
+  }
+
+  private setTimer(): void {
+    clearTimeout(this.timer);
+    if (this.stopped) return;
+    const waitMs = this.agent.nextDeadlineMs() - this.parts.clock.now();
+    const boundedMs = Math.min(Math.max(waitMs, 1), MAX_TIMER_MS);
+    this.timer = setTimeout(() => {
+      this.act(now => this.agent.onTimer(now));
+    }, boundedMs);
+  }
+
+  private carryOut(effect: ConfigEffect): void {
+    const {bus, logger} = this.parts;
+    switch (effect.type) {
+      case 'send':
+        bus.publish('send-peer', {nodeId: effect.to, message: effect.message});
+        break;
+      case 'log':
+        void this.callLog(effect.callId, effect.call);
+        break;
+      case 'enforce':
+        this.enforce(effect.version);
+        break;
+      case 'settled':
+        logger.info({version: effect.version}, 'configuration settled');
+        break;
+      case 'rejected':
+        logger.info({verdict: effect.verdict}, 'publication rejected');
+        break;
+      case 'alarm':
+        logger.error({finding: effect.message}, 'configuration alarm');
     }
-    if (this.state.version === before) return;
-    const table = RoutingTable.build(this.state.resources);
-    this.bus.publish('config-in-force', {state: this.state, table});
-    this.report();
   }
 
-  private report(): void {
-    const {nodeId, dataCentre} = this.identity;
-    const {version, digest} = this.state;
-    this.fleet.note(nodeId, dataCentre, version);
-    const message = {type: 'configHave', body: {version, digest}} as const;
-    for (const {id} of this.members) {
-      if (id !== nodeId) this.bus.publish('send-peer', {nodeId: id, message});
+  private enforce(version: ConfigVersion): void {
+    const table = RoutingTable.build(version.resources);
+    this.parts.bus.publish('config-in-force', {state: version, table});
+    const {logger} = this.parts;
+    logger.info({version: version.version}, 'configuration in force');
+  }
+
+  private async callLog(callId: number, call: LogCall): Promise<void> {
+    const result = await this.runCall(call);
+    if (result.isErr() && result.error.code !== 'trimmed') {
+      this.parts.logger.warn({err: result.error, call: call.call}, 'log call');
     }
+    this.act(now => this.agent.onLogResult(callId, result, now));
   }
 
-  private async backOff(): Promise<void> {
-    const ms = this.random.jitter(RETRY_BASE_MS, this.failures, RETRY_CAP_MS);
-    this.failures += 1;
-    await new Promise(resolve => setTimeout(resolve, ms));
+  private runCall(call: LogCall): Promise<LogReply> {
+    const {log} = this.parts;
+    switch (call.call) {
+      case 'bounds':
+        return log.bounds(call.stream);
+      case 'append':
+        return log.append(call.stream, call.body);
+      case 'read': {
+        const {stream, from, limit, waitMs} = call;
+        return log.read(stream, from, {limit, waitMs});
+      }
+    }
   }
 }
--- a/packages/wire/src/message-table.ts
+++ b/packages/wire/src/message-table.ts
@@ -27,6 +27,8 @@
   configSnapshotPart: configuration.ConfigSnapshotPart;
   configBusy: configuration.ConfigBusy;
   versionReport: configuration.VersionReport;
+  fleetQuery: configuration.FleetQuery;
+  fleetReply: configuration.VersionReport;
   callStart: calls.CallStart;
   callData: calls.CallData;
   callWindow: calls.CallWindow;
@@ -62,6 +64,8 @@
   configSnapshotPart: 23,
   configBusy: 24,
   versionReport: 25,
+  fleetQuery: 26,
+  fleetReply: 27,
   callStart: 30,
   callData: 31,
   callWindow: 32,
--- a/packages/wire/src/messages/configuration.ts
+++ b/packages/wire/src/messages/configuration.ts
@@ -6,6 +6,12 @@
 export interface ConfigHave {
   version: number;
   digest: string;
+  /** Highest version that the sender has heard of; at least `version`. */
+  known: number;
+  /** False while the sender does not know whether it may serve. */
+  settled: boolean;
+  /** Whether the receiver is to answer with its own. */
+  ask: boolean;
 }
 
 /** Asks for all changes after `have`; -1 asks for the whole set. */
@@ -24,6 +30,8 @@
   writes: ResourceWrite[];
   /** Time in ms at which the accepted record was first read from the log. */
   acceptedAtMs: number;
+  /** Root of the push tree along which to pass it on; absent for a fetch. */
+  root?: string;
 }
 
 /** One part of the whole set at `version`. */
@@ -47,3 +55,9 @@
   /** Some of the nodes that are behind, named. */
   laggards: string[];
 }
+
+/** Asks a report root for the versions in force everywhere. */
+export interface FleetQuery {
+  /** Time in ms at which it was sent; for the receiver's log alone. */
+  atMs: number;
+}
