--- a/packages/distribution/src/agent/config-agent.ts
+++ b/packages/distribution/src/agent/config-agent.ts
@@ -99,9 +99,7 @@
     const {self} = this.context.topology;
     const topology = new Topology(self, peers);
     this.context.topology = topology;
-    const group = [...new Set([...topology.relays, ...topology.witnesses()])];
-    const others = group.filter(id => id !== self.id);
-    this.readiness.setGroup(others, topology.isRelay);
+    this.readiness.setWitnesses(topology.witnesses(), topology.isRelay);
     this.reporter.keepOnly(topology);
     this.relay.onMembers(nowMs);
     return this.advance(nowMs);
--- a/packages/distribution/src/relay/relay.ts
+++ b/packages/distribution/src/relay/relay.ts
@@ -19,6 +19,7 @@
 import {PushPlan} from './push-plan.js';
 import {SnapshotWriter} from './snapshot-writer.js';
 import type {SnapshotSource} from './snapshot-writer.js';
+import type {Witnesses} from './topology.js';
 import {WitnessGate} from './witness-gate.js';
 
 /** A relay reads the log once it has been a relay for so long. */
@@ -188,7 +189,7 @@
     }
   }
 
-  private release(witnesses: readonly string[], nowMs: number): void {
+  private release(witnesses: Witnesses, nowMs: number): void {
     const {held} = this.replica;
     const candidate = this.gate.release(witnesses, held.version);
     if (!candidate) return;
--- a/packages/distribution/src/relay/topology.ts
+++ b/packages/distribution/src/relay/topology.ts
@@ -14,6 +14,14 @@
   region: string;
 }
 
+/** Nodes that know of a version before it comes into force. */
+export interface Witnesses {
+  /** The other relays of the own data centre. */
+  near: readonly string[];
+  /** One relay of each other data centre of the region. */
+  far: readonly string[];
+}
+
 /** What one node concludes from one list of live members. Immutable. */
 export class Topology {
   /** Relays of the own data centre, the first pushing first. */
@@ -73,16 +81,13 @@
     return rendezvousTop(key, members, RELAYS_PER_DATA_CENTRE);
   }
 
-  /**
-   * Nodes that are told of a version before it comes into force here: the
-   * other relays, and one relay of each other data centre of the region.
-   */
-  witnesses(): string[] {
-    const own = this.relays.filter(id => id !== this.self.id);
-    const elsewhere = [...this.regionDataCentres]
+  /** Nodes that are told of a version before it comes into force here. */
+  witnesses(): Witnesses {
+    const near = this.relays.filter(id => id !== this.self.id);
+    const far = [...this.regionDataCentres]
       .filter(dataCentre => dataCentre !== this.self.dataCentre)
       .flatMap(dataCentre => this.relaysOf(dataCentre).slice(0, 1));
-    return [...own, ...elsewhere];
+    return {near, far};
   }
 
   /** The node at which the reports of a data centre end. */
--- a/packages/distribution/src/relay/witness-gate.ts
+++ b/packages/distribution/src/relay/witness-gate.ts
@@ -7,8 +7,12 @@
 import type {ConfigDelta} from '@turmericmill/wire';
 
 import type {ConfigVersion} from '../replica/in-force.js';
+import type {Witnesses} from './topology.js';
 
-/** Nodes that have to know of a version before it comes into force. */
+/**
+ * Nodes that have to know of a version before it comes into force, one of them
+ * in another data centre.
+ */
 export const WITNESSES_NEEDED = 2;
 
 /** Time after which witnesses that did not answer are asked again. */
@@ -46,9 +50,10 @@
   }
 
   /** Forgets nodes that are gone: they may come back without memory. */
-  keepOnly(witnesses: readonly string[]): void {
+  keepOnly({near, far}: Witnesses): void {
+    const present = new Set([...near, ...far]);
     for (const peer of this.knownBy.keys()) {
-      if (!witnesses.includes(peer)) this.knownBy.delete(peer);
+      if (!present.has(peer)) this.knownBy.delete(peer);
     }
   }
 
@@ -56,33 +61,39 @@
    * Takes the version out if enough of `witnesses` know of it, or if a version
    * not below it is in force already.
    */
-  release(
-    witnesses: readonly string[],
-    inForce: number,
-  ): Candidate | undefined {
+  release(witnesses: Witnesses, inForce: number): Candidate | undefined {
     const {candidate} = this;
     if (!candidate) return undefined;
     const {version} = candidate.version;
-    const needed = Math.min(WITNESSES_NEEDED, witnesses.length);
-    const informed = witnesses.filter(peer => this.knows(peer, version));
-    if (informed.length < needed && inForce < version) return undefined;
+    if (inForce < version && !this.isWitnessed(version, witnesses)) {
+      return undefined;
+    }
     this.candidate = undefined;
     this.askAtMs = Infinity;
     return candidate;
   }
 
   /** The witnesses to ask now. */
-  poll(witnesses: readonly string[], nowMs: number): string[] {
+  poll({near, far}: Witnesses, nowMs: number): string[] {
     if (!this.candidate || nowMs < this.askAtMs) return [];
     this.askAtMs = nowMs + WITNESS_RETRY_MS;
     const {version} = this.candidate.version;
-    return witnesses.filter(peer => !this.knows(peer, version));
+    return [...near, ...far].filter(peer => !this.knows(peer, version));
   }
 
   nextDeadlineMs(): number {
     return this.askAtMs;
   }
 
+  private isWitnessed(version: number, {near, far}: Witnesses): boolean {
+    const nearCount = near.filter(peer => this.knows(peer, version)).length;
+    const farCount = far.filter(peer => this.knows(peer, version)).length;
+    const needed = Math.min(WITNESSES_NEEDED, near.length + far.length);
+    return (
+      nearCount + farCount >= needed && farCount >= Math.min(1, far.length)
+    );
+  }
+
   private knows(peer: string, version: number): boolean {
     return (this.knownBy.get(peer) ?? -1) >= version;
   }
--- a/packages/distribution/src/replica/readiness.ts
+++ b/packages/distribution/src/replica/readiness.ts
@@ -11,6 +11,7 @@
   type RandomSource,
 } from '@turmericmill/utils';
 
+import type {Witnesses} from '../relay/topology.js';
 import {WITNESSES_NEEDED} from '../relay/witness-gate.js';
 
 const ASK_BASE_MS = 200;
@@ -36,7 +37,7 @@
   private state: StartState = CHART.initial;
   private readonly answers = new Map<string, number>();
   private version = -1;
-  private group: readonly string[] = [];
+  private witnesses: Witnesses = {near: [], far: []};
   private isRelay = false;
   private askAtMs: number;
   private attempt = 0;
@@ -58,14 +59,19 @@
 
   /**
    * Enough answers to meet every set of nodes that knew of a version before it
-   * came into force anywhere below the relay that read it.
+   * came into force: all witnesses of other data centres, of which one always
+   * knew, or so many of all that the others are too few.
    */
   get hasEnoughAnswers(): boolean {
-    const size = this.group.length;
+    const {near, far} = this.witnesses;
+    if (far.length > 0 && far.every(peer => this.answers.has(peer))) {
+      return true;
+    }
+    const group = [...near, ...far];
     const informed = WITNESSES_NEEDED + (this.isRelay ? 0 : 1);
-    const needed = Math.max(1, size - Math.min(size, informed) + 1);
-    const answered = this.group.filter(peer => this.answers.has(peer));
-    return size > 0 && answered.length >= needed;
+    const spare = Math.min(group.length, informed) - 1;
+    const answered = group.filter(peer => this.answers.has(peer));
+    return group.length > 0 && answered.length >= group.length - spare;
   }
 
   /** Whether no answer told of a version above the own one. */
@@ -75,8 +81,8 @@
   }
 
   /** Takes over who witnesses versions now. */
-  setGroup(group: readonly string[], isRelay: boolean): void {
-    this.group = group;
+  setWitnesses(witnesses: Witnesses, isRelay: boolean): void {
+    this.witnesses = witnesses;
     this.isRelay = isRelay;
   }
 
@@ -104,7 +110,8 @@
     this.attempt++;
     const delayMs = this.random.jitter(ASK_BASE_MS, this.attempt, ASK_CAP_MS);
     this.askAtMs = nowMs + ASK_BASE_MS + delayMs;
-    const silent = this.group.filter(peer => !this.answers.has(peer));
+    const {near, far} = this.witnesses;
+    const silent = [...near, ...far].filter(peer => !this.answers.has(peer));
     return [...new Set([...silent, ...this.random.sample(others, 2)])];
   }
 
--- a/packages/distribution/tests/agent/fake-mesh.ts
+++ b/packages/distribution/tests/agent/fake-mesh.ts
@@ -57,6 +57,8 @@
   /** Longest extra delay of a message; reorders messages. */
   spreadMs = 2;
   logDelayMs = 1;
+  /** The only node that reaches the log; undefined for all of them. */
+  logReader: string | undefined;
   messages = 0;
   private readonly preference: DistributionPreference;
   private readonly random: SeededRandom;
@@ -64,6 +66,8 @@
   private readonly peers: ConfigPeer[] = [];
   private readonly highest = new Map<string, number>();
   private events: Event[] = [];
+  private flights = 0;
+  private readonly inFlight = new Set<number>();
   private cut: (from: string, to: string) => boolean = () => false;
   private lives = 0;
   private published = 0;
@@ -149,6 +153,11 @@
     if (node) node.pausedUntilMs = this.nowMs + ms;
   }
 
+  /** Loses the messages that are under way. */
+  dropInFlight(): void {
+    this.inFlight.clear();
+  }
+
   /** Loses all messages for which `cut` holds. */
   partition(cut: (from: string, to: string) => boolean): void {
     this.cut = cut;
@@ -160,6 +169,7 @@
     this.repeats = 0;
     this.spreadMs = 2;
     this.logDelayMs = 1;
+    this.logReader = undefined;
     this.log.down = false;
   }
 
@@ -182,6 +192,24 @@
     this.nowMs = endMs;
   }
 
+  /** Runs until `condition` holds; false when it does not within `ms`. */
+  runUntil(condition: () => boolean, ms: number): boolean {
+    const endMs = this.nowMs + ms;
+    while (!condition()) {
+      if (this.nowMs >= endMs) return false;
+      this.run(1);
+    }
+    return true;
+  }
+
+  /** The different versions that settled nodes enforce. */
+  versionsInForce(): number[] {
+    const agents = this.ids.flatMap(id => this.agentOf(id) ?? []);
+    const settled = agents.filter(agent => agent.settled);
+    const versions = settled.map(agent => agent.version.version);
+    return [...new Set(versions)].sort((a, b) => a - b);
+  }
+
   /** Nodes that are not settled at the version expected. */
   laggards(): string[] {
     const {version, digest} = this.expected();
@@ -241,7 +269,10 @@
       if (this.random.next() < this.loss || this.cut(from, to)) continue;
       const delayMs = 1.5 + this.random.next() * this.spreadMs;
       const life = this.nodes.get(to)?.life ?? -1;
+      const inFlight = ++this.flights;
+      this.inFlight.add(inFlight);
       this.at(this.nowMs + delayMs, to, life, () => {
+        if (!this.inFlight.delete(inFlight)) return;
         const agent = this.nodes.get(to)?.agent;
         const body = structuredClone(message);
         const effects = agent?.onMessage(from, body, this.nowMs) ?? [];
@@ -258,7 +289,9 @@
     left: LogCall,
   ): void {
     this.at(this.nowMs + this.logDelayMs, id, life, () => {
-      if (left.call === 'read' && this.log.hasNothingFor(left)) {
+      const isReader = this.logReader === undefined || this.logReader === id;
+      const isWaiting = left.call === 'read' && this.log.hasNothingFor(left);
+      if (left.call === 'read' && (isWaiting || !isReader)) {
         const waitMs = Math.max(0, left.waitMs - LOG_POLL_MS);
         const rest = {...left, waitMs};
         this.at(this.nowMs + LOG_POLL_MS, id, life, () => {
