--- a/packages/cli/src/cli-context.ts
+++ b/packages/cli/src/cli-context.ts
@@ -2,7 +2,7 @@
 
 import type {SourceFile} from '@turmericmill/config';
 import type {LogClient} from '@turmericmill/platform';
-import type {Clock, Result} from '@turmericmill/utils';
+import type {Clock, RandomSource, Result} from '@turmericmill/utils';
 
 import type {AdminClient} from './admin/admin-client.js';
 import type {CliError} from './cli-error.js';
@@ -40,6 +40,7 @@
   files: FileReader;
   env: Readonly<Record<string, string | undefined>>;
   clock: Clock;
+  random: RandomSource;
   sleep(ms: number): Promise<void>;
   /** A name that no other publication has. */
   newId(): string;
--- a/packages/cli/src/commands/log-session.ts
+++ b/packages/cli/src/commands/log-session.ts
@@ -55,7 +55,11 @@
     const watch = await this.prepareWatch();
     if (watch.isErr()) return watch;
     const {message, ...change} = request;
-    const published = await this.publisher().publish({
+    const published = await new Publisher(
+      this.context,
+      this.client,
+      this.log,
+    ).publish({
       id: this.context.newId(),
       author: this.options.text('author') ?? DEFAULT_AUTHOR,
       ...change,
@@ -78,11 +82,6 @@
     }));
   }
 
-  private publisher(): Publisher {
-    const {client, log} = this;
-    return new Publisher({client, log, sleep: ms => this.context.sleep(ms)});
-  }
-
   /** Checks before anything is published that the wait can be carried out. */
   private async prepareWatch(): Promise<
     Result<ForceWatchParts | undefined, CliError>
--- a/packages/cli/src/log/config-log.ts
+++ b/packages/cli/src/log/config-log.ts
@@ -7,10 +7,12 @@
   type ConfigState,
   type Verdict,
 } from '@turmericmill/distribution';
-import type {LogClient, LogError, LogRecord} from '@turmericmill/platform';
+import type {LogClient, LogRecord} from '@turmericmill/platform';
 import {Err, Ok, type Result} from '@turmericmill/utils';
 
 import type {CliError} from '../cli-error.js';
+import {toCliError} from './log-errors.js';
+import {locateSnapshot} from './locate-snapshot.js';
 
 const PAGE_RECORDS = 500;
 
@@ -25,14 +27,17 @@
   verdict: Extract<Verdict, {status: 'accepted' | 'rejected'}>;
 }
 
-/** Folds the stream up to its end and keeps what each publication led to. */
+/**
+ * Folds the stream up to its end and keeps what each publication led to. When
+ * the beginning of the stream has expired, the fold starts from the newest
+ * snapshot, and what lies before it is not known.
+ */
 export class ConfigLog {
   private current = emptyConfigState();
   private readonly history: HistoryEntry[] = [];
   private readonly statesByVersion = new Map<number, ConfigState>([
     [this.current.version, this.current],
   ]);
-  private readonly appended = new Set<string>();
 
   constructor(private readonly client: LogClient) {}
 
@@ -56,31 +61,40 @@
     return this.history.find(entry => entry.id === id);
   }
 
-  /** True when record `part` of publication `id` was read. */
-  hasPart(id: string, part: number): boolean {
-    return this.appended.has(partKey(id, part));
-  }
-
   /** Reads all records up to the end of the stream. */
   async catchUp(): Promise<Result<void, CliError>> {
     for (;;) {
       const from = this.current.nextOffset;
       const options = {limit: PAGE_RECORDS, waitMs: 0};
       const page = await this.client.read('config', from, options);
-      if (page.isErr()) return Err(toCliError(page.error));
+      if (page.isErr()) {
+        const isStart = from === 0 && page.error.code === 'trimmed';
+        if (!isStart) return Err(toCliError(page.error));
+        const jumped = await this.startFromSnapshot();
+        if (jumped.isErr()) return jumped;
+        continue;
+      }
       for (const record of page.value.records) this.fold(record);
       if (this.current.nextOffset >= page.value.next) return Ok(undefined);
       if (page.value.records.length === 0) return Err(EMPTY_PAGE);
     }
   }
 
+  private async startFromSnapshot(): Promise<Result<void, CliError>> {
+    const located = await locateSnapshot(this.client);
+    if (located.isErr()) return located;
+    this.current = located.value;
+    this.statesByVersion.clear();
+    this.statesByVersion.set(this.current.version, this.current);
+    return Ok(undefined);
+  }
+
   private fold(record: LogRecord): void {
     const {state, verdict} = foldRecord(this.current, record);
     this.current = state;
     this.statesByVersion.set(state.version, state);
     const part = parsePart(record.body);
     if (!part) return;
-    this.appended.add(partKey(part.id, part.part));
     if (verdict.status !== 'accepted' && verdict.status !== 'rejected') return;
     const {id, team, author, base, message = ''} = part;
     const {offset} = record;
@@ -92,29 +106,3 @@
   exit: 'unreachable',
   message: 'The log service answered an empty page before its end.',
 };
-
-function partKey(id: string, part: number): string {
-  return `${id} ${part}`;
-}
-
-/** The error that ends a command when the log failed. */
-export function toCliError({code, message, bounds}: LogError): CliError {
-  switch (code) {
-    case 'trimmed': {
-      const earliest = bounds?.earliest ?? 'unknown';
-      return {
-        exit: 'unreachable',
-        message: `The log holds no records before offset ${earliest}.`,
-      };
-    }
-    case 'too-large':
-    case 'refused':
-      return {exit: 'refused', message: `The log refused: ${message}`};
-    case 'unavailable':
-    case 'outcome-unknown':
-      return {
-        exit: 'unreachable',
-        message: `The log service was not reached: ${message}`,
-      };
-  }
-}
--- /dev/null
+++ b/packages/cli/src/log/locate-snapshot.ts
@@ -0,0 +1,43 @@
+/** Finds the newest snapshot of the configuration in the log. */
+
+import {SnapshotLocator, type ConfigState} from '@turmericmill/distribution';
+import type {LogClient} from '@turmericmill/platform';
+import {Err, Ok, type Result} from '@turmericmill/utils';
+
+import type {CliError} from '../cli-error.js';
+import {toCliError} from './log-errors.js';
+
+/** Calls after which a search is given up. */
+const MAX_CALLS = 10_000;
+
+/** The state of the newest whole snapshot. */
+export async function locateSnapshot(
+  client: LogClient,
+): Promise<Result<ConfigState, CliError>> {
+  const locator = new SnapshotLocator();
+  for (let calls = 0; calls < MAX_CALLS; calls++) {
+    const call = locator.nextCall();
+    const reply =
+      call.call === 'read'
+        ? await client.read(call.stream, call.from, call)
+        : await client.bounds('snapshots');
+    const located = locator.take(reply);
+    if (!located) continue;
+    switch (located.outcome) {
+      case 'found':
+        return Ok(located.snapshot.state);
+      case 'failed':
+        return Err(toCliError(located.error));
+      case 'none':
+        return Err(NO_SNAPSHOT);
+    }
+  }
+  return Err(NO_SNAPSHOT);
+}
+
+const NO_SNAPSHOT: CliError = {
+  exit: 'unreachable',
+  message:
+    'The beginning of the log has expired, and the log holds no whole ' +
+    'snapshot yet. A node writes one.',
+};
--- a/packages/cli/src/log/publisher.ts
+++ b/packages/cli/src/log/publisher.ts
@@ -2,17 +2,23 @@
 
 import {
   buildPublication,
+  publish,
+  PublishDecision,
   type Publication,
+  type PublishOutcome,
   type RejectedVerdict,
 } from '@turmericmill/distribution';
 import type {LogClient} from '@turmericmill/platform';
 import {Err, Ok, type Result} from '@turmericmill/utils';
 
+import type {CliContext} from '../cli-context.js';
 import type {CliError} from '../cli-error.js';
-import {toCliError, type ConfigLog} from './config-log.js';
+import {AppendWatch} from './append-watch.js';
+import type {ConfigLog} from './config-log.js';
+import {toCliError} from './log-errors.js';
 
-const MAX_TRIES = 5;
-const RETRY_BASE_MS = 200;
+/** Time in ms after which the outcome is given up as unknown. */
+const PUBLISH_TIMEOUT_MS = 15_000;
 
 /** A publication that came into force. */
 export interface Published {
@@ -21,16 +27,13 @@
   digest: string;
 }
 
-/** What a publisher works with. */
-export interface PublisherParts {
-  client: LogClient;
-  log: ConfigLog;
-  sleep(ms: number): Promise<void>;
-}
-
 /** Publishes once, however often an answer of the log is lost. */
 export class Publisher {
-  constructor(private readonly parts: PublisherParts) {}
+  constructor(
+    private readonly context: CliContext,
+    private readonly client: LogClient,
+    private readonly log: ConfigLog,
+  ) {}
 
   async publish(
     publication: Publication,
@@ -39,85 +42,62 @@
     if (bodies.isErr()) {
       return Err({exit: 'refused', message: bodies.error.message});
     }
-    for (const [part, body] of bodies.value.entries()) {
-      const appended = await this.appendPart(publication.id, part, body);
-      if (appended.isErr()) return appended;
-    }
-    return this.learnVerdict(publication.id);
+    const {clock, random, sleep} = this.context;
+    const request = {
+      id: publication.id,
+      bodies: bodies.value,
+      state: this.log.state,
+      deadlineMs: clock.now() + PUBLISH_TIMEOUT_MS,
+    };
+    const decision = new PublishDecision(request, random);
+    const watch = new AppendWatch(this.client);
+    const outcome = await publish(decision, {log: watch, clock, wait: sleep});
+    return toPublished(outcome, watch.mayHaveEffect);
   }
+}
 
-  /**
-   * Appends one record. After a lost answer the record is looked up by its
-   * publication and number; the fold ignores it if it comes twice after all.
-   */
-  private async appendPart(
-    id: string,
-    part: number,
-    body: string,
-  ): Promise<Result<void, CliError>> {
-    const {client, log} = this.parts;
-    let mayHaveEffect = part > 0;
-    let reason = '';
-    for (let tries = 1; tries <= MAX_TRIES; tries++) {
-      const appended = await client.append('config', body);
-      if (appended.isOk()) return Ok(undefined);
-      const {code, message} = appended.error;
-      reason = message;
-      if (code === 'outcome-unknown') {
-        mayHaveEffect = true;
-        const read = await log.catchUp();
-        if (read.isOk() && log.hasPart(id, part)) return Ok(undefined);
-      } else if (code !== 'unavailable') {
-        return Err(toCliError(appended.error));
-      }
-      if (tries < MAX_TRIES) await this.backOff(tries);
+function toPublished(
+  outcome: PublishOutcome,
+  mayHaveEffect: boolean,
+): Result<Published, CliError> {
+  switch (outcome.status) {
+    case 'accepted': {
+      const {id, version, digest} = outcome;
+      return Ok({id, version, digest});
     }
-    if (mayHaveEffect) return Err(outcomeUnknown(id, reason));
-    const message = `Nothing was published: the log is unavailable: ${reason}`;
-    return Err({exit: 'unreachable', message});
-  }
-
-  private async learnVerdict(id: string): Promise<Result<Published, CliError>> {
-    const {log} = this.parts;
-    let reason = 'it is not in the log yet';
-    for (let tries = 1; tries <= MAX_TRIES; tries++) {
-      const read = await log.catchUp();
-      const entry = log.entryOf(id);
-      if (entry) return toPublished(entry.verdict);
-      if (read.isErr()) reason = read.error.message;
-      if (tries < MAX_TRIES) await this.backOff(tries);
+    case 'rejected':
+      return Err(rejection(outcome));
+    case 'refused':
+      return Err(toCliError(outcome.error));
+    case 'expired': {
+      const message = 'Not all records reached the log in time; publish again.';
+      return Err({exit: 'refused', message});
     }
-    return Err(outcomeUnknown(id, reason));
-  }
-
-  private backOff(tries: number): Promise<void> {
-    return this.parts.sleep(RETRY_BASE_MS * 2 ** (tries - 1));
+    case 'unknown':
+    case 'unreadable':
+      return Err(mayHaveEffect ? outcomeUnknown(outcome.id) : UNREACHABLE);
   }
 }
 
-function toPublished(
-  verdict:
-    | RejectedVerdict
-    | {status: 'accepted'; id: string; version: number; digest: string},
-): Result<Published, CliError> {
-  if (verdict.status === 'accepted') {
-    const {id, version, digest} = verdict;
-    return Ok({id, version, digest});
-  }
-  const {reason, keys} = verdict;
+const UNREACHABLE: CliError = {
+  exit: 'unreachable',
+  message: 'Nothing was published: the log service is not available.',
+};
+
+function rejection({reason, keys}: RejectedVerdict): CliError {
   const about = keys.length > 0 ? `: ${keys.join(', ')}` : '';
   if (reason !== 'conflict' && reason !== 'base-too-old') {
-    return Err({exit: 'refused', message: `Rejected, ${reason}${about}.`});
+    return {exit: 'refused', message: `Rejected, ${reason}${about}.`};
   }
   const message =
     `Rejected, ${reason}${about}. Another publication came first; ` +
     'see `plan`, then publish again.';
-  return Err({exit: 'conflict', message});
+  return {exit: 'conflict', message};
 }
 
-function outcomeUnknown(id: string, reason: string): CliError {
+function outcomeUnknown(id: string): CliError {
   const message =
-    `Whether publication ${id} was taken is unknown (${reason}). ` +
+    `Whether publication ${id} was taken is unknown. ` +
     'Look for its id in `history` before publishing again.';
   return {exit: 'outcome-unknown', message};
 }
--- a/packages/cli/src/process-context.ts
+++ b/packages/cli/src/process-context.ts
@@ -4,7 +4,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 
 import {HttpLogClient} from '@turmericmill/platform';
-import {SystemClock} from '@turmericmill/utils';
+import {SystemClock, SystemRandom} from '@turmericmill/utils';
 
 import {HttpAdminClient} from './admin/http-admin-client.js';
 import type {CliContext} from './cli-context.js';
@@ -25,6 +25,7 @@
     files: new DiskFileReader(),
     env: process.env,
     clock: new SystemClock(),
+    random: new SystemRandom(),
     sleep: async ms => {
       await sleep(ms);
     },
--- a/packages/cli/tests/fake-context.ts
+++ b/packages/cli/tests/fake-context.ts
@@ -1,7 +1,13 @@
 /** A context of the command line without processes, disks or sockets. */
 
 import type {SourceFile} from '@turmericmill/config';
-import {Err, ManualClock, Ok, type Result} from '@turmericmill/utils';
+import {
+  Err,
+  ManualClock,
+  Ok,
+  SeededRandom,
+  type Result,
+} from '@turmericmill/utils';
 import type {LogClient} from '@turmericmill/platform';
 
 import {
@@ -120,6 +126,7 @@
       },
       env: this.env,
       clock: this.clock,
+      random: new SeededRandom(1),
       sleep: async ms => void this.clock.advance(ms),
       newId: () => `publication-${(this.ids += 1)}`,
       openLog: target => {
--- a/packages/distribution/src/index.ts
+++ b/packages/distribution/src/index.ts
@@ -52,6 +52,7 @@
   type SnapshotFound,
   type SnapshotHeader,
 } from './relay/snapshot-record.js';
+export {SnapshotLocator, type Located} from './relay/snapshot-locator.js';
 export {
   RELAYS_PER_DATA_CENTRE,
   Topology,
