--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -39,3 +39,9 @@
 export {parseScenario} from './scenario/parse-scenario.js';
 export {ScenarioRunner} from './scenario/scenario-runner.js';
 export type {ScenarioStep} from './scenario/scenario-step.js';
+export {
+  startInProcessNode,
+  whenAll,
+  type InProcessNode,
+  type InProcessSettings,
+} from './launch/in-process-node.js';
--- a/packages/testkit/src/scenario/measure-subject.ts
+++ b/packages/testkit/src/scenario/measure-subject.ts
@@ -10,13 +10,13 @@
   calls: readonly CallRecord[];
   ledger: RunLedger;
   stepsBack: number;
-  logAppends: number;
+  configRecords: number;
 }
 
 /** The figure named by `subject`. */
 export function measureSubject(
   subject: ExpectSubject,
-  {counts, calls, ledger, stepsBack, logAppends}: ScenarioFigures,
+  {counts, calls, ledger, stepsBack, configRecords}: ScenarioFigures,
 ): number {
   switch (subject) {
     case 'answered':
@@ -35,8 +35,8 @@
       return counts.answeredWithoutRun;
     case 'steps-back':
       return stepsBack;
-    case 'log-appends':
-      return logAppends;
+    case 'config-records':
+      return configRecords;
     case 'cancelled-runs':
       return ledger.countEnded('cancelled');
     case 'p99-ms':
--- a/packages/testkit/src/scenario/scenario-grammar.ts
+++ b/packages/testkit/src/scenario/scenario-grammar.ts
@@ -41,7 +41,7 @@
   subject
     = ("answered-without-run" | "answered" | "not-run" | "unknown"
     | "mismatched" | "repeated" | "falsely-not-run" | "steps-back"
-    | "log-appends" | "cancelled-runs" | "p99-ms") ~alnum
+    | "config-records" | "cancelled-runs" | "p99-ms") ~alnum
   comparison = "is" | "at least" | "at most"
 
   value = duration | int | word
--- a/packages/testkit/src/scenario/scenario-runner.ts
+++ b/packages/testkit/src/scenario/scenario-runner.ts
@@ -225,7 +225,7 @@
       calls: this.caller.calls,
       ledger,
       stepsBack: this.watch.stepsBack.length,
-      logAppends: log.counts.appends,
+      configRecords: log.log.bounds('config').next,
     });
     if (holds(seen, comparison, bound)) return undefined;
     return `expected ${subject} ${comparison} ${bound}, was ${seen}`;
--- a/packages/testkit/src/scenario/scenario-step.ts
+++ b/packages/testkit/src/scenario/scenario-step.ts
@@ -15,7 +15,7 @@
   | 'falsely-not-run'
   | 'answered-without-run'
   | 'steps-back'
-  | 'log-appends'
+  | 'config-records'
   | 'cancelled-runs'
   | 'p99-ms';
 
