--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -77,15 +77,11 @@
     this.transport = new TransportTask(mesh, bus, clock, logger);
     this.announce = new AnnounceTask(settings.announce, bus, clock, logger);
     const fleet = new FleetVersions();
-    const identity = {nodeId, dataCentre};
-    this.config = new ConfigTask(
-      identity,
-      this.log,
-      bus,
-      fleet,
-      random,
-      logger,
-    );
+    const {preference} = settings;
+    const identity = {nodeId, dataCentre, region, preference};
+    const {log} = this;
+    const parts = {log, bus, fleet, clock, random, logger};
+    this.config = new ConfigTask(identity, parts);
     const quarantine = new QuarantineTask(nodeId, bus, clock, random, logger);
     const start = {nodeId, incarnation: this.incarnation};
     this.claims = new ClaimsTask(start, this.log, bus, clock, random);
@@ -198,7 +194,7 @@
     return new MetricsTask(metrics, nodeId, dataCentre, {
       statistics: this.ingress.statistics,
       traffic: this.transport.counts,
-      version: () => this.config.state.version,
+      version: () => this.config.version.version,
       callsInFlight: () => this.ingress.callsInFlight,
     });
   }
