Measure convergence time and control bytes of distribution alone

Cause: the fleet's convergence and the bytes that it takes had no figures.

Change: a process with transport and configuration only, which is told its members, a fleet of them, and a benchmark against nodes that poll the whole set each second. Partners of anti-entropy are few and fixed, so that a node keeps few connections. A node that is no relay any more stops reading the log after 5 s instead of 30 s.

Conclusion: nodes that once read the log alone read it on for the linger time; larger fleets are measured next.

--- a/packages/distribution/src/relay/relay.ts
+++ b/packages/distribution/src/relay/relay.ts
@@ -29,7 +29,7 @@
 export const LONE_ROLE_DELAY_MS = 1500;
 
 /** A node that is no relay any more goes on reading for so long. */
-export const ROLE_LINGER_MS = 30_000;
+export const ROLE_LINGER_MS = 5_000;
 
 /** A node that hears of no settled peer reads the log after so long. */
 const FALLBACK_MS = 10_000;
@@ -76,7 +76,7 @@
     if (topology.isRelay) {
       this.stopAtMs = Infinity;
       if (!this.follower.isRunning && this.startAtMs === Infinity) {
-        const isAlone = topology.regionPeers.length === 0;
+        const isAlone = topology.partners.length === 0;
         this.startAtMs = nowMs + (isAlone ? LONE_ROLE_DELAY_MS : ROLE_DELAY_MS);
       }
       return;
--- a/packages/distribution/src/relay/topology.ts
+++ b/packages/distribution/src/relay/topology.ts
@@ -7,6 +7,13 @@
 /** Relays of each data centre. */
 export const RELAYS_PER_DATA_CENTRE = 3;
 
+/**
+ * Partners of anti-entropy in the own data centre and beyond. They are few and
+ * stay the same, so that a node keeps few connections.
+ */
+const NEAR_PARTNERS = 4;
+const FAR_PARTNERS = 2;
+
 /** A node as distribution sees it. */
 export interface ConfigPeer {
   id: string;
@@ -28,8 +35,10 @@
   readonly relays: readonly string[];
   /** Other members of the own data centre. */
   readonly neighbours: readonly string[];
-  /** Other members of the region. */
-  readonly regionPeers: readonly string[];
+  /** Members of other data centres of the region. */
+  readonly distantPeers: readonly string[];
+  /** Partners of anti-entropy. */
+  readonly partners: readonly string[];
   private readonly membersByDataCentre = new Map<string, string[]>();
   private readonly regionDataCentres = new Set<string>();
   private readonly dataCentres = new Map<string, string>();
@@ -45,9 +54,16 @@
     this.neighbours = others
       .filter(peer => peer.dataCentre === self.dataCentre)
       .map(peer => peer.id);
-    this.regionPeers = others
-      .filter(peer => peer.region === self.region)
+    this.distantPeers = others
+      .filter(({region, dataCentre}) => {
+        return region === self.region && dataCentre !== self.dataCentre;
+      })
       .map(peer => peer.id);
+    const key = `partner ${self.id}`;
+    this.partners = [
+      ...rendezvousTop(key, this.neighbours, NEAR_PARTNERS),
+      ...rendezvousTop(key, this.distantPeers, FAR_PARTNERS),
+    ];
   }
 
   get isRelay(): boolean {
--- a/packages/distribution/src/replica/replica.ts
+++ b/packages/distribution/src/replica/replica.ts
@@ -22,9 +22,6 @@
 import type {ConfigVersion} from './in-force.js';
 import {SnapshotStaging, splitSnapshot} from './snapshot-parts.js';
 
-/** One exchange in so many goes to the whole region. */
-const REGION_EXCHANGE_EVERY = 4;
-
 /** A version that was taken over. */
 export interface Adopted {
   version: ConfigVersion;
@@ -41,7 +38,6 @@
   private readonly server: FetchServer;
   private staging: SnapshotStaging | undefined;
   private wantsWhole = false;
-  private exchanges = 0;
   private exchangeAtMs: number;
   private readonly forwarded = new Map<string, number>();
 
@@ -186,9 +182,7 @@
     const spread = 0.5 + random.next();
     this.exchangeAtMs = nowMs + timing.antiEntropyMs * spread;
     if (!settled) return;
-    const wide = ++this.exchanges % REGION_EXCHANGE_EVERY === 0;
-    const peers = wide ? topology.regionPeers : topology.neighbours;
-    const peer = random.pick(peers);
+    const peer = random.pick(topology.partners);
     if (peer !== undefined) this.tell(peer, false);
   }
 
--- /dev/null
+++ b/packages/testkit/src/bench/config-fleet.ts
@@ -0,0 +1,133 @@
+/** A log and a fleet of configuration nodes, for benchmarks. */
+
+import {makeResource} from '@turmericmill/config';
+import type {Resource, ResourceWrite} from '@turmericmill/config';
+import {buildPublication} from '@turmericmill/distribution';
+
+import type {ConfigNodeMode} from '../config-node/messages.js';
+import {ConfigNodeProcess} from '../launch/config-node-process.js';
+import {LogServer} from '../log-service/log-server.js';
+
+/** Processes started at once. */
+const LAUNCH_BATCH = 16;
+const DATA_CENTRES = ['nairobi-a', 'nairobi-b', 'nairobi-c'];
+const WAIT_STEP_MS = 20;
+
+/** Resources of one team, of about 200 bytes each. */
+export function benchResources(count: number): Resource[] {
+  const groupSpec = {maxSlots: 9, maxConnections: 130, slowStartMs: 10_000};
+  const classSpec = {priority: 'interactive' as const, weight: 1};
+  const resources: Resource[] = [
+    makeResource('bench', 'backendServerGroup', 'servers', groupSpec),
+    makeResource('bench', 'class', 'interactive', classSpec),
+  ];
+  for (let n = 0; resources.length < count; n++) {
+    resources.push(benchService(n, 800));
+    resources.push(
+      makeResource('bench', 'route', `route-${n}`, {
+        match: {pathPrefix: `/service-${n}`},
+        service: `service-${n}`,
+        class: 'interactive',
+        repetition: 'repeatable',
+      }),
+    );
+  }
+  return resources;
+}
+
+/** A service of the set, with the timeout that a change gives it. */
+export function benchService(n: number, timeoutMs: number): Resource {
+  return makeResource('bench', 'service', `service-${n}`, {
+    backendServerGroup: 'servers',
+    timeoutMs,
+    retryBudgetPercent: 10,
+  });
+}
+
+/** A running fleet. */
+export class ConfigFleet {
+  readonly log = new LogServer();
+  nodes: ConfigNodeProcess[] = [];
+  private logUrl = '';
+  private published = 0;
+  private version = -1;
+
+  constructor(private readonly mode: ConfigNodeMode) {}
+
+  /** Starts log and nodes, and puts the set into force everywhere. */
+  async start(count: number, resources: readonly Resource[]): Promise<void> {
+    this.logUrl = await this.log.start();
+    await this.launch(Array.from({length: count}, (unused, index) => index));
+    this.shareMembers();
+    const writes = resources.map(resource => ({key: resource.key, resource}));
+    this.publish(writes, resources);
+    await this.untilEnforced(this.version, 60_000);
+  }
+
+  /** Starts the nodes with these numbers; they know no members yet. */
+  async launch(numbers: readonly number[]): Promise<void> {
+    for (let start = 0; start < numbers.length; start += LAUNCH_BATCH) {
+      const batch = numbers.slice(start, start + LAUNCH_BATCH);
+      const launched = await Promise.all(
+        batch.map(number =>
+          ConfigNodeProcess.launch({
+            nodeId: `node-${number}`,
+            dataCentre: DATA_CENTRES[number % DATA_CENTRES.length] as string,
+            region: 'nairobi',
+            logUrl: this.logUrl,
+            mode: this.mode,
+          }),
+        ),
+      );
+      this.nodes.push(...launched);
+    }
+  }
+
+  /** Tells every node of all. */
+  shareMembers(): void {
+    const members = this.nodes.map(node => node.member);
+    for (const node of this.nodes) node.setMembers(members);
+  }
+
+  /**
+   * Appends a change and returns its version. For the baseline the record
+   * holds the whole set, `whole`.
+   */
+  publish(writes: ResourceWrite[], whole: readonly Resource[]): number {
+    const bodies =
+      this.mode === 'poll'
+        ? [JSON.stringify(whole)]
+        : buildPublication({
+            id: `p${++this.published}`,
+            team: 'bench',
+            author: 'bench',
+            base: this.version,
+            writes,
+          }).unwrap();
+    for (const body of bodies) {
+      this.version = this.log.log.append('config', body);
+    }
+    return this.version;
+  }
+
+  /** Waits until all nodes are at `version`; false after `timeoutMs`. */
+  async untilEnforced(version: number, timeoutMs: number): Promise<boolean> {
+    const deadlineMs = Date.now() + timeoutMs;
+    while (this.nodes.some(node => node.version < version)) {
+      if (Date.now() > deadlineMs) return false;
+      await new Promise(resolve => setTimeout(resolve, WAIT_STEP_MS));
+    }
+    return true;
+  }
+
+  /** Bytes that all nodes have sent to each other. */
+  async meshBytes(): Promise<number> {
+    const counts = await Promise.all(this.nodes.map(node => node.count()));
+    return counts.reduce((sum, count) => sum + count.controlBytesOut, 0);
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.nodes.map(node => node.kill()));
+    await this.log.stop();
+  }
+}
--- /dev/null
+++ b/packages/testkit/src/config-node/main.ts
@@ -0,0 +1,100 @@
+/**
+ * A node reduced to transport and configuration, with members that it is told,
+ * so that what distribution alone costs can be measured.
+ */
+
+import {createInterface} from 'node:readline';
+
+import {
+  Bus,
+  ConfigTask,
+  FleetVersions,
+  TransportTask,
+} from '@turmericmill/node';
+import {HttpLogClient} from '@turmericmill/platform';
+import {SystemClock, SystemRandom} from '@turmericmill/utils';
+import {MAX_PROTOCOL_VERSION, MIN_PROTOCOL_VERSION} from '@turmericmill/wire';
+import bunyan from 'bunyan';
+
+import type {
+  ConfigNodeCommand,
+  ConfigNodeLine,
+  ConfigNodeOptions,
+} from './messages.js';
+
+const POLL_INTERVAL_MS = 1000;
+
+const options = JSON.parse(process.argv[2] ?? '{}') as ConfigNodeOptions;
+const {nodeId, dataCentre, region, mode} = options;
+const clock = new SystemClock();
+const random = new SystemRandom();
+const bus = new Bus();
+const log = new HttpLogClient({urls: [options.logUrl]});
+const logger = bunyan.createLogger({
+  name: nodeId,
+  streams: [{level: 'error', stream: process.stderr}],
+});
+const hello = {
+  minVersion: MIN_PROTOCOL_VERSION,
+  maxVersion: MAX_PROTOCOL_VERSION,
+  nodeId,
+  incarnation: clock.now(),
+  dataCentre,
+  region,
+};
+const address = '127.0.0.1';
+const transport = new TransportTask(
+  {address, port: 0, hello},
+  bus,
+  clock,
+  logger,
+);
+
+function write(line: ConfigNodeLine): void {
+  process.stdout.write(`${JSON.stringify(line)}\n`);
+}
+
+function take(command: ConfigNodeCommand): void {
+  if (command.type === 'members') {
+    bus.publish('view-changed', {members: command.members});
+    return;
+  }
+  const {controlBytesOut, messagesOut} = transport.counts;
+  write({type: 'count', controlBytesOut, messagesOut});
+}
+
+/** The baseline: the newest record holds the whole set. */
+async function poll(): Promise<void> {
+  let last = 0;
+  let known = -1;
+  await new Promise(resolve => {
+    setTimeout(resolve, random.next() * POLL_INTERVAL_MS);
+  });
+  for (;;) {
+    const page = await log.read('config', last, {limit: 1000, waitMs: 0});
+    if (page.isOk()) last = Math.max(last, page.value.next - 1);
+    if (page.isOk() && page.value.records.length > 0 && last > known) {
+      known = last;
+      write({type: 'enforced', version: last, atMs: clock.now()});
+    }
+    await new Promise(resolve => setTimeout(resolve, POLL_INTERVAL_MS));
+  }
+}
+
+await transport.start();
+if (mode === 'poll') {
+  void poll();
+} else {
+  const identity = {nodeId, dataCentre, region, preference: mode};
+  const fleet = new FleetVersions();
+  const parts = {log, bus, fleet, clock, random, logger};
+  const config = new ConfigTask(identity, parts);
+  bus.subscribe('config-in-force', ({state}) => {
+    write({type: 'enforced', version: state.version, atMs: clock.now()});
+  });
+  config.start();
+}
+const lines = createInterface({input: process.stdin});
+lines.on('line', line => take(JSON.parse(line) as ConfigNodeCommand));
+lines.on('close', () => process.exit(0));
+write({type: 'ready', port: transport.port});
