--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -177,7 +177,7 @@
     return new MetricsTask(metrics, nodeId, dataCentre, {
       statistics: this.ingress.statistics,
       traffic: this.transport.counts,
-      version: () => this.config.state.version,
+      version: () => this.config.version.version,
       callsInFlight: () => this.ingress.callsInFlight,
     });
   }
