--- a/packages/testkit/src/bench/config-fleet.ts
+++ b/packages/testkit/src/bench/config-fleet.ts
@@ -58,13 +58,12 @@
   async start(count: number, resources: readonly Resource[]): Promise<void> {
     this.logUrl = await this.log.start();
     await this.launch(Array.from({length: count}, (unused, index) => index));
-    this.shareMembers();
     const writes = resources.map(resource => ({key: resource.key, resource}));
     this.publish(writes, resources);
     await this.untilEnforced(this.version, 60_000);
   }
 
-  /** Starts the nodes with these numbers; they know no members yet. */
+  /** Starts the nodes with these numbers, and tells all who is there. */
   async launch(numbers: readonly number[]): Promise<void> {
     for (let start = 0; start < numbers.length; start += LAUNCH_BATCH) {
       const batch = numbers.slice(start, start + LAUNCH_BATCH);
@@ -80,6 +79,7 @@
         ),
       );
       this.nodes.push(...launched);
+      this.shareMembers();
     }
   }
 
@@ -126,8 +126,23 @@
     return counts.reduce((sum, count) => sum + count.controlBytesOut, 0);
   }
 
+  /** Kills the nodes for which `isChosen` holds and starts them anew. */
+  async restart(isChosen: (number: number) => boolean): Promise<number[]> {
+    const chosen = this.nodes.filter(node => isChosen(numberOf(node)));
+    const numbers = chosen.map(numberOf);
+    this.nodes = this.nodes.filter(node => !chosen.includes(node));
+    await Promise.all(chosen.map(node => node.kill()));
+    await this.launch(numbers);
+    return numbers;
+  }
+
   async stop(): Promise<void> {
     await Promise.all(this.nodes.map(node => node.kill()));
     await this.log.stop();
   }
 }
+
+/** The number that a node was started with. */
+export function numberOf(node: ConfigNodeProcess): number {
+  return Number(node.options.nodeId.slice('node-'.length));
+}
--- a/packages/testkit/src/config-node/main.ts
+++ b/packages/testkit/src/config-node/main.ts
@@ -60,7 +60,16 @@
     return;
   }
   const {controlBytesOut, messagesOut} = transport.counts;
-  write({type: 'count', controlBytesOut, messagesOut});
+  const peakFetchesPerSecond = Math.max(0, ...fetchesBySecond.values());
+  write({type: 'count', controlBytesOut, messagesOut, peakFetchesPerSecond});
+}
+
+/** Fetches that arrived in each second. */
+const fetchesBySecond = new Map<number, number>();
+
+function countFetch(): void {
+  const second = Math.floor(clock.now() / 1000);
+  fetchesBySecond.set(second, (fetchesBySecond.get(second) ?? 0) + 1);
 }
 
 /** The baseline: the newest record holds the whole set. */
@@ -82,6 +91,7 @@
 }
 
 await transport.start();
+bus.onPeerMessage('configFetch', countFetch);
 if (mode === 'poll') {
   void poll();
 } else {
--- a/packages/testkit/src/config-node/messages.ts
+++ b/packages/testkit/src/config-node/messages.ts
@@ -23,4 +23,12 @@
 export type ConfigNodeLine =
   | {type: 'ready'; port: number}
   | {type: 'enforced'; version: number; atMs: number}
-  | {type: 'count'; controlBytesOut: number; messagesOut: number};
+  | ({type: 'count'} & NodeTraffic);
+
+/** What a node has done since its start. */
+export interface NodeTraffic {
+  controlBytesOut: number;
+  messagesOut: number;
+  /** Most fetches of other nodes that arrived in one second. */
+  peakFetchesPerSecond: number;
+}
--- a/packages/testkit/src/launch/config-node-process.ts
+++ b/packages/testkit/src/launch/config-node-process.ts
@@ -10,22 +10,19 @@
   ConfigNodeCommand,
   ConfigNodeLine,
   ConfigNodeOptions,
+  NodeTraffic,
 } from '../config-node/messages.js';
 
 const MAIN = fileURLToPath(new URL('../config-node/main.js', import.meta.url));
 
-/** What a node sent since its start. */
-export interface NodeTraffic {
-  controlBytesOut: number;
-  messagesOut: number;
-}
-
 /** One configuration node process. */
 export class ConfigNodeProcess {
   /** When each version came into force, in ms since the epoch. */
   readonly enforcedAtMs = new Map<number, number>();
   /** The highest version enforced; a fall would be a fault. */
   version = -1;
+  /** When the node said that it listens. */
+  readyAtMs = 0;
   /** Number of times that the version fell. */
   falls = 0;
   private port = 0;
@@ -97,6 +94,7 @@
     switch (line.type) {
       case 'ready':
         this.port = line.port;
+        this.readyAtMs = Date.now();
         break;
       case 'enforced':
         if (line.version < this.version) this.falls++;
