--- a/packages/distribution/src/agent/config-agent.ts
+++ b/packages/distribution/src/agent/config-agent.ts
@@ -49,6 +49,7 @@
   private readonly reporter: VersionReporter;
   private fleet: {report: VersionReport; expiresAtMs: number} | undefined;
   private fleetQueryAtMs = 0;
+  private knowsMembers = false;
 
   constructor({self, preference, random, nowMs}: ConfigAgentOptions) {
     const timing = DISTRIBUTION_TIMING[preference];
@@ -97,6 +98,10 @@
   /** The live members changed; `peers` may hold this node itself. */
   onMembers(peers: readonly ConfigPeer[], nowMs: number): ConfigEffect[] {
     const {self} = this.context.topology;
+    if (this.context.topology.isOf(peers) && this.knowsMembers) {
+      return this.advance(nowMs);
+    }
+    this.knowsMembers = true;
     const topology = new Topology(self, peers);
     this.context.topology = topology;
     this.readiness.setWitnesses(topology.witnesses(), topology.isRelay);
--- a/packages/distribution/src/relay/log-follower.ts
+++ b/packages/distribution/src/relay/log-follower.ts
@@ -48,8 +48,6 @@
 /** What a result of the log led to. */
 export interface FollowerProgress {
   verdicts: Verdict[];
-  /** True when the state was replaced, so that `verdicts` are not all. */
-  replaced: boolean;
   /** Findings for the operators. */
   alarms: string[];
 }
@@ -133,11 +131,7 @@
 
   /** Takes the result of the last call; that of an earlier one is ignored. */
   take(call: LogCall, result: LogReply, nowMs: number): FollowerProgress {
-    const progress: FollowerProgress = {
-      verdicts: [],
-      replaced: false,
-      alarms: [],
-    };
+    const progress: FollowerProgress = {verdicts: [], alarms: []};
     if (call !== this.pending) return progress;
     this.pending = undefined;
     if (this.mode === 'locating') this.takeSnapshot(result, nowMs, progress);
@@ -211,10 +205,7 @@
     const state =
       located.outcome === 'found' ? located.snapshot.state : undefined;
     if (state && state.nextOffset >= this.earliest) {
-      if (state.nextOffset > this.fold.nextOffset) {
-        this.fold = state;
-        progress.replaced = true;
-      }
+      if (state.nextOffset > this.fold.nextOffset) this.fold = state;
       this.waitedForGap = false;
       this.move('FOUND');
       return;
--- a/packages/distribution/src/relay/snapshot-writer.ts
+++ b/packages/distribution/src/relay/snapshot-writer.ts
@@ -68,8 +68,7 @@
   take(result: LogReply, source: SnapshotSource, nowMs: number): void {
     this.waiting = false;
     if (!this.locator) {
-      if (result.isErr()) this.bodies = [];
-      else this.bodies.shift();
+      this.takeAppend(result.isOk());
       return;
     }
     const located = this.locator.take(result);
@@ -88,6 +87,17 @@
     this.coveredAtMs = nowMs;
   }
 
+  private takeAppend(isAppended: boolean): void {
+    if (isAppended) {
+      this.bodies.shift();
+      return;
+    }
+    // Whether it is due is found out anew, from what the log holds.
+    this.bodies = [];
+    this.coveredOffset = 0;
+    this.coveredAtMs = -Infinity;
+  }
+
   private isDue(source: SnapshotSource, nowMs: number): boolean {
     const {state, earliest, isPrimary} = source;
     if (state.version < 0) return false;
--- a/packages/distribution/src/relay/topology.ts
+++ b/packages/distribution/src/relay/topology.ts
@@ -43,6 +43,8 @@
   private readonly regionDataCentres = new Set<string>();
   private readonly dataCentres = new Map<string, string>();
   private readonly trees = new Map<string, PushTree>();
+  private readonly relaysByDataCentre = new Map<string, readonly string[]>();
+  private knownWitnesses: Witnesses | undefined;
 
   constructor(
     readonly self: ConfigPeer,
@@ -85,25 +87,31 @@
     return this.dataCentres.get(id);
   }
 
-  /** Number of members of a data centre. */
-  sizeOf(dataCentre: string): number {
-    return this.membersByDataCentre.get(dataCentre)?.length ?? 0;
+  /** Whether `peers` with the node itself are the members of this topology. */
+  isOf(peers: readonly ConfigPeer[]): boolean {
+    const ids = new Set([this.self.id, ...peers.map(peer => peer.id)]);
+    if (ids.size !== this.dataCentres.size) return false;
+    return peers.every(
+      peer => this.dataCentres.get(peer.id) === peer.dataCentre,
+    );
   }
 
   /** The relays of a data centre, in an order that all nodes agree on. */
-  relaysOf(dataCentre: string): string[] {
-    const members = this.membersByDataCentre.get(dataCentre) ?? [];
-    const key = `relay ${dataCentre}`;
-    return rendezvousTop(key, members, RELAYS_PER_DATA_CENTRE);
+  relaysOf(dataCentre: string): readonly string[] {
+    let relays = this.relaysByDataCentre.get(dataCentre);
+    if (!relays) {
+      const members = this.membersByDataCentre.get(dataCentre) ?? [];
+      const key = `relay ${dataCentre}`;
+      relays = rendezvousTop(key, members, RELAYS_PER_DATA_CENTRE);
+      this.relaysByDataCentre.set(dataCentre, relays);
+    }
+    return relays;
   }
 
   /** Nodes that are told of a version before it comes into force here. */
   witnesses(): Witnesses {
-    const near = this.relays.filter(id => id !== this.self.id);
-    const far = [...this.regionDataCentres]
-      .filter(dataCentre => dataCentre !== this.self.dataCentre)
-      .flatMap(dataCentre => this.relaysOf(dataCentre).slice(0, 1));
-    return {near, far};
+    this.knownWitnesses ??= this.findWitnesses();
+    return this.knownWitnesses;
   }
 
   /** The node at which the reports of a data centre end. */
@@ -129,6 +137,14 @@
     return tree;
   }
 
+  private findWitnesses(): Witnesses {
+    const near = this.relays.filter(id => id !== this.self.id);
+    const far = [...this.regionDataCentres]
+      .filter(dataCentre => dataCentre !== this.self.dataCentre)
+      .flatMap(dataCentre => this.relaysOf(dataCentre).slice(0, 1));
+    return {near, far};
+  }
+
   private add(peer: ConfigPeer): void {
     const members = this.membersByDataCentre.get(peer.dataCentre) ?? [];
     members.push(peer.id);
--- a/packages/node/src/bus.ts
+++ b/packages/node/src/bus.ts
@@ -50,6 +50,8 @@
   'view-changed': {members: readonly MemberRecord[]};
   /** From configuration: a version was swapped in. */
   'config-in-force': {state: ConfigVersion; table: RoutingTable};
+  /** From configuration: the node knows that it may serve. */
+  'config-settled': {version: number};
   /** From announce: the backend servers beside this node. */
   'local-servers': {servers: readonly LocalServer[]};
   /** From administration: start or end the drain of a local server. */
--- a/packages/node/src/live-node-view.ts
+++ b/packages/node/src/live-node-view.ts
@@ -38,6 +38,7 @@
   private members: readonly MemberRecord[] = [];
   private localServers: readonly LocalServer[] = [];
   private inForce: VersionInForce;
+  private settled = false;
   private stopping = false;
 
   constructor(private readonly parts: LiveNodeParts) {
@@ -56,6 +57,9 @@
     bus.subscribe('local-servers', ({servers}) => {
       this.localServers = servers;
     });
+    bus.subscribe('config-settled', () => {
+      this.settled = true;
+    });
     bus.subscribe('config-in-force', ({state}) => {
       const {version, digest} = state;
       this.inForce = {nodeId, version, digest, enforcedAtMs: clock.now()};
@@ -69,7 +73,8 @@
 
   override readiness(): Readiness {
     const reasons: NotReadyReason[] = [];
-    if (this.inForce.version < 0) reasons.push('no-configuration');
+    if (!this.settled) reasons.push('log-not-read');
+    else if (this.inForce.version < 0) reasons.push('no-configuration');
     if (this.stopping) reasons.push('stopping');
     return {ready: reasons.length === 0, reasons};
   }
--- a/packages/node/src/tasks/config-task.ts
+++ b/packages/node/src/tasks/config-task.ts
@@ -136,6 +136,7 @@
         this.enforce(effect.version);
         break;
       case 'settled':
+        bus.publish('config-settled', {version: effect.version});
         logger.info({version: effect.version}, 'configuration settled');
         break;
       case 'rejected':
