Bound what new routing tables take in a burst

Change: after a table was built, the next one waits for 25 times as long, and the newest version wins. A version is reported in force only once its table was swapped in.

--- a/packages/distribution/src/agent/config-agent.ts
+++ b/packages/distribution/src/agent/config-agent.ts
@@ -61,8 +61,7 @@
       known: -1,
       emit: effect => this.effects.push(effect),
     };
-    const onAdopted = (adopted: Adopted, atMs: number) =>
-      this.onAdopted(adopted, atMs);
+    const onAdopted = (adopted: Adopted) => this.onAdopted(adopted);
     this.replica = new Replica(this.context, onAdopted, nowMs);
     const onLogRead = () => this.readiness.onLogRead();
     this.relay = new Relay(this.context, this.replica, onLogRead, nowMs);
@@ -132,6 +131,12 @@
     return this.advance(nowMs);
   }
 
+  /** The task has swapped a version in, which is reported from now on. */
+  onEnforced(version: number, nowMs: number): ConfigEffect[] {
+    this.reporter.setVersion(version, nowMs);
+    return this.advance(nowMs);
+  }
+
   /** Time passed; due at `nextDeadlineMs` at the latest. */
   onTimer(nowMs: number): ConfigEffect[] {
     return this.advance(nowMs);
@@ -212,9 +217,8 @@
     this.relay.onSettledPeer(nowMs);
   }
 
-  private onAdopted(adopted: Adopted, nowMs: number): void {
+  private onAdopted(adopted: Adopted): void {
     this.readiness.onEnforced(adopted.version.version);
-    this.reporter.setVersion(adopted.version.version, nowMs);
     if (this.context.settled) this.emitEnforce(adopted);
   }
 
@@ -248,7 +252,7 @@
 
   private report(nowMs: number): void {
     const {topology, known} = this.context;
-    const behind = known > this.replica.held.version;
+    const behind = known > this.reporter.inForce;
     const outgoing = this.reporter.poll(topology, behind, nowMs);
     if (!outgoing) return;
     const {to, report} = outgoing;
--- a/packages/distribution/src/relay/relay.ts
+++ b/packages/distribution/src/relay/relay.ts
@@ -198,7 +198,7 @@
     const merged = mergeDeltas(deltas);
     const fits = merged !== undefined && merged.from <= held.version;
     const delta = fits ? {...merged, from: held.version} : undefined;
-    this.replica.adopt(version, delta, acceptedAtMs, nowMs);
+    this.replica.adopt(version, delta, acceptedAtMs);
     for (const item of deltas) this.plan.add(item, rank, nowMs);
     this.onLogRead();
   }
--- a/packages/distribution/src/replica/replica.ts
+++ b/packages/distribution/src/replica/replica.ts
@@ -43,7 +43,7 @@
 
   constructor(
     private readonly context: AgentContext,
-    private readonly onAdopted: (adopted: Adopted, nowMs: number) => void,
+    private readonly onAdopted: (adopted: Adopted) => void,
     nowMs: number,
   ) {
     const {random, timing} = context;
@@ -62,7 +62,6 @@
     version: ConfigVersion,
     delta: ConfigDelta | undefined,
     acceptedAtMs: number,
-    nowMs: number,
   ): void {
     if (version.version <= this.current.version) return;
     this.current = version;
@@ -73,7 +72,7 @@
     noteVersion(this.context, version.version);
     this.fetcher.reached(version.version);
     const writes = delta?.writes ?? null;
-    this.onAdopted({version, writes, acceptedAtMs}, nowMs);
+    this.onAdopted({version, writes, acceptedAtMs});
   }
 
   onHave(from: string, have: ConfigHave, nowMs: number): void {
@@ -96,7 +95,7 @@
     const applied = applyDelta(this.current, delta);
     if (applied.isOk()) {
       const trimmed = {...delta, from: this.current.version};
-      this.adopt(applied.value, trimmed, delta.acceptedAtMs, nowMs);
+      this.adopt(applied.value, trimmed, delta.acceptedAtMs);
     } else if (applied.error === 'gap') {
       this.fetcher.offer(from, delta.to, nowMs);
     } else if (applied.error === 'digest-mismatch') {
@@ -143,7 +142,7 @@
     this.staging = undefined;
     const whole = wholeVersion(part.version, part.digest, writes);
     if (whole.isOk()) {
-      this.adopt(whole.value, undefined, nowMs, nowMs);
+      this.adopt(whole.value, undefined, nowMs);
       return;
     }
     this.alarm(`whole set of version ${part.version} from ${from} is damaged`);
--- a/packages/distribution/src/report/version-reporter.ts
+++ b/packages/distribution/src/report/version-reporter.ts
@@ -39,6 +39,11 @@
     this.dueMs = nowMs + timing.reportMs;
   }
 
+  /** The own version, as it is reported. */
+  get inForce(): number {
+    return this.version;
+  }
+
   /** Notes the own version. */
   setVersion(version: number, nowMs: number): void {
     if (version !== this.version) this.soon(nowMs);
--- a/packages/node/src/tasks/config-task.ts
+++ b/packages/node/src/tasks/config-task.ts
@@ -22,6 +22,12 @@
 /** Longest time between two looks at the clock. */
 const MAX_TIMER_MS = 60_000;
 
+/**
+ * After a table was built, none is built for so many times as long, so that a
+ * burst of changes to a large set takes a bounded share of the processor.
+ */
+const TABLE_REST_FACTOR = 25;
+
 /** Messages of other nodes that are handed to the agent. */
 const CONFIG_MESSAGES: readonly ConfigMessage['type'][] = [
   'configHave',
@@ -57,6 +63,9 @@
   private readonly agent: ConfigAgent;
   private timer: NodeJS.Timeout | undefined;
   private stopped = false;
+  private latest: ConfigVersion | undefined;
+  private tableTimer: NodeJS.Timeout | undefined;
+  private nextTableAtMs = 0;
 
   constructor(
     {nodeId, dataCentre, region, preference}: ConfigTaskIdentity,
@@ -92,6 +101,7 @@
   override stop(): void {
     this.stopped = true;
     clearTimeout(this.timer);
+    clearTimeout(this.tableTimer);
   }
 
   private onMembers(members: readonly MemberRecord[]): void {
@@ -147,11 +157,27 @@
     }
   }
 
+  /** Swaps the table in at once, or when enough time has passed. */
   private enforce(version: ConfigVersion): void {
-    const table = RoutingTable.build(version.resources);
-    this.parts.bus.publish('config-in-force', {state: version, table});
-    const {logger} = this.parts;
-    logger.info({version: version.version}, 'configuration in force');
+    this.latest = version;
+    if (this.tableTimer) return;
+    const waitMs = this.nextTableAtMs - this.parts.clock.now();
+    if (waitMs <= 0) this.swapTable();
+    else this.tableTimer = setTimeout(() => this.swapTable(), waitMs);
+  }
+
+  private swapTable(): void {
+    this.tableTimer = undefined;
+    const state = this.latest;
+    if (!state || this.stopped) return;
+    const {bus, logger, clock} = this.parts;
+    const startMs = performance.now();
+    const table = RoutingTable.build(state.resources);
+    const buildMs = performance.now() - startMs;
+    this.nextTableAtMs = clock.now() + buildMs * TABLE_REST_FACTOR;
+    bus.publish('config-in-force', {state, table});
+    logger.info({version: state.version}, 'configuration in force');
+    this.act(now => this.agent.onEnforced(state.version, now));
   }
 
   private async callLog(callId: number, call: LogCall): Promise<void> {
