--- a/packages/distribution/src/replica/replica.ts
+++ b/packages/distribution/src/replica/replica.ts
@@ -22,9 +22,6 @@
 import type {ConfigVersion} from './in-force.js';
 import {SnapshotStaging, splitSnapshot} from './snapshot-parts.js';
 
-/** One exchange in so many goes to the whole region. */
-const REGION_EXCHANGE_EVERY = 4;
-
 /** A version that was taken over. */
 export interface Adopted {
   version: ConfigVersion;
@@ -41,13 +38,12 @@
   private readonly server: FetchServer;
   private staging: SnapshotStaging | undefined;
   private wantsWhole = false;
-  private exchanges = 0;
   private exchangeAtMs: number;
   private readonly forwarded = new Map<string, number>();
 
   constructor(
     private readonly context: AgentContext,
-    private readonly onAdopted: (adopted: Adopted, nowMs: number) => void,
+    private readonly onAdopted: (adopted: Adopted) => void,
     nowMs: number,
   ) {
     const {random, timing} = context;
@@ -66,7 +62,6 @@
     version: ConfigVersion,
     delta: ConfigDelta | undefined,
     acceptedAtMs: number,
-    nowMs: number,
   ): void {
     if (version.version <= this.current.version) return;
     this.current = version;
@@ -77,7 +72,7 @@
     noteVersion(this.context, version.version);
     this.fetcher.reached(version.version);
     const writes = delta?.writes ?? null;
-    this.onAdopted({version, writes, acceptedAtMs}, nowMs);
+    this.onAdopted({version, writes, acceptedAtMs});
   }
 
   onHave(from: string, have: ConfigHave, nowMs: number): void {
@@ -100,7 +95,7 @@
     const applied = applyDelta(this.current, delta);
     if (applied.isOk()) {
       const trimmed = {...delta, from: this.current.version};
-      this.adopt(applied.value, trimmed, delta.acceptedAtMs, nowMs);
+      this.adopt(applied.value, trimmed, delta.acceptedAtMs);
     } else if (applied.error === 'gap') {
       this.fetcher.offer(from, delta.to, nowMs);
     } else if (applied.error === 'digest-mismatch') {
@@ -147,7 +142,7 @@
     this.staging = undefined;
     const whole = wholeVersion(part.version, part.digest, writes);
     if (whole.isOk()) {
-      this.adopt(whole.value, undefined, nowMs, nowMs);
+      this.adopt(whole.value, undefined, nowMs);
       return;
     }
     this.alarm(`whole set of version ${part.version} from ${from} is damaged`);
@@ -186,9 +181,7 @@
     const spread = 0.5 + random.next();
     this.exchangeAtMs = nowMs + timing.antiEntropyMs * spread;
     if (!settled) return;
-    const wide = ++this.exchanges % REGION_EXCHANGE_EVERY === 0;
-    const peers = wide ? topology.regionPeers : topology.neighbours;
-    const peer = random.pick(peers);
+    const peer = random.pick(topology.partners);
     if (peer !== undefined) this.tell(peer, false);
   }
 
