--- a/packages/distribution/src/agent/config-agent.ts
+++ b/packages/distribution/src/agent/config-agent.ts
@@ -214,8 +214,7 @@
 
   private onAdopted(adopted: Adopted, nowMs: number): void {
     this.readiness.onEnforced(adopted.version.version);
-    this.reporter.setVersion(adopted.version.version, nowMs);
-    if (this.context.settled) this.emitEnforce(adopted);
+    if (this.context.settled) this.enforce(adopted, nowMs);
   }
 
   /** Gives every part the time to act, and returns what they ask for. */
@@ -243,7 +242,7 @@
     const version = this.replica.held;
     this.context.emit({type: 'settled', version: version.version});
     if (version.version < 0) return;
-    this.emitEnforce({version, writes: null, acceptedAtMs: nowMs});
+    this.enforce({version, writes: null, acceptedAtMs: nowMs}, nowMs);
   }
 
   private report(nowMs: number): void {
@@ -255,7 +254,12 @@
     sendAll(this.context, to, {type: 'versionReport', body: report});
   }
 
-  private emitEnforce({version, writes, acceptedAtMs}: Adopted): void {
+  /** Only what is enforced is reported: a version held is not in force. */
+  private enforce(
+    {version, writes, acceptedAtMs}: Adopted,
+    nowMs: number,
+  ): void {
+    this.reporter.setVersion(version.version, nowMs);
     this.context.emit({type: 'enforce', version, writes, acceptedAtMs});
   }
 }
