Demonstration: control bytes of nodes, reasons of refusals

A stand-in for the metrics service keeps the gauges that nodes send; the closing table shows control bytes by node and second, and one row for each reason for which a call was not answered.

--- a/packages/testkit/src/caller/caller.ts
+++ b/packages/testkit/src/caller/caller.ts
@@ -78,7 +78,7 @@
       return {
         verdict: verdictOf(res.statusCode, header(OUTCOME_HEADER), isOwn),
         status: res.statusCode,
-        reason: header(REASON_HEADER),
+        reason: reasonOf(header(REASON_HEADER), text),
         servedBy: header('x-served-by'),
       };
     } catch (err) {
@@ -111,6 +111,13 @@
   return `${requestId} ${randomBytes(bytes).toString('hex')}`;
 }
 
+/** The reason of a refusal by the mesh, with its detail. */
+function reasonOf(reason: string, text: string): string {
+  if (reason === '') return '';
+  const detail = /"message":"([^"]*)"/.exec(text)?.[1] ?? '';
+  return `${reason}: ${detail}`;
+}
+
 /** A 5xx of a backend server itself leaves open whether the call has run. */
 function verdictOf(
   status: number,
--- a/packages/testkit/src/demo/demo-rows.ts
+++ b/packages/testkit/src/demo/demo-rows.ts
@@ -50,6 +50,18 @@
   ];
 }
 
+/** Rows about control bytes; the nodes send their last figures as they end. */
+export function controlRows(mesh: Mesh, upMs: number): TableRow[] {
+  const sent = [...mesh.metricOf('control.bytes_out').values()];
+  const total = sent.reduce((sum, bytes) => sum + bytes, 0);
+  const perNode = sent.length === 0 ? 0 : total / sent.length;
+  const perSecond = (perNode * 1000) / upMs;
+  return [
+    figure('control bytes sent between nodes', total),
+    figure('control bytes sent by a node in 1 s', perSecond.toFixed(0)),
+  ];
+}
+
 /** Rows about calls, audited against the runs at the backend servers. */
 export function callRows(
   calls: readonly CallRecord[],
@@ -63,6 +75,7 @@
     figure('calls sent', counts.calls),
     check('calls answered', counts.answered, 'all', isAll),
     checkCount('calls refused, not run', counts.notRun, 0),
+    ...reasonRows(calls),
     checkCount('calls with unknown outcome', counts.unknown, 0),
     checkCount('answers of another request', counts.mismatched, 0),
     checkCount('answers without a run', counts.answeredWithoutRun, 0),
@@ -74,6 +87,17 @@
   ];
 }
 
+/** One row for each reason of calls that were not answered. */
+function reasonRows(calls: readonly CallRecord[]): TableRow[] {
+  const counts = new Map<string, number>();
+  for (const {verdict, status, reason, method, path} of calls) {
+    if (verdict === 'answered') continue;
+    const subject = `  ${status} ${reason}, ${method} ${path}`;
+    counts.set(subject, (counts.get(subject) ?? 0) + 1);
+  }
+  return [...counts].map(([subject, count]) => figure(subject, count));
+}
+
 function countRunsWhileDrained(
   ledger: RunLedger,
   {server, startMs, endMs}: DrainPeriod,
--- a/packages/testkit/src/demo/demo.ts
+++ b/packages/testkit/src/demo/demo.ts
@@ -12,7 +12,12 @@
 import {waitUntil} from '../mesh/wait-until.js';
 import {checkCount, type TableRow} from './closing-table.js';
 import {demoOrder} from './demo-calls.js';
-import {callRows, configRows, DRAIN_TARGET_MS} from './demo-rows.js';
+import {
+  callRows,
+  configRows,
+  controlRows,
+  DRAIN_TARGET_MS,
+} from './demo-rows.js';
 
 const FILES = fileURLToPath(
   new URL('../../../../../examples/nyota/files/', import.meta.url),
@@ -35,6 +40,7 @@
   private readonly watch = new VersionWatch(this.mesh);
   private readonly rows: TableRow[] = [];
   private readonly convergenceMs: number[] = [];
+  private readonly startedMs = performance.now();
   private files = '';
   private readonly drain = {server: DRAINED_SERVER, startMs: 0, endMs: 0};
 
@@ -162,6 +168,9 @@
     await this.caller.close();
     const codes = await this.mesh.close();
     const failed = Object.values(codes).filter(code => code !== 0).length;
+    this.rows.push(
+      ...controlRows(this.mesh, performance.now() - this.startedMs),
+    );
     this.rows.push(checkCount('nodes that did not end with 0', failed, 0));
     await rm(this.files, {recursive: true, force: true});
   }
--- a/packages/testkit/src/index.ts
+++ b/packages/testkit/src/index.ts
@@ -45,3 +45,4 @@
   type InProcessNode,
   type InProcessSettings,
 } from './launch/in-process-node.js';
+export {MetricsService} from './metrics-service/metrics-service.js';
--- a/packages/testkit/src/mesh/mesh.ts
+++ b/packages/testkit/src/mesh/mesh.ts
@@ -14,11 +14,15 @@
   type LaunchSettings,
 } from '../launch/node-process.js';
 import {LogServer} from '../log-service/log-server.js';
+import {MetricsService} from '../metrics-service/metrics-service.js';
 import {NodeProbe} from './node-probe.js';
 
 /** Nodes given to each other node as seeds. */
 const MAX_SEEDS = 3;
 
+/** Begins the name of each metric of the nodes. */
+const METRICS_PREFIX = 'mesh.';
+
 /** A node of the mesh. */
 export interface MeshNodeOptions {
   nodeId: string;
@@ -43,6 +47,7 @@
 /** Starts and ends the parts of a mesh; all of it listens on loopback. */
 export class Mesh {
   readonly log = new LogServer();
+  readonly metrics = new MetricsService();
   /** Runs of all backend servers. */
   readonly ledger = new RunLedger();
   readonly nodes = new Map<string, NodeProcess>();
@@ -50,10 +55,12 @@
   private readonly options = new Map<string, MeshNodeOptions>();
   private readonly ports = new Map<string, NodePorts>();
   private logUrl = '';
+  private metricsPort = 0;
 
-  /** Starts the log stand-in. */
+  /** Starts the stand-ins of the platform. */
   async start(): Promise<void> {
     this.logUrl = await this.log.start();
+    this.metricsPort = await this.metrics.start();
   }
 
   /** Starts a node, or starts it again at the ports that it had. */
@@ -117,6 +124,11 @@
     return node;
   }
 
+  /** The newest value of a metric at each node. */
+  metricOf(name: string): ReadonlyMap<string, number> {
+    return this.metrics.valuesOf(`${METRICS_PREFIX}${name}`);
+  }
+
   /** Base URLs at which callers are served. */
   callUrls(): string[] {
     return [...this.nodes.values()].map(node => node.callsUrl);
@@ -162,6 +174,7 @@
     const servers = [...this.servers.values()];
     await Promise.all(servers.map(server => server.stop()));
     await this.log.stop();
+    await this.metrics.stop();
     return Object.fromEntries(codes);
   }
 
@@ -173,7 +186,12 @@
     const {logUrl} = this;
     const others = [...this.nodes.values()].slice(0, MAX_SEEDS);
     const seeds = others.map(node => node.meshAddress);
-    const settings = {...options, logUrl, seeds};
+    const metrics = {
+      address: '127.0.0.1',
+      port: this.metricsPort,
+      prefix: METRICS_PREFIX,
+    };
+    const settings = {...options, logUrl, seeds, metrics};
     const ports = this.ports.get(options.nodeId);
     if (!ports) return settings;
     const at = (port: number) => ({address: '127.0.0.1', port});
