--- a/packages/membership/src/local-health.ts
+++ b/packages/membership/src/local-health.ts
@@ -13,10 +13,14 @@
 /** A node that has heard nobody for this time in ms may itself be cut off. */
 const SILENCE_MS = 1_000;
 
+/** Loss of trust by a failed probe during which nobody was heard. */
+const SILENCE_WEIGHT = 2;
+
 export class LocalHealth {
   private score = 0;
   private lastTickMs: number | undefined;
   private lastHeardMs = 0;
+  private lastSilenceMs = 0;
 
   /** Factor by which time-outs grow; 1 when all is well. */
   get factor(): number {
@@ -59,6 +63,16 @@
     this.score = Math.max(0, this.score - 1);
   }
 
+  /**
+   * A probe that began at `startedAtMs` failed and nobody was heard meanwhile.
+   * Probes that ran side by side count once.
+   */
+  failedInSilence(startedAtMs: number, nowMs: number): void {
+    if (startedAtMs < this.lastSilenceMs) return;
+    this.lastSilenceMs = nowMs;
+    this.raise(SILENCE_WEIGHT);
+  }
+
   /** A probe failed in a way that may be this node's own fault. */
   raise(by = 1): void {
     this.score = Math.min(MAX_SCORE, this.score + by);
--- a/packages/membership/src/probe-exchange.ts
+++ b/packages/membership/src/probe-exchange.ts
@@ -26,9 +26,6 @@
 /** Members asked to probe another on this node's behalf. */
 const HELPER_COUNT = 3;
 
-/** Loss of trust by a failed probe during which nobody was heard. */
-const SILENT_FAILURE_WEIGHT = 2;
-
 export class ProbeExchange implements ProbeTargets {
   private readonly prober: Prober;
   private readonly forwarded = new ForwardedProbes();
@@ -134,7 +131,7 @@
     const trusted =
       this.health.exhausted || this.health.heardSince(startedAtMs);
     if (!trusted) {
-      this.health.raise(SILENT_FAILURE_WEIGHT);
+      this.health.failedInSilence(startedAtMs, nowMs);
       return [];
     }
     if (!this.updates.suspect(target.id, nowMs)) return [];
--- a/packages/membership/tests/failure-cases.test.ts
+++ b/packages/membership/tests/failure-cases.test.ts
@@ -154,6 +154,21 @@
       }
     },
   },
+  {
+    name: 'a node that hears nobody keeps all members for a while',
+    members: 12,
+    check: (fabric, nodes) => {
+      const lone = nodes[4]!;
+      const {id} = lone.identity;
+      fabric.losses.add((from, to) => from.id === id || to.id === id);
+      fabric.run(4_000);
+      const seen = lone.membership.view.aliveMembers();
+      expect(seen).to.have.length.at.least(nodes.length - 2);
+      expect(condemnedBy([lone])).to.equal(0);
+      fabric.run(60_000);
+      expect(lone.membership.view.aliveMembers()).to.have.length(1);
+    },
+  },
   {
     name: 'a node whose connections go silent leaves, and returns with them',
     members: 50,
--- a/packages/testkit/src/bench/membership-bench.ts
+++ b/packages/testkit/src/bench/membership-bench.ts
@@ -1,7 +1,9 @@
 /** Detection, false suspicions and cost of membership, as processes. */
 
+import {readFileSync} from 'node:fs';
 import {setTimeout as sleep} from 'node:timers/promises';
 
+import {writeSlopes} from '../capacity/slopes.js';
 import {AgentFleet} from '../membership/agent-fleet.js';
 import type {AgentReport} from '../membership/agent-protocol.js';
 import {
@@ -10,11 +12,17 @@
   numbersOption,
   type BenchOptions,
 } from './bench.js';
+import {measureDecision} from '../membership/decision-cost.js';
 import {
-  measureDecision,
-  type DecisionCost,
-} from '../membership/decision-cost.js';
-
+  slopesOf,
+  type DrainFigures,
+  type FleetFigures,
+  type HerdFigures,
+  type MembershipResult,
+  type Times,
+} from '../membership/membership-result.js';
+
+const COMMAND = 'npm run bench -- membership';
 const DEATHS = 5;
 const DRAINS = 5;
 const JOIN_LIMIT_MS = 60_000;
@@ -23,16 +31,23 @@
 /** Time in ms for which a fleet settles between measurements. */
 const SETTLE_MS = 12_000;
 
-/** Times in ms; null where it did not happen within the limit. */
-interface Times {
-  worst: number | null;
-  all: (number | null)[];
-}
-
 class MembershipBench extends Bench {
   override readonly summary = 'Detection time and cost of membership';
 
-  override async run(options: BenchOptions): Promise<object> {
+  /**
+   * Measures, or reads the result of an earlier run from the file `--result`;
+   * writes slopes into the file `--slopes`.
+   */
+  override async run(options: BenchOptions): Promise<MembershipResult> {
+    const {result: resultFile, slopes: slopesFile} = options;
+    const result = resultFile
+      ? (JSON.parse(readFileSync(resultFile, 'utf8')) as MembershipResult)
+      : await this.measure(options);
+    if (slopesFile) writeSlopes(slopesFile, COMMAND, slopesOf(result));
+    return result;
+  }
+
+  private async measure(options: BenchOptions): Promise<MembershipResult> {
     const sizes = numbersOption(options, 'nodes', [12, 50, 100, 200]);
     const seconds = numberOption(options, 'seconds', 20);
     const decisionSizes = numbersOption(
@@ -40,9 +55,9 @@
       'members',
       [200, 500, 1000, 2083],
     );
-    const rows = [];
+    const rows: FleetFigures[] = [];
     for (const nodes of sizes) rows.push(await measureFleet(nodes, seconds));
-    const decision: DecisionCost[] = decisionSizes.map(measureDecision);
+    const decision = decisionSizes.map(measureDecision);
     return {
       bench: 'membership',
       targets: {deadMs: 3000, drainedMs: 2000, bytesPerSecond: 3000},
@@ -52,7 +67,10 @@
   }
 }
 
-async function measureFleet(nodes: number, seconds: number): Promise<object> {
+async function measureFleet(
+  nodes: number,
+  seconds: number,
+): Promise<FleetFigures> {
   const fleet = new AgentFleet();
   try {
     await fleet.launch(nodes);
@@ -81,7 +99,7 @@
 }
 
 /** Drains one server after the other; counts the bytes of each change. */
-async function measureDrains(fleet: AgentFleet): Promise<object> {
+async function measureDrains(fleet: AgentFleet): Promise<DrainFigures> {
   const all: (number | null)[] = [];
   const usage = await fleet.usageDuring(async () => {
     for (const agent of fleet.agents.slice(0, DRAINS)) {
@@ -112,7 +130,7 @@
 }
 
 /** Kills a third at once and starts as many again. */
-async function measureHerd(fleet: AgentFleet): Promise<object> {
+async function measureHerd(fleet: AgentFleet): Promise<HerdFigures> {
   const herd = fleet.agents.slice(-Math.floor(fleet.size / 3));
   const before = sum(await fleet.reports(), 'condemned');
   await fleet.kill(herd);
--- /dev/null
+++ b/packages/testkit/src/capacity/exact-sizes.ts
@@ -0,0 +1,77 @@
+/** Sizes of messages at the design size, counted by encoding them. */
+
+import {
+  encodeFrame,
+  encodeMessage,
+  packMember,
+  type MemberRecord,
+  type RegionSummary,
+} from '@turmericmill/wire';
+
+import {DERIVED, DESIGN_SIZE} from './design-size.js';
+
+const TCP_HEADER_BYTES = 40;
+const EPOCH_MS = 1_700_000_000_000;
+const GATEWAYS = 3;
+
+const GATEWAY: MemberRecord = {
+  id: 'nairobi-a-host-0017',
+  incarnation: EPOCH_MS,
+  status: 'alive',
+  address: '10.11.12.13',
+  port: 7000,
+  dataCentre: 'nairobi-a',
+  region: 'nairobi',
+  servers: [],
+  revision: 7,
+};
+
+/** Bytes of a region's summary with the slots of `groups` groups. */
+export function summaryBytes(groups: number): number {
+  const slots: Record<string, number> = {};
+  for (let group = 0; group < groups; group += 1) {
+    slots[`team-${group % 100}/service-${group}`] = 240;
+  }
+  const summary: RegionSummary = {
+    region: GATEWAY.region,
+    atMs: EPOCH_MS,
+    members: DERIVED.membersPerRegion,
+    slots,
+    gateways: Array.from({length: GATEWAYS}, () => GATEWAY),
+  };
+  const body = {
+    sender: packMember(GATEWAY),
+    reply: true,
+    buckets: new Uint8Array(),
+    members: [],
+    regions: [summary],
+  };
+  return encodeFrame({type: 'memberSync', body}).length;
+}
+
+/** Bytes of one summary as it spreads within a region. */
+export function spreadSummaryBytes(): number {
+  const summary: RegionSummary = {
+    region: GATEWAY.region,
+    atMs: EPOCH_MS,
+    members: DERIVED.membersPerRegion,
+    slots: {},
+    gateways: Array.from({length: GATEWAYS}, () => GATEWAY),
+  };
+  const body = {from: GATEWAY.id, updates: [], regions: [summary]};
+  return encodeMessage({type: 'memberGossip', body}).length;
+}
+
+/**
+ * Bytes sent by one end of an idle connection in a second: its own heartbeat
+ * and the answer to the other's, with a TCP header each.
+ */
+export function heartbeatBytesPerSecond(): number {
+  const body = {nonce: 100_000};
+  const ping = encodeFrame({type: 'ping', body}).length;
+  const pong = encodeFrame({type: 'pong', body}).length;
+  return ping + pong + 2 * TCP_HEADER_BYTES;
+}
+
+/** Slots by group that all regions together tell one gateway. */
+export const GROUPS_PER_REGION = DESIGN_SIZE.services;
--- /dev/null
+++ b/packages/testkit/src/capacity/slopes.ts
@@ -0,0 +1,94 @@
+/** Measured slopes: written by benchmarks, read by the capacity page. */
+
+import {existsSync, readFileSync, writeFileSync} from 'node:fs';
+
+/** Names of all slopes that the page makes use of. */
+export type SlopeName =
+  /** Bytes that a node sends in a quiet second: base, and for each member. */
+  | 'membership.quietBytesBase'
+  | 'membership.quietBytesPerMember'
+  /** Bytes that each node sends for one change of one member. */
+  | 'membership.bytesPerChange'
+  /** Processor time in ms of a quiet second of the whole agent process. */
+  | 'membership.agentCpuMsPerSecond'
+  /** Processor time in ms of a quiet second of the decision at 2,083. */
+  | 'membership.decisionCpuMsPerSecond'
+  | 'membership.heapBytesPerMember'
+  | 'membership.viewBytesPerMember'
+  /** Processor time in ms to take in the death of one member of a herd. */
+  | 'membership.herdCpuMsPerDeath'
+  /** Bytes that a node sends for one death of a herd. */
+  | 'membership.herdBytesPerDeath'
+  /** Memory in MiB of a process with the transport and membership alone. */
+  | 'membership.agentResidentMiB'
+  /** Worst time in ms until a dead host or a drain is seen by all. */
+  | 'membership.worstDeathMs'
+  | 'membership.worstDrainMs'
+  /** Processor time in ms that one call costs its nodes together. */
+  | 'overhead.cpuMsPerCall'
+  /** Bytes that a node receives and sends for one change, in each role. */
+  | 'convergence.leafBytesPerChange'
+  | 'convergence.innerBytesPerChange'
+  | 'convergence.relayBytesPerChange'
+  | 'convergence.cpuMsPerChange'
+  | 'convergence.heapBytesPerResource'
+  /** Keyed calls that one append of a claim writer carries. */
+  | 'claims.claimsPerAppend'
+  | 'claims.heapBytesPerClaim'
+  | 'snapshots.bytesPerResource'
+  | 'usage.bytesPerCustomer';
+
+/** One measured figure and how to measure it again. */
+export interface Slope {
+  value: number;
+  command: string;
+}
+
+export type Slopes = Partial<Record<SlopeName, Slope>>;
+
+/** Reads the file of slopes; an absent file holds none. */
+export function readSlopes(file: string): Slopes {
+  if (!existsSync(file)) return {};
+  return JSON.parse(readFileSync(file, 'utf8')) as Slopes;
+}
+
+/** Writes the figures of one command into the file, beside the others. */
+export function writeSlopes(
+  file: string,
+  command: string,
+  values: Partial<Record<SlopeName, number>>,
+): void {
+  const slopes: Slopes = readSlopes(file);
+  for (const [name, value] of Object.entries(values)) {
+    slopes[name as SlopeName] = {value: roundTo4(value), command};
+  }
+  const sorted = Object.fromEntries(
+    Object.entries(slopes).sort(([a], [b]) => (a < b ? -1 : 1)),
+  );
+  writeFileSync(file, `${JSON.stringify(sorted, null, 2)}\n`);
+}
+
+/** Four significant digits. */
+function roundTo4(value: number): number {
+  return Number(value.toPrecision(4));
+}
+
+/** A straight line through points by least squares. */
+export interface Line {
+  base: number;
+  slope: number;
+}
+
+export function fitLine(points: readonly {x: number; y: number}[]): Line {
+  const count = points.length;
+  const meanX = points.reduce((sum, {x}) => sum + x, 0) / count;
+  const meanY = points.reduce((sum, {y}) => sum + y, 0) / count;
+  let xy = 0;
+  let xx = 0;
+  for (const {x, y} of points) {
+    xy += (x - meanX) * (y - meanY);
+    xx += (x - meanX) ** 2;
+  }
+  const slope = xx === 0 ? 0 : xy / xx;
+  return {base: meanY - slope * meanX, slope};
+}
