--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,7 +1,7 @@
 /** One node: its tasks, wired together. */
 
 import {HttpLogClient} from '@turmericmill/platform';
-import {RoundRobinBalancer} from '@turmericmill/routing';
+import {LeastExpectedCostBalancer} from '@turmericmill/routing';
 import {SystemClock, SystemRandom} from '@turmericmill/utils';
 import {MAX_PROTOCOL_VERSION, MIN_PROTOCOL_VERSION} from '@turmericmill/wire';
 import type Logger from 'bunyan';
@@ -20,6 +20,8 @@
 import {ConfigTask} from './tasks/config-task.js';
 import {IngressTask} from './tasks/ingress-task.js';
 import {MembershipTask} from './tasks/membership-task.js';
+import {MetricsTask} from './tasks/metrics-task.js';
+import {QuarantineTask} from './tasks/quarantine-task.js';
 import {TransportTask} from './transport/transport-task.js';
 
 /** Ports in use, for those settings that left the choice to the platform. */
@@ -38,13 +40,16 @@
   readonly config: ConfigTask;
   readonly ingress: IngressTask;
   readonly local: LocalRunner;
+  private readonly incoming: IncomingCalls;
   private readonly view: LiveNodeView;
   private readonly admin: AdminServer;
+  private readonly metrics: MetricsTask | undefined;
   private membership: MembershipTask | undefined;
   private readonly log: HttpLogClient;
   private readonly clock = new SystemClock();
   private readonly random = new SystemRandom();
   private readonly incarnation = this.clock.now();
+  private stopped: Promise<void> | undefined;
   private candidates = new CandidateIndex();
 
   constructor(
@@ -75,12 +80,14 @@
       random,
       logger,
     );
-    this.local = new LocalRunner(bus);
-    new IncomingCalls(bus, this.local, clock);
+    const quarantine = new QuarantineTask(nodeId, bus, clock, random, logger);
+    this.local = new LocalRunner(bus, clock, quarantine);
+    this.incoming = new IncomingCalls(bus, this.local, clock);
     this.ingress = new IngressTask(
       settings.calls,
       settings.limits,
       this.makeDispatcher(),
+      fingerprint => quarantine.standing(fingerprint),
       bus,
       clock,
       logger,
@@ -93,6 +100,7 @@
       fleet,
       inFlight: serverId => this.local.inFlightOf(serverId),
     });
+    this.metrics = this.makeMetrics();
     this.admin = new AdminServer(settings.admin, this.view, entry => {
       logger.info(entry, 'administration request');
     });
@@ -105,6 +113,7 @@
     this.membership = this.makeMembership();
     this.membership.start();
     this.config.start();
+    this.metrics?.start();
     await this.ingress.start();
     const admin = await this.admin.start();
     return {
@@ -115,16 +124,30 @@
     };
   }
 
-  /** Ends calls in flight in good order, then all tasks. */
-  async stop(): Promise<void> {
+  /**
+   * Shuts down without cutting a call: the servers drain, the other nodes learn
+   * of it, calls in flight end, then the sockets close.
+   */
+  stop(): Promise<void> {
+    this.stopped ??= this.shutDown();
+    return this.stopped;
+  }
+
+  private async shutDown(): Promise<void> {
     this.view.setStopping();
-    this.membership?.beginLeave();
-    const grace = setTimeout(
-      () => this.ingress.abort(),
-      this.settings.limits.shutdownGraceMs,
-    );
+    this.announce.drainAll();
+    const {shutdownGraceMs, drainSpreadMs} = this.settings.limits;
+    const deadlineMs = this.clock.now() + shutdownGraceMs;
+    const spreadMs = this.announce.isEmpty ? 0 : drainSpreadMs;
+    const spread = new Promise(resolve => setTimeout(resolve, spreadMs));
+    await Promise.all([this.ingress.drain(deadlineMs), spread]);
+    await this.incoming.whenIdle(deadlineMs);
+    await this.stopTasks();
+  }
+
+  private async stopTasks(): Promise<void> {
     await this.ingress.stop();
-    clearTimeout(grace);
+    await this.metrics?.stop();
     this.config.stop();
     this.membership?.stop();
     await this.announce.stop();
@@ -143,13 +166,24 @@
       nodeId: this.settings.nodeId,
       local: this.local,
       remote: new RemoteRunner(bus, clock),
-      balancer: new RoundRobinBalancer(),
+      balancer: new LeastExpectedCostBalancer(this.settings.dataCentre),
       clock,
       random,
       candidates: group => this.candidates.ofGroup(group),
     });
   }
 
+  private makeMetrics(): MetricsTask | undefined {
+    const {metrics, nodeId, dataCentre} = this.settings;
+    if (!metrics) return undefined;
+    return new MetricsTask(metrics, nodeId, dataCentre, {
+      statistics: this.ingress.statistics,
+      traffic: this.transport.counts,
+      version: () => this.config.state.version,
+      callsInFlight: () => this.ingress.callsInFlight,
+    });
+  }
+
   private makeMembership(): MembershipTask {
     const {nodeId, dataCentre, region, mesh, seeds} = this.settings;
     const identity = {
--- a/packages/node/src/tasks/announce-task.ts
+++ b/packages/node/src/tasks/announce-task.ts
@@ -46,6 +46,7 @@
   private readonly server = createServer((req, res) => {
     void this.serve(req, res);
   });
+  private allDrained = false;
   private timer: NodeJS.Timeout | undefined;
   private published = '[]';
 
@@ -86,6 +87,17 @@
     await new Promise(resolve => this.server.close(resolve));
   }
 
+  /** True when no backend server is beside this node. */
+  get isEmpty(): boolean {
+    return this.registry.servers().length === 0;
+  }
+
+  /** From now on no server beside this node takes new calls. */
+  drainAll(): void {
+    this.allDrained = true;
+    this.publishChange();
+  }
+
   private async serve(
     req: IncomingMessage,
     res: ServerResponse,
@@ -129,7 +141,10 @@
     for (const {type, name, incarnation} of this.registry.takeEvents()) {
       this.logger.info({serverId: name, incarnation}, `server ${type}`);
     }
-    const servers = this.registry.servers().map(toLocalServer);
+    const servers = this.registry
+      .servers()
+      .map(toLocalServer)
+      .map(server => (this.allDrained ? drained(server) : server));
     const text = JSON.stringify(servers);
     if (text === this.published) return;
     this.published = text;
@@ -157,6 +172,10 @@
   res.writeHead(status, headers).end(JSON.stringify(body));
 }
 
+function drained(server: LocalServer): LocalServer {
+  return {...server, state: 'draining'};
+}
+
 function toLocalServer({
   announcement,
   state,
--- a/packages/node/src/tasks/membership-task.ts
+++ b/packages/node/src/tasks/membership-task.ts
@@ -56,8 +56,6 @@
   private tickTimer: NodeJS.Timeout | undefined;
   private viewTimer: NodeJS.Timeout | undefined;
   private viewPending = false;
-  private leaving = false;
-  private servers: ServerRecord[] = [];
 
   constructor(
     options: MembershipOptions,
@@ -101,12 +99,6 @@
     );
   }
 
-  /** Shows the servers beside this node as draining from now on. */
-  beginLeave(): void {
-    this.leaving = true;
-    this.announceServers();
-  }
-
   override stop(): void {
     clearInterval(this.tickTimer);
     clearTimeout(this.viewTimer);
@@ -124,17 +116,10 @@
   }
 
   private setServers(servers: readonly LocalServer[]): void {
-    this.servers = servers.map(
+    const records: ServerRecord[] = servers.map(
       ({address: unusedAddress, port: unusedPort, ...record}) => record,
     );
-    this.announceServers();
-  }
-
-  private announceServers(): void {
-    const servers = this.leaving
-      ? this.servers.map(server => ({...server, state: 'draining' as const}))
-      : this.servers;
-    this.handle({type: 'servers-changed', servers});
+    this.handle({type: 'servers-changed', servers: records});
   }
 
   private handle(input: MembershipInput): void {
--- a/packages/wire/src/message-table.ts
+++ b/packages/wire/src/message-table.ts
@@ -42,6 +42,7 @@
   claimOutcome: claims.ClaimOutcome;
   crashReport: operations.CrashReport;
   quarantine: operations.Quarantine;
+  suspectCleared: operations.SuspectCleared;
   usageReport: operations.UsageReport;
   usageTotals: operations.UsageTotals;
 }
@@ -79,6 +80,7 @@
   claimOutcome: 42,
   crashReport: 50,
   quarantine: 51,
+  suspectCleared: 52,
   usageReport: 60,
   usageTotals: 61,
 };
