--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -145,7 +145,6 @@
 
   private async shutDown(): Promise<void> {
     this.view.setStopping();
-    this.membership?.beginLeave();
     this.announce.drainAll();
     const {shutdownGraceMs, drainSpreadMs} = this.settings.limits;
     const deadlineMs = this.clock.now() + shutdownGraceMs;
