Large bodies are streamed only to a server that has begun to take them

Cause: streaming began with the attempt, so that the refusal of a large upload could not be retried.

Change: the server's side grants 0 bytes when it has a connection; only then does the entry node read beyond the first 64 KiB.

Conclusion: 8 uploads of 1 MiB beside an unreachable server all arrive whole, on both ways.

--- a/packages/node/src/calls/call-leg.ts
+++ b/packages/node/src/calls/call-leg.ts
@@ -40,7 +40,10 @@
 
 /** What the caller's side hears; nothing after `answerEnd` or `failed`. */
 export interface CallEvents {
-  /** `bytes` more of the request's body may be sent. */
+  /**
+   * `bytes` more of the request's body may be sent. The first one, which may
+   * be of 0 bytes, tells that the server has begun to take the request.
+   */
   credit(bytes: number): void;
   answerStart(status: number, headers: FlatHeaders, load: ServerLoad): void;
   answerData(chunk: Uint8Array): void;
--- a/packages/node/src/calls/caller-exchange.ts
+++ b/packages/node/src/calls/caller-exchange.ts
@@ -42,6 +42,10 @@
   private answered = false;
   private left = false;
   private streaming = false;
+  /** True if the body is more than its beginning. */
+  private streams = false;
+  /** True once the server has begun to take the request. */
+  private begun = false;
 
   constructor(
     readonly req: IncomingMessage,
@@ -88,6 +92,9 @@
         return;
       }
       this.res.once('close', onClose);
+      this.streams = !first.end;
+      this.begun = false;
+      this.leg = undefined;
       const leg = start(events);
       this.leg = leg;
       if (ended) return;
@@ -95,12 +102,20 @@
         leg.cancel();
         resolve({kind: 'failed', failure: deadlinePassed()});
       }, timeoutMs + DEADLINE_GRACE_MS);
-      if (first.end) return;
-      this.streaming = true;
-      this.body.streamTo(leg);
+      this.stream();
     });
   }
 
+  /**
+   * Streams the rest of the body once the server takes it: until then the call
+   * can be sent to another one.
+   */
+  private stream(): void {
+    if (!this.streams || !this.begun || !this.leg || this.streaming) return;
+    this.streaming = true;
+    this.body.streamTo(this.leg);
+  }
+
   /** Answers the caller that the call was refused or its outcome is open. */
   refuse(failure: CallFailure): void {
     if (this.left || this.res.headersSent) return;
@@ -126,7 +141,11 @@
     let load: ServerLoad;
     let uncredited = 0;
     return {
-      credit: bytes => this.body.credit(bytes),
+      credit: bytes => {
+        this.begun = true;
+        this.body.credit(bytes);
+        this.stream();
+      },
       answerStart: (code, headers, serverLoad) => {
         status = code;
         load = serverLoad;
--- a/packages/node/src/calls/server-exchange.ts
+++ b/packages/node/src/calls/server-exchange.ts
@@ -119,6 +119,7 @@
     this.controller = controller;
     this.started = true;
     if (this.done) this.abort('The call has ended.');
+    else if (this.requestBody) this.events.credit(0);
   }
 
   private answerStart(controller: Controller, status: number): void {
--- a/packages/testkit/tests/calls/call-fixture.ts
+++ b/packages/testkit/tests/calls/call-fixture.ts
@@ -87,6 +87,11 @@
     await res.body.dump();
   }
 
+  /** Listens no more; what was announced stays announced. */
+  unplug(): void {
+    this.server.close();
+  }
+
   async stop(): Promise<void> {
     this.server.closeAllConnections();
     await new Promise(resolve => this.server.close(resolve));
--- a/packages/testkit/tests/calls/call-path.test.ts
+++ b/packages/testkit/tests/calls/call-path.test.ts
@@ -178,6 +178,22 @@
       expect(res.trailers['x-digest']).to.equal(digest);
     });
 
+    it('sends a large body elsewhere when a server is unreachable', async () => {
+      const echo: Handler = (req, res) => void req.pipe(res);
+      const [first] = await fixture.start([echo, echo], 12);
+      first!.unplug();
+      const sent = randomBytes(BIG_BYTES / 8);
+      for (let i = 0; i < 8; i++) {
+        const res = await request(`${fixture.urls[way]}/once`, {
+          method: 'PUT',
+          body: Readable.from([sent.subarray(0, 100), sent.subarray(100)]),
+        });
+        const answer = Buffer.from(await res.body.arrayBuffer());
+        expect(res.statusCode).to.equal(200);
+        expect(answer.equals(sent)).to.equal(true);
+      }
+    });
+
     it('lets an answer that has begun outlast the deadline', async () => {
       const url = await start((req, res) => {
         res.write('begun, ');
