--- a/packages/node/src/calls/caller-exchange.ts
+++ b/packages/node/src/calls/caller-exchange.ts
@@ -45,6 +45,10 @@
   private answered = false;
   private left = false;
   private streaming = false;
+  /** True if the body is more than its beginning. */
+  private streams = false;
+  /** True once the server has begun to take the request. */
+  private begun = false;
   /**
    * When set, receives a copy of the answer. A call whose request is sent then
    * goes on when its caller leaves, so that a later try finds the answer.
@@ -88,7 +92,7 @@
       const onClose = () => {
         if (this.res.writableFinished) return;
         this.left = true;
-        if (this.copy && this.leg && !this.streaming) return;
+        if (this.copy && this.leg && !this.streams) return;
         this.leg?.cancel();
         resolve({kind: 'left'});
       };
@@ -97,6 +101,9 @@
         return;
       }
       this.res.once('close', onClose);
+      this.streams = !first.end;
+      this.begun = false;
+      this.leg = undefined;
       const leg = start(events);
       this.leg = leg;
       if (ended) return;
@@ -104,9 +111,7 @@
         leg.cancel();
         resolve({kind: 'failed', failure: deadlinePassed()});
       }, timeoutMs + DEADLINE_GRACE_MS);
-      if (first.end) return;
-      this.streaming = true;
-      this.body.streamTo(leg);
+      this.stream();
     });
   }
 
@@ -123,6 +128,16 @@
     this.res.end(body);
   }
 
+  /**
+   * Streams the rest of the body once the server takes it: until then the call
+   * can be sent to another one.
+   */
+  private stream(): void {
+    if (!this.streams || !this.begun || !this.leg || this.streaming) return;
+    this.streaming = true;
+    this.body.streamTo(this.leg);
+  }
+
   /** Answers the caller that the call was refused or its outcome is open. */
   refuse(failure: CallFailure): void {
     if (this.left || this.res.headersSent) return;
@@ -148,7 +163,11 @@
     let load: ServerLoad;
     let uncredited = 0;
     return {
-      credit: bytes => this.body.credit(bytes),
+      credit: bytes => {
+        this.begun = true;
+        this.body.credit(bytes);
+        this.stream();
+      },
       answerStart: (code, headers, serverLoad) => {
         status = code;
         load = serverLoad;
