--- a/packages/config/src/route-match.ts
+++ b/packages/config/src/route-match.ts
@@ -19,8 +19,9 @@
 
 /**
  * Orders routes by precedence, the first to try first: a host before none, an
- * exact path before a prefix, a long prefix before a short one, methods before
- * none, many headers before few, then by key.
+ * exact path before a prefix, a long prefix before a short one, many headers
+ * before few, few methods before many or all, then by key. The routing table
+ * keeps the same order.
  */
 export function compareRoutes(a: Route, b: Route): number {
   const first = a.spec.match;
@@ -30,9 +31,8 @@
     Number(second.path !== undefined) - Number(first.path !== undefined) ||
     normalPrefix(second.pathPrefix).length -
       normalPrefix(first.pathPrefix).length ||
-    Number(second.methods !== undefined) -
-      Number(first.methods !== undefined) ||
     headerCount(second) - headerCount(first) ||
+    compareCounts(methodCount(first), methodCount(second)) ||
     (a.key < b.key ? -1 : Number(a.key > b.key))
   );
 }
@@ -70,6 +70,15 @@
   return Object.keys(match.headers ?? {}).length;
 }
 
+function methodCount(match: RouteMatch): number {
+  return match.methods?.length ?? Infinity;
+}
+
+/** Counts may be infinite, so that a difference would not do. */
+function compareCounts(a: number, b: number): number {
+  return Number(a > b) - Number(a < b);
+}
+
 function normalPrefix(prefix: string | undefined): string {
   return (prefix ?? '/').replace(/\/+$/, '');
 }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,9 +1,8 @@
 /** One node: its tasks, wired together. */
 
 import {HttpLogClient} from '@turmericmill/platform';
-import {RoundRobinBalancer} from '@turmericmill/routing';
+import {LeastExpectedCostBalancer} from '@turmericmill/routing';
 import {SystemClock, SystemRandom} from '@turmericmill/utils';
-import type {MemberRecord} from '@turmericmill/wire';
 import {MAX_PROTOCOL_VERSION, MIN_PROTOCOL_VERSION} from '@turmericmill/wire';
 import type Logger from 'bunyan';
 
@@ -25,6 +24,7 @@
 import {IngressTask} from './tasks/ingress-task.js';
 import {MembershipTask} from './tasks/membership-task.js';
 import {MetricsTask} from './tasks/metrics-task.js';
+import {QuarantineTask} from './tasks/quarantine-task.js';
 import {UsageTask} from './tasks/usage-task.js';
 import {TransportTask} from './transport/transport-task.js';
 
@@ -60,7 +60,7 @@
 
   constructor(
     private readonly settings: NodeSettings,
-    logger: Logger,
+    private readonly logger: Logger,
   ) {
     const {bus, clock, random} = this;
     const {nodeId, dataCentre, region} = settings;
@@ -77,27 +77,25 @@
     this.transport = new TransportTask(mesh, bus, clock, logger);
     this.announce = new AnnounceTask(settings.announce, bus, clock, logger);
     const fleet = new FleetVersions();
-    const identity = {nodeId, dataCentre};
-    this.config = new ConfigTask(
-      identity,
-      this.log,
-      bus,
-      fleet,
-      random,
-      logger,
-    );
+    const {preference} = settings;
+    const identity = {nodeId, dataCentre, region, preference};
+    const {log} = this;
+    const parts = {log, bus, fleet, clock, random, logger};
+    this.config = new ConfigTask(identity, parts);
+    const quarantine = new QuarantineTask(nodeId, bus, clock, random, logger);
     const start = {nodeId, incarnation: this.incarnation};
     this.claims = new ClaimsTask(start, this.log, bus, clock, random);
     this.usage = new UsageTask(
       {...start, region},
       {log: this.log, bus, clock, random},
     );
-    this.local = new LocalRunner(bus);
+    this.local = new LocalRunner(bus, clock, quarantine);
     this.incoming = new IncomingCalls(bus, this.local, clock);
     this.ingress = new IngressTask(
       settings.calls,
       settings.limits,
       this.makeDispatcher(),
+      fingerprint => quarantine.standing(fingerprint),
       bus,
       clock,
       logger,
@@ -120,11 +118,7 @@
   async start(): Promise<NodePorts> {
     await this.transport.start();
     await this.announce.start();
-    this.membership = new MembershipTask(
-      {self: this.ownRecord(), seeds: this.settings.seeds},
-      this.bus,
-      this.clock,
-    );
+    this.membership = this.makeMembership();
     this.membership.start();
     this.config.start();
     this.metrics?.start();
@@ -184,7 +178,7 @@
       nodeId: this.settings.nodeId,
       local: this.local,
       remote: new RemoteRunner(bus, clock),
-      balancer: new RoundRobinBalancer(),
+      balancer: new LeastExpectedCostBalancer(this.settings.dataCentre),
       clock,
       random,
       candidates: group => this.candidates.ofGroup(group),
@@ -199,23 +193,23 @@
     return new MetricsTask(metrics, nodeId, dataCentre, {
       statistics: this.ingress.statistics,
       traffic: this.transport.counts,
-      version: () => this.config.state.version,
+      version: () => this.config.version.version,
       callsInFlight: () => this.ingress.callsInFlight,
     });
   }
 
-  private ownRecord(): MemberRecord {
-    const {nodeId, dataCentre, region, mesh} = this.settings;
-    return {
+  private makeMembership(): MembershipTask {
+    const {nodeId, dataCentre, region, mesh, seeds} = this.settings;
+    const identity = {
       id: nodeId,
       incarnation: this.incarnation,
-      status: 'alive',
       address: mesh.address,
       port: this.transport.port,
       dataCentre,
       region,
-      servers: [],
-      revision: 0,
     };
+    const {bus, clock, random, log, logger} = this;
+    const parts = {bus, clock, random, log, logger};
+    return new MembershipTask({identity, seeds}, parts);
   }
 }
--- /dev/null
+++ b/packages/routing/src/balancing/least-expected-cost.ts
@@ -0,0 +1,217 @@
+/** Least expected cost among a few servers drawn by their capacity. */
+
+import type {RandomSource} from '@turmericmill/utils';
+import {LRUCache} from 'lru-cache';
+
+import {Balancer, candidateKey, readyCandidates} from './balancer.js';
+import type {CallResult, CallTraits, Candidate} from './balancer.js';
+import {ServerEvidence} from './server-evidence.js';
+import {weightedSample} from './weighted-sample.js';
+
+/** Servers of a large group that one choice looks at. */
+const MAX_CONSIDERED = 32;
+/** Servers drawn from the own data centre, and from the others. */
+const LOCAL_CHOICES = 3;
+const REMOTE_CHOICES = 2;
+/** Round trip in ms to another data centre of the region. */
+const CROSSING_MS = 3;
+/** What a failed call and a refused call are worth, in ms of delay. */
+const FAILURE_COST_MS = 1_000;
+const REFUSAL_COST_MS = 300;
+/** Random part of a cost: equal servers get equal shares. */
+const COST_NOISE = 0.05;
+/** Factor within which servers count as equally fast. */
+const SPEED_TOLERANCE = 1.5;
+/** Share of its slots that a server gets right after its start. */
+const FIRST_SHARE = 0.1;
+/** Share of ejected servers above which ejections are ignored. */
+const PANIC_SHARE = 0.5;
+/** Assumed time in ms for a call while no server has answered. */
+const UNKNOWN_SERVICE_MS = 20;
+/** Servers whose evidence is kept. */
+const MAX_SERVERS = 4_096;
+
+interface Option {
+  candidate: Candidate;
+  evidence: ServerEvidence;
+  /** Slots in use by now: announced, limited by admission and slow start. */
+  slots: number;
+  serviceMs: number;
+}
+
+/** Share of its slots that a server gets at `nowMs` after a cold start. */
+export function slowStartShare(candidate: Candidate, nowMs: number): number {
+  const {readySinceMs, slowStartMs = 0} = candidate;
+  if (slowStartMs <= 0) return 1;
+  const share = (nowMs - readySinceMs) / slowStartMs;
+  return Math.min(1, Math.max(FIRST_SHARE, share));
+}
+
+/** Factor by which use lengthens a call: little until slots run out. */
+function delayFactor(use: number): number {
+  return 1 + (use < 1 ? use ** 4 : use);
+}
+
+/** All servers of a small group, a random part of a large one. */
+function considered(
+  ready: readonly Candidate[],
+  random: RandomSource,
+): readonly Candidate[] {
+  if (ready.length <= MAX_CONSIDERED) return ready;
+  const drawn = new Set<Candidate>();
+  while (drawn.size < MAX_CONSIDERED) {
+    const candidate = random.pick(ready);
+    if (candidate) drawn.add(candidate);
+  }
+  return [...drawn];
+}
+
+function median(values: number[]): number | undefined {
+  const sorted = values.sort((a, b) => a - b);
+  return sorted[(sorted.length - 1) >> 1];
+}
+
+/** `serviceMs`, or the typical time if the difference may be chance. */
+function distinctServiceMs(serviceMs: number, typicalMs: number): number {
+  const factor = serviceMs / typicalMs;
+  const equal = factor < SPEED_TOLERANCE && factor > 1 / SPEED_TOLERANCE;
+  return equal ? typicalMs : serviceMs;
+}
+
+/**
+ * Draws a few servers weighted by slots and speed and takes the one with the
+ * least expected cost: delay under its load, a crossing of data centres,
+ * failures and refusals. All evidence comes from this node's real calls and
+ * from the load that the servers' nodes send with answers.
+ */
+export class LeastExpectedCostBalancer extends Balancer {
+  override readonly name = 'least-expected-cost';
+  private readonly servers = new LRUCache<string, ServerEvidence>({
+    max: MAX_SERVERS,
+  });
+
+  constructor(private readonly dataCentre: string) {
+    super();
+  }
+
+  override choose(
+    candidates: readonly Candidate[],
+    call: CallTraits,
+    nowMs: number,
+    random: RandomSource,
+  ): Candidate | undefined {
+    const ready = considered(readyCandidates(candidates), random);
+    const open = this.withoutEjected(ready, nowMs);
+    const options = this.options(open, call, nowMs);
+    let best: Candidate | undefined;
+    let bestCostMs = Infinity;
+    for (const option of this.draw(options, random)) {
+      const noise = 1 + COST_NOISE * random.next();
+      const costMs = this.costMs(option, call, nowMs) * noise;
+      if (costMs >= bestCostMs) continue;
+      best = option.candidate;
+      bestCostMs = costMs;
+    }
+    return best;
+  }
+
+  override started(candidate: Candidate, call: CallTraits): void {
+    this.evidenceOf(candidate).start(call);
+  }
+
+  override finished(
+    candidate: Candidate,
+    call: CallTraits,
+    result: CallResult,
+    nowMs: number,
+  ): void {
+    const evidence = this.servers.get(candidateKey(candidate));
+    if (evidence?.incarnation !== candidate.incarnation) return;
+    evidence.finish(call, result, nowMs);
+  }
+
+  private evidenceOf(candidate: Candidate): ServerEvidence {
+    const key = candidateKey(candidate);
+    let evidence = this.servers.get(key);
+    if (evidence?.incarnation !== candidate.incarnation) {
+      evidence = new ServerEvidence(candidate.incarnation);
+      this.servers.set(key, evidence);
+    }
+    return evidence;
+  }
+
+  private withoutEjected(
+    ready: readonly Candidate[],
+    nowMs: number,
+  ): readonly Candidate[] {
+    const rest = ready.filter(candidate => {
+      const {ejection, inFlight} = this.evidenceOf(candidate);
+      return !ejection.isActive(inFlight, nowMs);
+    });
+    const panic = rest.length < ready.length * (1 - PANIC_SHARE);
+    return panic ? ready : rest;
+  }
+
+  private options(
+    candidates: readonly Candidate[],
+    call: CallTraits,
+    nowMs: number,
+  ): Option[] {
+    const typicalMs = this.typicalServiceMs(candidates, call);
+    return candidates.map(candidate => {
+      const evidence = this.evidenceOf(candidate);
+      const share = slowStartShare(candidate, nowMs);
+      const ownMs = evidence.serviceMs(call.class, typicalMs, nowMs);
+      return {
+        candidate,
+        evidence,
+        slots: evidence.slots(candidate) * share,
+        serviceMs: distinctServiceMs(ownMs, typicalMs),
+      };
+    });
+  }
+
+  private typicalServiceMs(
+    candidates: readonly Candidate[],
+    call: CallTraits,
+  ): number {
+    const known: number[] = [];
+    for (const candidate of candidates) {
+      const serviceMs = this.evidenceOf(candidate).lastServiceMs(call.class);
+      if (serviceMs !== undefined) known.push(serviceMs);
+    }
+    return median(known) ?? UNKNOWN_SERVICE_MS;
+  }
+
+  private draw(options: readonly Option[], random: RandomSource): Option[] {
+    const local: Option[] = [];
+    const remote: Option[] = [];
+    for (const option of options) {
+      (this.isLocal(option) ? local : remote).push(option);
+    }
+    const weight = (option: Option) => option.slots / option.serviceMs;
+    return [
+      ...weightedSample(local, weight, LOCAL_CHOICES, random),
+      ...weightedSample(remote, weight, REMOTE_CHOICES, random),
+    ];
+  }
+
+  private isLocal({candidate}: Option): boolean {
+    return candidate.dataCentre === this.dataCentre;
+  }
+
+  private costMs(option: Option, call: CallTraits, nowMs: number): number {
+    const {evidence, slots, serviceMs} = option;
+    const use = evidence.occupied(call.priority, nowMs) / slots;
+    const delayMs = serviceMs * delayFactor(use);
+    const crossingMs = this.isLocal(option) ? 0 : CROSSING_MS;
+    const failures = evidence.ejection.failureRate(nowMs);
+    const refusals = evidence.refusalRate(call.priority, nowMs);
+    return (
+      delayMs +
+      crossingMs +
+      FAILURE_COST_MS * failures +
+      REFUSAL_COST_MS * refusals
+    );
+  }
+}
--- a/packages/wire/src/message-table.ts
+++ b/packages/wire/src/message-table.ts
@@ -21,12 +21,16 @@
   probeRequest: membership.ProbeRequest;
   probeAck: membership.ProbeAck;
   memberSync: membership.MemberSync;
+  memberGossip: membership.MemberGossip;
+  memberDigest: membership.MemberDigest;
   configHave: configuration.ConfigHave;
   configFetch: configuration.ConfigFetch;
   configDelta: configuration.ConfigDelta;
   configSnapshotPart: configuration.ConfigSnapshotPart;
   configBusy: configuration.ConfigBusy;
   versionReport: configuration.VersionReport;
+  fleetQuery: configuration.FleetQuery;
+  fleetReply: configuration.VersionReport;
   callStart: calls.CallStart;
   callData: calls.CallData;
   callWindow: calls.CallWindow;
@@ -40,6 +44,7 @@
   claimOutcome: claims.ClaimOutcome;
   crashReport: operations.CrashReport;
   quarantine: operations.Quarantine;
+  suspectCleared: operations.SuspectCleared;
   usageReport: operations.UsageReport;
   usageTotals: operations.UsageTotals;
 }
@@ -56,12 +61,16 @@
   probeRequest: 11,
   probeAck: 12,
   memberSync: 13,
+  memberGossip: 14,
+  memberDigest: 15,
   configHave: 20,
   configFetch: 21,
   configDelta: 22,
   configSnapshotPart: 23,
   configBusy: 24,
   versionReport: 25,
+  fleetQuery: 26,
+  fleetReply: 27,
   callStart: 30,
   callData: 31,
   callWindow: 32,
@@ -75,6 +84,7 @@
   claimOutcome: 42,
   crashReport: 50,
   quarantine: 51,
+  suspectCleared: 52,
   usageReport: 60,
   usageTotals: 61,
 };
