--- a/packages/distribution/src/index.ts
+++ b/packages/distribution/src/index.ts
@@ -24,8 +24,10 @@
 export {
   buildPublication,
   MAX_PARTS,
+  parsePart,
   type Publication,
   type PublicationError,
+  type PublicationPart,
 } from './publication.js';
 export {ConfigAgent, type ConfigAgentOptions} from './agent/config-agent.js';
 export type {ConfigEffect} from './agent/effects.js';
@@ -50,6 +52,7 @@
   type SnapshotFound,
   type SnapshotHeader,
 } from './relay/snapshot-record.js';
+export {SnapshotLocator, type Located} from './relay/snapshot-locator.js';
 export {
   RELAYS_PER_DATA_CENTRE,
   Topology,
--- a/packages/node/src/calls/caller-exchange.ts
+++ b/packages/node/src/calls/caller-exchange.ts
@@ -3,8 +3,9 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
 import {OUTCOME_HEADER, RETRY_HEADER} from '@turmericmill/routing';
-import type {FlatHeaders, ServerLoad} from '@turmericmill/wire';
+import type {FlatHeaders, KeptAnswer, ServerLoad} from '@turmericmill/wire';
 
+import type {AnswerCopy} from './answer-copy.js';
 import {
   NO_LOAD,
   type CallEvents,
@@ -18,6 +19,8 @@
 
 /** Header that tells why a call was refused. */
 export const REASON_HEADER = 'x-turmericmill-reason';
+/** Header that marks the kept answer of an earlier try. */
+export const REPLAYED_HEADER = 'x-turmericmill-replayed';
 /** Bytes of an answer that are written before more are granted. */
 const CREDIT_STEP_BYTES = 64 * 1024;
 
@@ -42,6 +45,11 @@
   private answered = false;
   private left = false;
   private streaming = false;
+  /**
+   * When set, receives a copy of the answer. A call whose request is sent then
+   * goes on when its caller leaves, so that a later try finds the answer.
+   */
+  copy: AnswerCopy | undefined;
 
   constructor(
     readonly req: IncomingMessage,
@@ -80,6 +88,7 @@
       const onClose = () => {
         if (this.res.writableFinished) return;
         this.left = true;
+        if (this.copy && this.leg && !this.streaming) return;
         this.leg?.cancel();
         resolve({kind: 'left'});
       };
@@ -101,6 +110,19 @@
     });
   }
 
+  /** True when the caller is gone; nothing can be answered any more. */
+  get hasLeft(): boolean {
+    return this.left || this.res.destroyed;
+  }
+
+  /** Answers with the kept answer of an earlier try. */
+  replay({status, headers, body}: KeptAnswer): void {
+    if (this.hasLeft) return;
+    const replayed = [...headers, REPLAYED_HEADER, 'true'];
+    this.answerStart(status, replayed);
+    this.res.end(body);
+  }
+
   /** Answers the caller that the call was refused or its outcome is open. */
   refuse(failure: CallFailure): void {
     if (this.left || this.res.headersSent) return;
@@ -130,15 +152,19 @@
       answerStart: (code, headers, serverLoad) => {
         status = code;
         load = serverLoad;
+        this.copy?.start(code, headers);
         this.answerStart(code, headers);
       },
       answerData: chunk => {
-        this.res.write(chunk, () => {
+        this.copy?.data(chunk);
+        const written = () => {
           uncredited += chunk.length;
           if (uncredited < CREDIT_STEP_BYTES) return;
           this.leg?.credit(uncredited);
           uncredited = 0;
-        });
+        };
+        if (this.left) written();
+        else this.res.write(chunk, written);
       },
       answerEnd: trailers => {
         this.answerEnd(trailers);
@@ -159,10 +185,12 @@
   private answerStart(status: number, headers: FlatHeaders): void {
     this.answered = true;
     clearTimeout(this.timer);
+    if (this.left) return;
     this.res.writeHead(status, endToEndHeaders(headers));
   }
 
   private answerEnd(trailers: FlatHeaders): void {
+    if (this.left) return;
     for (let i = 0; i + 1 < trailers.length; i += 2) {
       this.res.addTrailers([
         [trailers[i] as string, trailers[i + 1] as string],
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -9,6 +9,7 @@
   type ConfigTaskIdentity,
   type ConfigTaskParts,
 } from './tasks/config-task.js';
+export {MembershipTask} from './tasks/membership-task.js';
 export {
   TransportTask,
   type TransportOptions,
