A fleet that has yet to join does not read the log as a whole

Cause: a node that knew no other one took itself for a relay after 1.5 s, so that a fleet which returned at once would have read the log at every node while it joined.

A node without seeds is its own relay after 0.5 s.

--- a/packages/distribution/src/agent/config-agent.ts
+++ b/packages/distribution/src/agent/config-agent.ts
@@ -29,6 +29,8 @@
 export interface ConfigAgentOptions {
   self: ConfigPeer;
   preference: DistributionPreference;
+  /** Whether the node has others to join. */
+  expectsPeers: boolean;
   random: RandomSource;
   nowMs: number;
 }
@@ -51,11 +53,13 @@
   private fleetQueryAtMs = 0;
   private knowsMembers = false;
 
-  constructor({self, preference, random, nowMs}: ConfigAgentOptions) {
+  constructor(options: ConfigAgentOptions) {
+    const {self, preference, expectsPeers, random, nowMs} = options;
     const timing = DISTRIBUTION_TIMING[preference];
     this.context = {
       timing,
       random,
+      expectsPeers,
       topology: new Topology(self, []),
       settled: false,
       known: -1,
--- a/packages/distribution/src/agent/context.ts
+++ b/packages/distribution/src/agent/context.ts
@@ -12,6 +12,8 @@
 export interface AgentContext {
   readonly timing: DistributionTiming;
   readonly random: RandomSource;
+  /** Whether the node has others to join, so that it is not alone for long. */
+  readonly expectsPeers: boolean;
   /** Follows from the members last heard of. */
   topology: Topology;
   /** Whether the node knows that it may serve. */
--- a/packages/distribution/src/relay/relay.ts
+++ b/packages/distribution/src/relay/relay.ts
@@ -25,9 +25,6 @@
 /** A relay reads the log once it has been a relay for so long. */
 export const ROLE_DELAY_MS = 500;
 
-/** A node that knows no other one waits longer, because it may yet join. */
-export const LONE_ROLE_DELAY_MS = 1500;
-
 /** A node that is no relay any more goes on reading for so long. */
 export const ROLE_LINGER_MS = 5_000;
 
@@ -71,13 +68,14 @@
 
   /** The members changed. */
   onMembers(nowMs: number): void {
-    const {topology} = this.context;
+    const {topology, expectsPeers} = this.context;
     this.gate.keepOnly(topology.witnesses());
     if (topology.isRelay) {
       this.stopAtMs = Infinity;
       if (!this.follower.isRunning && this.startAtMs === Infinity) {
-        const isAlone = topology.partners.length === 0;
-        this.startAtMs = nowMs + (isAlone ? LONE_ROLE_DELAY_MS : ROLE_DELAY_MS);
+        // A whole fleet that has yet to join must not read the log at once.
+        const isJoining = expectsPeers && topology.partners.length === 0;
+        if (!isJoining) this.startAtMs = nowMs + ROLE_DELAY_MS;
       }
       return;
     }
@@ -155,13 +153,18 @@
       this.stopAtMs = nowMs + ROLE_LINGER_MS;
       this.fallbackAtMs = this.fallbackTime(nowMs + ROLE_LINGER_MS);
     }
-    if (nowMs < this.stopAtMs) return;
-    // Without any other source, reading goes on.
-    if (nowMs < this.fallbackAtMs && this.context.settled) {
+    if (nowMs >= this.stopAtMs) this.stopReading(nowMs);
+  }
+
+  /** Reading goes on for relays, and for nodes without another source. */
+  private stopReading(nowMs: number): void {
+    const {settled, topology} = this.context;
+    const isNeeded = !settled || nowMs >= this.fallbackAtMs;
+    if (topology.isRelay) this.stopAtMs = Infinity;
+    else if (isNeeded) this.stopAtMs = nowMs + ROLE_LINGER_MS;
+    else {
       this.stopAtMs = Infinity;
       this.follower.stop();
-    } else {
-      this.stopAtMs = nowMs + ROLE_LINGER_MS;
     }
   }
 
--- a/packages/distribution/tests/agent/fake-mesh.ts
+++ b/packages/distribution/tests/agent/fake-mesh.ts
@@ -6,6 +6,7 @@
 import {referencesOf} from '@turmericmill/config';
 import type {ResourceWrite} from '@turmericmill/config';
 import {SeededRandom} from '@turmericmill/utils';
+import type {VersionReport} from '@turmericmill/wire';
 
 import {
   buildPublication,
@@ -137,7 +138,13 @@
     const peer = this.peers.find(item => item.id === id) as ConfigPeer;
     const random = new SeededRandom(this.random.nextInt(2 ** 31));
     const {preference, nowMs} = this;
-    const agent = new ConfigAgent({self: peer, preference, random, nowMs});
+    const agent = new ConfigAgent({
+      self: peer,
+      preference,
+      expectsPeers: true,
+      random,
+      nowMs,
+    });
     const life = ++this.lives;
     this.nodes.set(id, {peer, agent, life, pausedUntilMs: 0});
     this.tick(id, life);
@@ -202,6 +209,14 @@
     return true;
   }
 
+  /** Asks a node for the versions in force, as an operator would. */
+  fleetReportAt(id: string): VersionReport {
+    const agent = this.agentOf(id) as ConfigAgent;
+    this.carryOut(id, agent.queryFleet(this.nowMs));
+    this.run(50);
+    return agent.fleetReport(this.nowMs);
+  }
+
   /** The different versions that settled nodes enforce. */
   versionsInForce(): number[] {
     const agents = this.ids.flatMap(id => this.agentOf(id) ?? []);
@@ -256,6 +271,9 @@
         this.callLog(id, life, effect.callId, effect.call, effect.call);
       } else if (effect.type === 'enforce') {
         this.audit(id, effect);
+        const {version} = effect.version;
+        const agent = this.nodes.get(id)?.agent;
+        this.carryOut(id, agent?.onEnforced(version, this.nowMs) ?? []);
       } else if (effect.type === 'alarm') {
         this.alarms.push(`${id}: ${effect.message}`);
       }
--- a/packages/distribution/tests/agent/outage.test.ts
+++ b/packages/distribution/tests/agent/outage.test.ts
@@ -133,6 +133,20 @@
   });
 });
 
+describe('a node that joins nobody', () => {
+  it('reads the log in the end, and goes on reading it', () => {
+    const mesh = new FakeMesh({seed: 23, dataCentres: 1, nodesEach: 1});
+    mesh.publish('platform', put(callClass('platform', 'c')));
+    mesh.run(5000);
+    expect(mesh.log.reads).to.equal(0);
+    mesh.run(60_000);
+    expect(mesh.laggards()).to.deep.equal([]);
+    mesh.publish('b', put(customer('b', 'x')));
+    mesh.run(1000);
+    expect(mesh.laggards()).to.deep.equal([]);
+  });
+});
+
 describe('reads of the log', () => {
   it('do not grow with the fleet', () => {
     const counts = [6, 12, 24].map(nodesEach => {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -78,7 +78,8 @@
     this.announce = new AnnounceTask(settings.announce, bus, clock, logger);
     const fleet = new FleetVersions();
     const {preference} = settings;
-    const identity = {nodeId, dataCentre, region, preference};
+    const expectsPeers = settings.seeds.length > 0;
+    const identity = {nodeId, dataCentre, region, preference, expectsPeers};
     const {log} = this;
     const parts = {log, bus, fleet, clock, random, logger};
     this.config = new ConfigTask(identity, parts);
--- a/packages/node/src/tasks/config-task.ts
+++ b/packages/node/src/tasks/config-task.ts
@@ -46,6 +46,8 @@
   dataCentre: string;
   region: string;
   preference: DistributionPreference;
+  /** Whether the node has seeds, so that it is not alone for long. */
+  expectsPeers: boolean;
 }
 
 /** What the task uses of the node. */
@@ -68,14 +70,19 @@
   private nextTableAtMs = 0;
 
   constructor(
-    {nodeId, dataCentre, region, preference}: ConfigTaskIdentity,
+    identity: ConfigTaskIdentity,
     private readonly parts: ConfigTaskParts,
   ) {
     super();
     const {bus, clock, random, fleet} = parts;
-    const self = {id: nodeId, dataCentre, region};
-    const nowMs = clock.now();
-    this.agent = new ConfigAgent({self, preference, random, nowMs});
+    const {nodeId, dataCentre, region, preference, expectsPeers} = identity;
+    this.agent = new ConfigAgent({
+      self: {id: nodeId, dataCentre, region},
+      preference,
+      expectsPeers,
+      random,
+      nowMs: clock.now(),
+    });
     bus.subscribe('view-changed', ({members}) => this.onMembers(members));
     bus.subscribe('peer-lost', ({nodeId: peer}) => {
       this.act(now => this.agent.onPeerLost(peer, now));
--- a/packages/testkit/src/config-node/main.ts
+++ b/packages/testkit/src/config-node/main.ts
@@ -95,7 +95,8 @@
 if (mode === 'poll') {
   void poll();
 } else {
-  const identity = {nodeId, dataCentre, region, preference: mode};
+  const expectsPeers = true;
+  const identity = {nodeId, dataCentre, region, preference: mode, expectsPeers};
   const fleet = new FleetVersions();
   const parts = {log, bus, fleet, clock, random, logger};
   const config = new ConfigTask(identity, parts);
