--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -9,19 +9,23 @@
 import {AdminServer} from './admin/index.js';
 import {Bus} from './bus.js';
 import {CandidateIndex} from './calls/candidate-index.js';
-import {Dispatcher} from './calls/dispatcher.js';
+import {ClaimedDispatcher} from './calls/claimed-dispatcher.js';
+import {Dispatcher, type CallDispatcher} from './calls/dispatcher.js';
 import {IncomingCalls} from './calls/incoming-calls.js';
 import {LocalRunner} from './calls/local-runner.js';
+import {MeteredDispatcher} from './calls/metered-dispatcher.js';
 import {RemoteRunner} from './calls/remote-runner.js';
 import {FleetVersions} from './fleet-versions.js';
 import {LiveNodeView} from './live-node-view.js';
 import type {NodeSettings} from './settings/index.js';
 import {AnnounceTask} from './tasks/announce-task.js';
+import {ClaimsTask} from './tasks/claims-task.js';
 import {ConfigTask} from './tasks/config-task.js';
 import {IngressTask} from './tasks/ingress-task.js';
 import {MembershipTask} from './tasks/membership-task.js';
 import {MetricsTask} from './tasks/metrics-task.js';
 import {QuarantineTask} from './tasks/quarantine-task.js';
+import {UsageTask} from './tasks/usage-task.js';
 import {TransportTask} from './transport/transport-task.js';
 
 /** Ports in use, for those settings that left the choice to the platform. */
@@ -38,6 +42,8 @@
   readonly transport: TransportTask;
   readonly announce: AnnounceTask;
   readonly config: ConfigTask;
+  readonly claims: ClaimsTask;
+  readonly usage: UsageTask;
   readonly ingress: IngressTask;
   readonly local: LocalRunner;
   private readonly incoming: IncomingCalls;
@@ -71,16 +77,18 @@
     this.transport = new TransportTask(mesh, bus, clock, logger);
     this.announce = new AnnounceTask(settings.announce, bus, clock, logger);
     const fleet = new FleetVersions();
-    const identity = {nodeId, dataCentre};
-    this.config = new ConfigTask(
-      identity,
-      this.log,
-      bus,
-      fleet,
-      random,
-      logger,
-    );
+    const {preference} = settings;
+    const identity = {nodeId, dataCentre, region, preference};
+    const {log} = this;
+    const parts = {log, bus, fleet, clock, random, logger};
+    this.config = new ConfigTask(identity, parts);
     const quarantine = new QuarantineTask(nodeId, bus, clock, random, logger);
+    const start = {nodeId, incarnation: this.incarnation};
+    this.claims = new ClaimsTask(start, this.log, bus, clock, random);
+    this.usage = new UsageTask(
+      {...start, region},
+      {log: this.log, bus, clock, random},
+    );
     this.local = new LocalRunner(bus, clock, quarantine);
     this.incoming = new IncomingCalls(bus, this.local, clock);
     this.ingress = new IngressTask(
@@ -114,6 +122,8 @@
     this.membership.start();
     this.config.start();
     this.metrics?.start();
+    this.claims.start();
+    this.usage.start();
     await this.ingress.start();
     const admin = await this.admin.start();
     return {
@@ -148,6 +158,8 @@
   private async stopTasks(): Promise<void> {
     await this.ingress.stop();
     await this.metrics?.stop();
+    await this.claims.stop();
+    this.usage.stop();
     this.config.stop();
     this.membership?.stop();
     await this.announce.stop();
@@ -157,12 +169,12 @@
     await this.log.close();
   }
 
-  private makeDispatcher(): Dispatcher {
+  private makeDispatcher(): CallDispatcher {
     const {bus, clock, random} = this;
     bus.subscribe('view-changed', ({members}) => {
       this.candidates = new CandidateIndex(members);
     });
-    return new Dispatcher({
+    const dispatcher = new Dispatcher({
       nodeId: this.settings.nodeId,
       local: this.local,
       remote: new RemoteRunner(bus, clock),
@@ -171,6 +183,8 @@
       random,
       candidates: group => this.candidates.ofGroup(group),
     });
+    const metered = new MeteredDispatcher(this.usage, dispatcher);
+    return new ClaimedDispatcher(this.claims, metered);
   }
 
   private makeMetrics(): MetricsTask | undefined {
@@ -179,7 +193,7 @@
     return new MetricsTask(metrics, nodeId, dataCentre, {
       statistics: this.ingress.statistics,
       traffic: this.transport.counts,
-      version: () => this.config.state.version,
+      version: () => this.config.version.version,
       callsInFlight: () => this.ingress.callsInFlight,
     });
   }
--- a/packages/testkit/src/launch/in-process-node.ts
+++ b/packages/testkit/src/launch/in-process-node.ts
@@ -33,6 +33,7 @@
 /** Starts a node on free ports of loopback. */
 export async function startInProcessNode({
   logUrl,
+  limits,
   ...given
 }: InProcessSettings): Promise<InProcessNode> {
   const loopback = {address: '127.0.0.1', port: 0};
@@ -42,6 +43,8 @@
     announce: loopback,
     admin: {...loopback, token: 'in-process-node-token'},
     log: {urls: [logUrl]},
+    // Nobody has to learn of a shutdown at the end of a test.
+    limits: {drainSpreadMs: 0, ...limits},
     ...given,
   };
   const text = JSON.stringify(settings);
