Nodes bound the connections that they take from other nodes

The setting limits.maxAcceptsPerSecond had no effect, so that the return of a data centre could open any number of connections at once. The transport now refuses those beyond the rate with goodbye overload before its hello; the other end reports them as not opened, hence not run. Versions are negotiated by the same function as in the tables of membership.

--- a/packages/membership/src/connection-policy.ts
+++ b/packages/membership/src/connection-policy.ts
@@ -9,10 +9,6 @@
 const RECONNECT_BASE_MS = 100;
 const RECONNECT_CAP_MS = 5_000;
 
-/** Connections from other nodes that one node takes in a second, and at once. */
-const ACCEPTS_PER_SECOND = 100;
-const ACCEPT_BURST = 200;
-
 /**
  * When to connect to one peer again. Each delay is drawn evenly from nothing up
  * to a cap that doubles, so that nodes which lost a peer together do not return
@@ -54,11 +50,7 @@
 export class AcceptLimiter {
   private readonly bucket: TokenBucket;
 
-  constructor(
-    nowMs: number,
-    perSecond = ACCEPTS_PER_SECOND,
-    burst = ACCEPT_BURST,
-  ) {
+  constructor(nowMs: number, perSecond: number, burst: number) {
     this.bucket = new TokenBucket(perSecond, burst, nowMs);
   }
 
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -73,7 +73,8 @@
       dataCentre,
       region,
     };
-    const mesh = {...settings.mesh, hello};
+    const {maxAcceptsPerSecond: acceptsPerSecond} = settings.limits;
+    const mesh = {...settings.mesh, hello, acceptsPerSecond};
     this.transport = new TransportTask(mesh, bus, clock, logger);
     this.announce = new AnnounceTask(settings.announce, bus, clock, logger);
     const fleet = new FleetVersions();
--- a/packages/node/src/transport/peer-connection.ts
+++ b/packages/node/src/transport/peer-connection.ts
@@ -3,6 +3,7 @@
 import type {Socket} from 'node:net';
 
 import {Heartbeat, type HeartbeatTimes} from '@turmericmill/routing';
+import {negotiate} from '@turmericmill/membership';
 import {
   encodeFrame,
   FrameReader,
@@ -173,12 +174,12 @@
       return;
     }
     const {minVersion, maxVersion, ...peer} = message.body;
-    if (
-      minVersion > MAX_PROTOCOL_VERSION ||
-      maxVersion < MIN_PROTOCOL_VERSION
-    ) {
-      const range = `${MIN_PROTOCOL_VERSION} to ${MAX_PROTOCOL_VERSION}`;
-      this.close('version', `This node speaks versions ${range}.`);
+    const version = negotiate(MIN_PROTOCOL_VERSION, MAX_PROTOCOL_VERSION, {
+      minVersion,
+      maxVersion,
+    });
+    if (version.isErr()) {
+      this.close(version.error.reason, version.error.detail);
       return;
     }
     const {expectedNodeId} = this;
--- a/packages/node/src/transport/transport-task.ts
+++ b/packages/node/src/transport/transport-task.ts
@@ -3,9 +3,11 @@
 import {createSocket, type Socket as UdpSocket} from 'node:dgram';
 import {connect, createServer, type AddressInfo, type Socket} from 'node:net';
 
+import {AcceptLimiter} from '@turmericmill/membership';
 import type {Clock} from '@turmericmill/utils';
 import {
   decodeMessage,
+  encodeFrame,
   encodeMessage,
   type Hello,
   type MemberRecord,
@@ -22,12 +24,16 @@
   type TrafficCounts,
 } from './peer-connection.js';
 
+const DEFAULT_ACCEPTS_PER_SECOND = 200;
+
 /** What the transport needs to know of its node. */
 export interface TransportOptions {
   /** IP number and port for TCP and UDP; port 0 picks a free one. */
   address: string;
   port: number;
   hello: Hello;
+  /** Connections taken in a second, 200 if left out; twice as many at once. */
+  acceptsPerSecond?: number;
 }
 
 /** Sends and receives messages; one connection for each other node. */
@@ -45,6 +51,7 @@
   private readonly byNode = new Map<string, PeerConnection>();
   private readonly byAddress = new Map<string, PeerConnection>();
   private members = new Map<string, MemberRecord>();
+  private readonly accepts: AcceptLimiter;
   private timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -54,6 +61,12 @@
     private readonly logger: Logger,
   ) {
     super();
+    const {acceptsPerSecond = DEFAULT_ACCEPTS_PER_SECOND} = options;
+    this.accepts = new AcceptLimiter(
+      clock.now(),
+      acceptsPerSecond,
+      2 * acceptsPerSecond,
+    );
     bus.subscribe('send-peer', ({nodeId, incarnation, message}) => {
       this.sendPeer(nodeId, message, incarnation);
     });
@@ -150,8 +163,16 @@
     }
   }
 
+  /** Refuses before any hello, so that the other end knows nothing has run. */
   private accept(socket: Socket): void {
-    this.adopt(socket);
+    if (this.accepts.accept(this.clock.now())) {
+      this.adopt(socket);
+      return;
+    }
+    const body = {reason: 'overload', detail: 'Too many at once.'} as const;
+    socket.on('error', () => socket.destroy());
+    socket.end(encodeFrame({type: 'goodbye', body}));
+    socket.resume();
   }
 
   private adopt(socket: Socket): PeerConnection {
