--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -3,26 +3,29 @@
 import {HttpLogClient} from '@turmericmill/platform';
 import {LeastExpectedCostBalancer} from '@turmericmill/routing';
 import {SystemClock, SystemRandom} from '@turmericmill/utils';
-import type {MemberRecord} from '@turmericmill/wire';
 import {MAX_PROTOCOL_VERSION, MIN_PROTOCOL_VERSION} from '@turmericmill/wire';
 import type Logger from 'bunyan';
 
 import {AdminServer} from './admin/index.js';
 import {Bus} from './bus.js';
 import {CandidateIndex} from './calls/candidate-index.js';
-import {Dispatcher} from './calls/dispatcher.js';
+import {ClaimedDispatcher} from './calls/claimed-dispatcher.js';
+import {Dispatcher, type CallDispatcher} from './calls/dispatcher.js';
 import {IncomingCalls} from './calls/incoming-calls.js';
 import {LocalRunner} from './calls/local-runner.js';
+import {MeteredDispatcher} from './calls/metered-dispatcher.js';
 import {RemoteRunner} from './calls/remote-runner.js';
 import {FleetVersions} from './fleet-versions.js';
 import {LiveNodeView} from './live-node-view.js';
 import type {NodeSettings} from './settings/index.js';
 import {AnnounceTask} from './tasks/announce-task.js';
+import {ClaimsTask} from './tasks/claims-task.js';
 import {ConfigTask} from './tasks/config-task.js';
 import {IngressTask} from './tasks/ingress-task.js';
 import {MembershipTask} from './tasks/membership-task.js';
 import {MetricsTask} from './tasks/metrics-task.js';
 import {QuarantineTask} from './tasks/quarantine-task.js';
+import {UsageTask} from './tasks/usage-task.js';
 import {TransportTask} from './transport/transport-task.js';
 
 /** Ports in use, for those settings that left the choice to the platform. */
@@ -39,6 +42,8 @@
   readonly transport: TransportTask;
   readonly announce: AnnounceTask;
   readonly config: ConfigTask;
+  readonly claims: ClaimsTask;
+  readonly usage: UsageTask;
   readonly ingress: IngressTask;
   readonly local: LocalRunner;
   private readonly incoming: IncomingCalls;
@@ -55,7 +60,7 @@
 
   constructor(
     private readonly settings: NodeSettings,
-    logger: Logger,
+    private readonly logger: Logger,
   ) {
     const {bus, clock, random} = this;
     const {nodeId, dataCentre, region} = settings;
@@ -78,6 +83,12 @@
     const parts = {log, bus, fleet, clock, random, logger};
     this.config = new ConfigTask(identity, parts);
     const quarantine = new QuarantineTask(nodeId, bus, clock, random, logger);
+    const start = {nodeId, incarnation: this.incarnation};
+    this.claims = new ClaimsTask(start, this.log, bus, clock, random);
+    this.usage = new UsageTask(
+      {...start, region},
+      {log: this.log, bus, clock, random},
+    );
     this.local = new LocalRunner(bus, clock, quarantine);
     this.incoming = new IncomingCalls(bus, this.local, clock);
     this.ingress = new IngressTask(
@@ -107,14 +118,12 @@
   async start(): Promise<NodePorts> {
     await this.transport.start();
     await this.announce.start();
-    this.membership = new MembershipTask(
-      {self: this.ownRecord(), seeds: this.settings.seeds},
-      this.bus,
-      this.clock,
-    );
+    this.membership = this.makeMembership();
     this.membership.start();
     this.config.start();
     this.metrics?.start();
+    this.claims.start();
+    this.usage.start();
     await this.ingress.start();
     const admin = await this.admin.start();
     return {
@@ -136,6 +145,7 @@
 
   private async shutDown(): Promise<void> {
     this.view.setStopping();
+    this.membership?.beginLeave();
     this.announce.drainAll();
     const {shutdownGraceMs, drainSpreadMs} = this.settings.limits;
     const deadlineMs = this.clock.now() + shutdownGraceMs;
@@ -149,6 +159,8 @@
   private async stopTasks(): Promise<void> {
     await this.ingress.stop();
     await this.metrics?.stop();
+    await this.claims.stop();
+    this.usage.stop();
     this.config.stop();
     this.membership?.stop();
     await this.announce.stop();
@@ -158,12 +170,12 @@
     await this.log.close();
   }
 
-  private makeDispatcher(): Dispatcher {
+  private makeDispatcher(): CallDispatcher {
     const {bus, clock, random} = this;
     bus.subscribe('view-changed', ({members}) => {
       this.candidates = new CandidateIndex(members);
     });
-    return new Dispatcher({
+    const dispatcher = new Dispatcher({
       nodeId: this.settings.nodeId,
       local: this.local,
       remote: new RemoteRunner(bus, clock),
@@ -172,6 +184,8 @@
       random,
       candidates: group => this.candidates.ofGroup(group),
     });
+    const metered = new MeteredDispatcher(this.usage, dispatcher);
+    return new ClaimedDispatcher(this.claims, metered);
   }
 
   private makeMetrics(): MetricsTask | undefined {
@@ -185,18 +199,18 @@
     });
   }
 
-  private ownRecord(): MemberRecord {
-    const {nodeId, dataCentre, region, mesh} = this.settings;
-    return {
+  private makeMembership(): MembershipTask {
+    const {nodeId, dataCentre, region, mesh, seeds} = this.settings;
+    const identity = {
       id: nodeId,
       incarnation: this.incarnation,
-      status: 'alive',
       address: mesh.address,
       port: this.transport.port,
       dataCentre,
       region,
-      servers: [],
-      revision: 0,
     };
+    const {bus, clock, random, log, logger} = this;
+    const parts = {bus, clock, random, log, logger};
+    return new MembershipTask({identity, seeds}, parts);
   }
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -69,3 +69,5 @@
   type MatchHeaders,
   type MatchRequest,
 } from './routes/routing-table.js';
+export * from './balances/index.js';
+export * from './claims/index.js';
--- a/packages/testkit/tests/calls/call-fixture.ts
+++ b/packages/testkit/tests/calls/call-fixture.ts
@@ -1,22 +1,20 @@
 import {createServer, type RequestListener, type Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
 
-import {
-  Node,
-  parseSettings,
-  type NodePorts,
-  type Topics,
-} from '@turmericmill/node';
+import type {Topics} from '@turmericmill/node';
 import type {MessageName} from '@turmericmill/wire';
-import bunyan from 'bunyan';
 import {request} from 'undici';
 
 import {publishFiles} from '../../src/bench/publish-files.js';
-import {LogServer} from '../../src/index.js';
+import {
+  LogServer,
+  startInProcessNode,
+  whenAll,
+  type InProcessNode,
+} from '../../src/index.js';
 
 export const TIMEOUT_MS = 1_500;
 const GROUP = 'nyota/api';
-const SILENT = bunyan.createLogger({name: 'test', level: bunyan.FATAL + 1});
 
 function routeOf(name: string, cls: string, repetition: string) {
   const match = {pathPrefix: `/${name}`};
@@ -93,31 +91,13 @@
   }
 }
 
-interface Running {
-  node: Node;
-  ports: NodePorts;
-}
-
-async function startNode(
+function startNode(
   logUrl: string,
   nodeId: string,
   seeds: string[],
-): Promise<Running> {
-  const loopback = {address: '127.0.0.1', port: 0};
-  const settings = {
-    nodeId,
-    dataCentre: 'nairobi-a',
-    region: 'nairobi',
-    mesh: loopback,
-    calls: loopback,
-    announce: loopback,
-    admin: {...loopback, token: 'test-token-of-this-node'},
-    log: {urls: [logUrl]},
-    seeds,
-  };
-  const text = JSON.stringify(settings);
-  const node = new Node(parseSettings('node.json', text).unwrap(), SILENT);
-  return {node, ports: await node.start()};
+): Promise<InProcessNode> {
+  const place = {dataCentre: 'nairobi-a', region: 'nairobi'};
+  return startInProcessNode({nodeId, ...place, logUrl, seeds});
 }
 
 /** Two nodes; `remote` has no server, `local` has those of the test. */
@@ -125,7 +105,7 @@
   private readonly log = new LogServer();
   private readonly servers: HandlerServer[] = [];
   private timer: NodeJS.Timeout | undefined;
-  private nodes: Running[] = [];
+  private nodes: InProcessNode[] = [];
 
   /** Base URL of the node with the servers, and of the one without. */
   urls: Record<'local' | 'remote', string> = {local: '', remote: ''};
@@ -168,15 +148,7 @@
     topic: K,
     holds: (message: Topics[K]) => boolean,
   ): Promise<void> {
-    const waits = this.nodes.map(
-      ({node}) =>
-        new Promise<void>(resolve => {
-          node.bus.subscribe(topic, message => {
-            if (holds(message)) resolve();
-          });
-        }),
-    );
-    await Promise.all(waits);
+    await whenAll(this.nodes, topic, holds);
   }
 
   /** Resolves when the node with the servers tells another such news. */
