--- a/packages/testkit/src/scenario/scenario-grammar.ts
+++ b/packages/testkit/src/scenario/scenario-grammar.ts
@@ -32,7 +32,7 @@
 
   method = ("GET" | "POST" | "PUT" | "DELETE") ~alnum
   path = "/" (~space ~"," any)*
-  orderFlag = "once" | "keyed" | "poisoned"
+  orderFlag = "once" | "keyed" | "poisoned" | "retried"
 
   nodeAction = ("kill" | "stop" | "pause" | "resume" | "restart") ~alnum
   serverAction
--- a/packages/testkit/src/scenario/scenario-runner.ts
+++ b/packages/testkit/src/scenario/scenario-runner.ts
@@ -135,8 +135,10 @@
   ): Promise<void> {
     const urls = this.mesh.callUrls();
     for (let i = 0; i < calls; i++) {
-      const url = urls[i % urls.length] as string;
-      await this.caller.call(url, toOrder(orders, i));
+      const order = toOrder(orders, i);
+      await this.caller.call(urls[i % urls.length] as string, order);
+      if (!orders[i % orders.length]?.retried) continue;
+      await this.caller.call(urls[(i + 1) % urls.length] as string, order);
     }
   }
 
@@ -233,8 +235,8 @@
 }
 
 function toOrder(orders: readonly ScenarioOrder[], index: number): CallOrder {
-  const {keyed, ...order} = orders[index % orders.length] as ScenarioOrder;
-  return keyed ? {...order, idempotencyKey: randomUUID()} : order;
+  const {call, keyed} = orders[index % orders.length] as ScenarioOrder;
+  return keyed ? {...call, idempotencyKey: randomUUID()} : call;
 }
 
 async function isMet(condition: Condition, probe: NodeProbe): Promise<boolean> {
--- a/packages/testkit/src/scenario/scenario-semantics.ts
+++ b/packages/testkit/src/scenario/scenario-semantics.ts
@@ -5,6 +5,7 @@
 
 import {grammar, type Node} from 'ohm-js';
 
+import type {CallOrder} from '../caller/caller.js';
 import {SCENARIO_GRAMMAR} from './scenario-grammar.js';
 import type {
   Comparison,
@@ -57,13 +58,13 @@
   },
   Order(method, path, flags): ScenarioOrder {
     const set = new Set(flags.children.map(flag => flag.sourceString));
-    return {
-      method: method.sourceString as ScenarioOrder['method'],
+    const call: CallOrder = {
+      method: method.sourceString as CallOrder['method'],
       path: path.sourceString,
       once: set.has('once') || set.has('keyed'),
-      keyed: set.has('keyed'),
-      ...(set.has('poisoned') ? {headers: {'x-poison': '1'}} : {}),
     };
+    if (set.has('poisoned')) call.headers = {'x-poison': '1'};
+    return {call, keyed: set.has('keyed'), retried: set.has('retried')};
   },
   Condition_version(unusedVersion, version, unusedEverywhere): Condition {
     return {kind: 'version', version: valueOf(version)};
--- a/packages/testkit/src/scenario/scenario-step.ts
+++ b/packages/testkit/src/scenario/scenario-step.ts
@@ -28,8 +28,11 @@
   | {kind: 'nodes'; count: number};
 
 /** An order; `keyed` calls get an idempotency key each. */
-export interface ScenarioOrder extends CallOrder {
+export interface ScenarioOrder {
+  call: CallOrder;
   keyed: boolean;
+  /** Sent once more with the same key through another node. */
+  retried: boolean;
 }
 
 /** What a step does, told apart by `kind`. Times are in ms. */
