--- a/packages/distribution/src/agent/config-agent.ts
+++ b/packages/distribution/src/agent/config-agent.ts
@@ -61,8 +61,7 @@
       known: -1,
       emit: effect => this.effects.push(effect),
     };
-    const onAdopted = (adopted: Adopted, atMs: number) =>
-      this.onAdopted(adopted, atMs);
+    const onAdopted = (adopted: Adopted) => this.onAdopted(adopted);
     this.replica = new Replica(this.context, onAdopted, nowMs);
     const onLogRead = () => this.readiness.onLogRead();
     this.relay = new Relay(this.context, this.replica, onLogRead, nowMs);
@@ -132,6 +131,12 @@
     return this.advance(nowMs);
   }
 
+  /** The task has swapped a version in, which is reported from now on. */
+  onEnforced(version: number, nowMs: number): ConfigEffect[] {
+    this.reporter.setVersion(version, nowMs);
+    return this.advance(nowMs);
+  }
+
   /** Time passed; due at `nextDeadlineMs` at the latest. */
   onTimer(nowMs: number): ConfigEffect[] {
     return this.advance(nowMs);
@@ -212,9 +217,9 @@
     this.relay.onSettledPeer(nowMs);
   }
 
-  private onAdopted(adopted: Adopted, nowMs: number): void {
+  private onAdopted(adopted: Adopted): void {
     this.readiness.onEnforced(adopted.version.version);
-    if (this.context.settled) this.enforce(adopted, nowMs);
+    if (this.context.settled) this.emitEnforce(adopted);
   }
 
   /** Gives every part the time to act, and returns what they ask for. */
@@ -242,24 +247,19 @@
     const version = this.replica.held;
     this.context.emit({type: 'settled', version: version.version});
     if (version.version < 0) return;
-    this.enforce({version, writes: null, acceptedAtMs: nowMs}, nowMs);
+    this.emitEnforce({version, writes: null, acceptedAtMs: nowMs});
   }
 
   private report(nowMs: number): void {
     const {topology, known} = this.context;
-    const behind = known > this.replica.held.version;
+    const behind = known > this.reporter.inForce;
     const outgoing = this.reporter.poll(topology, behind, nowMs);
     if (!outgoing) return;
     const {to, report} = outgoing;
     sendAll(this.context, to, {type: 'versionReport', body: report});
   }
 
-  /** Only what is enforced is reported: a version held is not in force. */
-  private enforce(
-    {version, writes, acceptedAtMs}: Adopted,
-    nowMs: number,
-  ): void {
-    this.reporter.setVersion(version.version, nowMs);
+  private emitEnforce({version, writes, acceptedAtMs}: Adopted): void {
     this.context.emit({type: 'enforce', version, writes, acceptedAtMs});
   }
 }
--- a/packages/node/src/tasks/announce-task.ts
+++ b/packages/node/src/tasks/announce-task.ts
@@ -141,10 +141,10 @@
     for (const {type, name, incarnation} of this.registry.takeEvents()) {
       this.logger.info({serverId: name, incarnation}, `server ${type}`);
     }
-    const servers = this.registry.servers().map(server => {
-      const local = toLocalServer(server);
-      return this.allDrained ? {...local, state: 'draining' as const} : local;
-    });
+    const servers = this.registry
+      .servers()
+      .map(toLocalServer)
+      .map(server => (this.allDrained ? drained(server) : server));
     const text = JSON.stringify(servers);
     if (text === this.published) return;
     this.published = text;
@@ -172,6 +172,10 @@
   res.writeHead(status, headers).end(JSON.stringify(body));
 }
 
+function drained(server: LocalServer): LocalServer {
+  return {...server, state: 'draining'};
+}
+
 function toLocalServer({
   announcement,
   state,
