--- a/packages/testkit/tests/docs/reference.test.ts
+++ b/packages/testkit/tests/docs/reference.test.ts
@@ -1,4 +1,4 @@
-import {readFileSync} from 'node:fs';
+import {existsSync, readdirSync, readFileSync} from 'node:fs';
 import {createRequire} from 'node:module';
 
 import {expect} from 'chai';
@@ -23,6 +23,14 @@
   });
 }
 
+/** Messages given to the logger at level info or above. */
+function logLinesOf(source: string): string[] {
+  const calls = source.matchAll(
+    /logger\.(?:info|warn|error)\([^;]*?'([^']+)',?\s*\);/g,
+  );
+  return [...calls].map(match => match[1] ?? '');
+}
+
 describe('reference pages', () => {
   it('name every setting of a node', () => {
     const path = `${ROOT.pathname}packages/node/src/settings/`;
@@ -35,6 +43,31 @@
     expect(missing).to.deep.equal([]);
   });
 
+  const pages = readdirSync(new URL('docs/', ROOT), {recursive: true})
+    .map(String)
+    .filter(name => name.endsWith('.md'));
+  for (const name of pages) {
+    it(`${name} links to files that exist`, () => {
+      const links = page(name).matchAll(/\]\(([^)#:]+)(?:#[^)]*)?\)/g);
+      const base = new URL(`docs/${name}`, ROOT);
+      const missing = [...links]
+        .map(match => match[1] ?? '')
+        .filter(link => !existsSync(new URL(link, base)));
+      expect(missing).to.deep.equal([]);
+    });
+  }
+
+  it('name every log line of a node', () => {
+    const text = page('OPERATING.md');
+    const folder = new URL('packages/node/src/', ROOT);
+    const missing = readdirSync(folder, {recursive: true})
+      .map(String)
+      .filter(file => file.endsWith('.ts'))
+      .flatMap(file => logLinesOf(readFileSync(new URL(file, folder), 'utf8')))
+      .filter(line => !text.includes(`\`${line}\``));
+    expect(missing).to.deep.equal([]);
+  });
+
   it('name every exit code', () => {
     const text = page('OPERATING.md');
     for (const {code} of Object.values(EXITS)) {
