--- a/packages/cli/tests/publish.test.ts
+++ b/packages/cli/tests/publish.test.ts
@@ -132,6 +132,22 @@
     }
   }
 
+  it('publishes a set larger than a record in several, in force as one', async () => {
+    const [route] = FILES.routes;
+    const routes = Array.from({length: 1500}, (unused, i) => ({
+      ...route,
+      name: `route-${i}`,
+      match: {pathPrefix: `/${'p'.repeat(300)}/${i}`},
+    }));
+    write({...FILES, routes});
+    expect((await cli.run('publish', 'files')).code).to.equal(0);
+    expect(log.records.length).to.be.greaterThan(1);
+    const {out} = await cli.run('history', '--json');
+    const [entry] = JSON.parse(out) as {offset: number; keys: string[]}[];
+    expect(entry?.offset).to.equal(log.records.length - 1);
+    expect(entry?.keys).to.have.length(1503);
+  });
+
   it('validates without a log service', async () => {
     cli.env = {};
     const res = await cli.run('validate', 'files', '--team', 'nyota');
