Starting nodes fetch without waiting for pushes

Cause: with the preference bytes a node of a herd came back after up to 8.4 s (50 processes, all restarted): it waited up to 1.5 s for a push before its first fetch, and up to 5 s between two questions to the witnesses.

Conclusion: both waits were for running nodes; a starting one serves nobody.

--- a/packages/distribution/src/replica/fetcher.ts
+++ b/packages/distribution/src/replica/fetcher.ts
@@ -28,19 +28,18 @@
   private peer: string | undefined;
   private deadlineMs = 0;
 
-  constructor(
-    private readonly random: RandomSource,
-    /** Spread of first tries in ms, in which a push may still arrive. */
-    private readonly spreadMs = 0,
-  ) {}
+  constructor(private readonly random: RandomSource) {}
 
   /** The peer that is being fetched from. */
   get activePeer(): string | undefined {
     return this.peer;
   }
 
-  /** Notes that `peer` has `version`. */
-  offer(peer: string, version: number, nowMs: number): void {
+  /**
+   * Notes that `peer` has `version`. A first try is spread over `spreadMs`, in
+   * which a push may still arrive.
+   */
+  offer(peer: string, version: number, nowMs: number, spreadMs = 0): void {
     const known = this.sources.get(peer);
     const notBeforeMs = known?.notBeforeMs ?? 0;
     this.sources.delete(peer);
@@ -50,7 +49,7 @@
       this.sources.delete(oldest);
     }
     if (this.peer !== undefined) return;
-    this.waitUntilMs ??= nowMs + this.random.next() * this.spreadMs;
+    this.waitUntilMs ??= nowMs + this.random.next() * spreadMs;
   }
 
   /** Forgets a peer that is gone. */
--- a/packages/distribution/src/replica/readiness.ts
+++ b/packages/distribution/src/replica/readiness.ts
@@ -15,7 +15,7 @@
 import {WITNESSES_NEEDED} from '../relay/witness-gate.js';
 
 const ASK_BASE_MS = 200;
-const ASK_CAP_MS = 5000;
+const ASK_CAP_MS = 2000;
 
 /** How far a node has come with its start. */
 export type StartState = 'asking' | 'catching-up' | 'settled';
--- a/packages/distribution/src/replica/replica.ts
+++ b/packages/distribution/src/replica/replica.ts
@@ -22,6 +22,9 @@
 import type {ConfigVersion} from './in-force.js';
 import {SnapshotStaging, splitSnapshot} from './snapshot-parts.js';
 
+/** Spread of the first fetches of starting nodes. */
+const START_FETCH_SPREAD_MS = 100;
+
 /** A version that was taken over. */
 export interface Adopted {
   version: ConfigVersion;
@@ -47,7 +50,7 @@
     nowMs: number,
   ) {
     const {random, timing} = context;
-    this.fetcher = new Fetcher(random, timing.fetchSpreadMs);
+    this.fetcher = new Fetcher(random);
     this.server = new FetchServer(random);
     this.exchangeAtMs = nowMs + random.next() * timing.antiEntropyMs;
   }
@@ -82,7 +85,7 @@
     if (have.ask || (isBehind && have.settled)) this.tell(from, false);
     if (!have.settled) return;
     if (have.version > version) {
-      this.fetcher.offer(from, have.version, nowMs);
+      this.offer(from, have.version, nowMs);
     } else if (have.version === version && have.digest !== digest) {
       this.alarm(`version ${version} has another digest at node ${from}`);
     }
@@ -97,11 +100,11 @@
       const trimmed = {...delta, from: this.current.version};
       this.adopt(applied.value, trimmed, delta.acceptedAtMs);
     } else if (applied.error === 'gap') {
-      this.fetcher.offer(from, delta.to, nowMs);
+      this.offer(from, delta.to, nowMs);
     } else if (applied.error === 'digest-mismatch') {
       this.alarm(`change to version ${delta.to} from ${from} does not fit`);
       this.wantsWhole = true;
-      this.fetcher.offer(from, delta.to, nowMs);
+      this.offer(from, delta.to, nowMs);
     }
   }
 
@@ -176,6 +179,13 @@
     this.forward({...delta, root: self.id});
   }
 
+  /** A starting node does not wait for pushes: it cannot serve before. */
+  private offer(peer: string, version: number, nowMs: number): void {
+    const {settled, timing} = this.context;
+    const spreadMs = settled ? timing.fetchSpreadMs : START_FETCH_SPREAD_MS;
+    this.fetcher.offer(peer, version, nowMs, spreadMs);
+  }
+
   private exchange(nowMs: number): void {
     const {random, timing, topology, settled} = this.context;
     const spread = 0.5 + random.next();
