--- /dev/null
+++ b/packages/utils/tests/random.test.ts
@@ -0,0 +1,32 @@
+import {expect} from 'chai';
+
+import {SeededRandom} from '../src/index.js';
+
+describe('seeded random', () => {
+  it('depends on its seed alone', () => {
+    const draw = (seed: number) => {
+      const random = new SeededRandom(seed);
+      return Array.from({length: 20}, () => random.next());
+    };
+    expect(draw(7)).to.deep.equal(draw(7));
+    expect(draw(7)).to.not.deep.equal(draw(8));
+  });
+
+  it('samples different items, at most as many as there are', () => {
+    const random = new SeededRandom(3);
+    for (const count of [0, 1, 4, 9]) {
+      const sample = random.sample([1, 2, 3, 4], count);
+      expect(new Set(sample).size).to.equal(sample.length);
+      expect(sample).to.have.length(Math.min(count, 4));
+    }
+  });
+
+  it('keeps jitter between nothing and the cap', () => {
+    const random = new SeededRandom(5);
+    for (let attempt = 0; attempt < 40; attempt++) {
+      const delayMs = random.jitter(100, attempt, 5000);
+      expect(delayMs).to.be.at.least(0);
+      expect(delayMs).to.be.below(Math.min(5000, 100 * 2 ** attempt));
+    }
+  });
+});
