A connection that leads to another node fails its calls at once

Cause: a connection opened by address alone was reused for a node thought to be at that address. A host that had taken over the address got the call, and its refusal was ignored as coming from a node that was not asked: the call hung until its deadline and ended as unknown. The same when such a connection failed before its hello. Change: a connection is tied to the node that is meant; one that leads elsewhere fails the call as not run. Before: two tests of transport-task.test.ts time out; after: all pass.

--- a/packages/node/src/transport/transport-task.ts
+++ b/packages/node/src/transport/transport-task.ts
@@ -207,29 +207,36 @@
       this.bus.publish('peer-lost', {nodeId, opened: false});
       return;
     }
-    this.connectTo(member.address, member.port, nodeId).send(message);
+    const connection = this.connectTo(member.address, member.port);
+    if (this.expectPeer(connection, nodeId)) {
+      connection.send(message);
+    } else {
+      this.bus.publish('peer-lost', {nodeId, opened: false});
+    }
   }
 
-  private connectTo(
-    address: string,
-    port: number,
-    nodeId?: string,
-  ): PeerConnection {
+  private connectTo(address: string, port: number): PeerConnection {
     const key = `${address}:${port}`;
     const open = this.byAddress.get(key);
     if (open) return open;
     const connection = this.adopt(connect(port, address));
     this.byAddress.set(key, connection);
-    if (nodeId !== undefined) this.expectPeer(connection, nodeId);
     return connection;
   }
 
-  /** A connection that fails before its hello is lost for its node, too. */
-  private expectPeer(connection: PeerConnection, nodeId: string): void {
+  /**
+   * Ties a connection to the node that is meant. Returns false when it leads to
+   * another one, as after a host has taken over an address. A connection that
+   * fails before its hello is lost for its node, too.
+   */
+  private expectPeer(connection: PeerConnection, nodeId: string): boolean {
+    const other = connection.peer?.nodeId ?? connection.expectedNodeId;
+    if (other !== undefined) return other === nodeId;
     connection.expectedNodeId = nodeId;
     connection.onceFailed = () => {
       this.bus.publish('peer-lost', {nodeId, opened: false});
     };
+    return true;
   }
 
   private sendDatagram(address: string, port: number, message: Message): void {
