--- a/packages/node/src/calls/call-leg.ts
+++ b/packages/node/src/calls/call-leg.ts
@@ -1,6 +1,7 @@
 /** The two sides of one try of a call, whatever lies between them. */
 
 import type {
+  CallRequest,
   FailureReason,
   FlatHeaders,
   Outcome,
@@ -10,21 +11,10 @@
 /** Bytes of a body that may be under way before the receiver grants more. */
 export const INITIAL_WINDOW_BYTES = 256 * 1024;
 
-/** What a call asks for, apart from its body. */
-export interface CallHead {
-  serverId: string;
-  serverIncarnation: number;
-  group: string;
-  method: string;
-  path: string;
-  headers: FlatHeaders;
-  customer: string;
-  class: string;
-  priority: 'interactive' | 'bulk';
+/** What a call asks for, and by when. */
+export interface CallHead extends CallRequest {
   /** Time in ms since the epoch, by this host's clock. */
   deadlineMs: number;
-  hops: number;
-  fingerprint: string;
 }
 
 /** Why a try brought no answer, and whether the request may have run. */
--- a/packages/wire/src/messages/calls.ts
+++ b/packages/wire/src/messages/calls.ts
@@ -3,10 +3,9 @@
 /** Header names and values in the order received, flattened. */
 export type FlatHeaders = string[];
 
-/** Opens a call. `callId` is unique within the connection. */
-export interface CallStart {
-  callId: number;
-  /** The backend server's name at the receiving node, and its incarnation. */
+/** What a call asks for, apart from its deadline and its body. */
+export interface CallRequest {
+  /** The backend server's name at its node, and its incarnation. */
   serverId: string;
   serverIncarnation: number;
   /** Backend server group as `team/name`. */
@@ -17,12 +16,17 @@
   customer: string;
   class: string;
   priority: 'interactive' | 'bulk';
-  /** Time left in ms until the deadline; clocks of hosts differ. */
-  remainingMs: number;
   /** Nodes that the call has passed, from the first caller on. */
   hops: number;
   /** Identifies the request for quarantine. */
   fingerprint: string;
+}
+
+/** Opens a call. `callId` is unique within the connection. */
+export interface CallStart extends CallRequest {
+  callId: number;
+  /** Time left in ms until the deadline; clocks of hosts differ. */
+  remainingMs: number;
   /** True when this message carries the whole body. */
   end: boolean;
   body: Uint8Array;
