Limits of calls and connections are enforced; calls are logged with their ids

Cause: limits.maxCalls and limits.maxNodeConnections were checked in the settings and then unused, and no log line carried a request's id. Change: calls beyond the limit are refused as not run, connections of other nodes beyond theirs are not accepted; each call has an x-request-id, and calls without an answer are logged with it and the version in force.

--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -73,24 +73,25 @@
       dataCentre,
       region,
     };
-    const {maxAcceptsPerSecond: acceptsPerSecond} = settings.limits;
-    const mesh = {...settings.mesh, hello, acceptsPerSecond};
+    const mesh = {
+      ...settings.mesh,
+      hello,
+      acceptsPerSecond: settings.limits.maxAcceptsPerSecond,
+      maxConnections: settings.limits.maxNodeConnections,
+    };
     this.transport = new TransportTask(mesh, bus, clock, logger);
     this.announce = new AnnounceTask(settings.announce, bus, clock, logger);
     const fleet = new FleetVersions();
     const {preference} = settings;
     const expectsPeers = settings.seeds.length > 0;
-    const identity = {nodeId, dataCentre, region, preference, expectsPeers};
-    const {log} = this;
-    const parts = {log, bus, fleet, clock, random, logger};
-    this.config = new ConfigTask(identity, parts);
+    this.config = new ConfigTask(
+      {nodeId, dataCentre, region, preference, expectsPeers},
+      {log: this.log, bus, fleet, clock, random, logger},
+    );
     const quarantine = new QuarantineTask(nodeId, bus, clock, random, logger);
-    const start = {nodeId, incarnation: this.incarnation};
+    const start = {nodeId, incarnation: this.incarnation, region};
     this.claims = new ClaimsTask(start, this.log, bus, clock, random);
-    this.usage = new UsageTask(
-      {...start, region},
-      {log: this.log, bus, clock, random},
-    );
+    this.usage = new UsageTask(start, {log: this.log, bus, clock, random});
     this.local = new LocalRunner(bus, clock, quarantine);
     this.incoming = new IncomingCalls(bus, this.local, clock);
     this.ingress = new IngressTask(
--- a/packages/node/src/tasks/ingress-task.ts
+++ b/packages/node/src/tasks/ingress-task.ts
@@ -1,5 +1,6 @@
 /** Owns the HTTP socket at which callers' requests arrive. */
 
+import {randomUUID} from 'node:crypto';
 import {
   createServer,
   type IncomingMessage,
@@ -31,11 +32,14 @@
   type CallEnd,
 } from '../calls/call-statistics.js';
 import type {CallDemand, CallDispatcher} from '../calls/dispatcher.js';
+import {headerOf} from '../calls/headers.js';
 import type {ListenAddress, NodeLimits} from '../settings/index.js';
 import {Task} from '../task.js';
 
 /** Names the customer on whose account a call is made. */
 const CUSTOMER_HEADER = 'x-customer';
+/** Names the request in the logs of all nodes and servers that it passes. */
+const REQUEST_ID_HEADER = 'x-request-id';
 /** Customer of calls that name none. */
 const NO_CUSTOMER = 'none';
 
@@ -43,7 +47,10 @@
 export class IngressTask extends Task {
   readonly statistics = new CallStatisticsRecorder();
   port = 0;
+  private readonly maxCalls: number;
   private inFlight = 0;
+  /** Version in force, for the log. */
+  private version = -1;
   private table: RoutingTable | undefined;
   private draining = false;
   private closed: Promise<void> | undefined;
@@ -61,13 +68,15 @@
     super();
     this.server = createServer({maxHeaderSize: limits.maxHeaderBytes});
     this.server.maxConnections = limits.maxCallerConnections;
+    this.maxCalls = limits.maxCalls;
     this.server.requestTimeout = 0;
     this.server.on('request', (req, res) => void this.serve(req, res));
     this.server.on('checkContinue', (req, res) => {
       void this.serve(req, res, () => res.writeContinue());
     });
-    bus.subscribe('config-in-force', ({table}) => {
+    bus.subscribe('config-in-force', ({table, state}) => {
       this.table = table;
+      this.version = state.version;
     });
   }
 
@@ -132,6 +141,10 @@
       exchange.refuse(noRoute(this.table !== undefined));
       return;
     }
+    if (this.inFlight >= this.maxCalls) {
+      exchange.refuse(tooManyCalls(this.maxCalls));
+      return;
+    }
     const limits = this.limitsOf(req, route);
     if (limits.isErr()) {
       exchange.refuse(limitFailure(limits.error));
@@ -193,11 +206,15 @@
     limits: CallLimits,
   ): CallDemand {
     const customer = req.headers[CUSTOMER_HEADER];
+    const headers = [...req.rawHeaders];
+    if (!(REQUEST_ID_HEADER in req.headers)) {
+      headers.push(REQUEST_ID_HEADER, randomUUID());
+    }
     return {
       group: route.group,
       method: req.method ?? 'GET',
       path: req.url ?? '/',
-      headers: req.rawHeaders,
+      headers,
       customer: typeof customer === 'string' ? customer : NO_CUSTOMER,
       class: route.class,
       priority: route.priority,
@@ -207,11 +224,31 @@
   }
 
   private note(end: TryEnd, demand: CallDemand, latencyMs: number): void {
+    this.logEnd(end, demand, latencyMs);
     const callEnd = callEndOf(end);
     if (callEnd === undefined) return;
     const {customer, class: className} = demand;
     this.statistics.record(customer, className, callEnd, latencyMs);
   }
+
+  /** Each call at debug level; those that brought no answer at info level. */
+  private logEnd(end: TryEnd, demand: CallDemand, latencyMs: number): void {
+    const fails = end.kind === 'failed' || end.kind === 'cut';
+    if (!fails && !this.logger.debug()) return;
+    const entry = {
+      requestId: headerOf(demand.headers, REQUEST_ID_HEADER),
+      version: this.version,
+      customer: demand.customer,
+      class: demand.class,
+      latencyMs: Math.round(latencyMs * 1000) / 1000,
+    };
+    if (!fails) {
+      this.logger.debug(entry, `call ${end.kind}`);
+      return;
+    }
+    const {reason, outcome} = end.failure;
+    this.logger.info({...entry, reason, outcome}, `call ${end.kind}`);
+  }
 }
 
 function noRoute(configured: boolean): CallFailure {
@@ -241,6 +278,12 @@
   return {outcome: 'not-run', reason: 'quarantined', detail, load};
 }
 
+function tooManyCalls(maxCalls: number): CallFailure {
+  const detail = `This node has ${maxCalls} calls in flight already.`;
+  const load = {...NO_LOAD};
+  return {outcome: 'not-run', reason: 'overload', detail, load};
+}
+
 function callEndOf(end: TryEnd): CallEnd | undefined {
   if (end.kind === 'left') return undefined;
   return end.kind === 'answered' ? 'answered' : end.failure.outcome;
--- a/packages/node/src/transport/transport-task.ts
+++ b/packages/node/src/transport/transport-task.ts
@@ -34,6 +34,8 @@
   hello: Hello;
   /** Connections taken in a second, 200 if left out; twice as many at once. */
   acceptsPerSecond?: number;
+  /** Connections held at once that other nodes have opened. */
+  maxConnections?: number;
 }
 
 /** Sends and receives messages; one connection for each other node. */
@@ -62,6 +64,10 @@
   ) {
     super();
     const {acceptsPerSecond = DEFAULT_ACCEPTS_PER_SECOND} = options;
+    const {maxConnections} = options;
+    if (maxConnections !== undefined) {
+      this.server.maxConnections = maxConnections;
+    }
     this.accepts = new AcceptLimiter(
       clock.now(),
       acceptsPerSecond,
--- a/packages/testkit/tests/calls/call-fixture.ts
+++ b/packages/testkit/tests/calls/call-fixture.ts
@@ -1,7 +1,7 @@
 import {createServer, type RequestListener, type Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
 
-import type {Topics} from '@turmericmill/node';
+import type {NodeSettings, Topics} from '@turmericmill/node';
 import type {MessageName} from '@turmericmill/wire';
 import {request} from 'undici';
 
@@ -100,9 +100,10 @@
   logUrl: string,
   nodeId: string,
   seeds: string[],
+  limits: Partial<NodeSettings['limits']>,
 ): Promise<InProcessNode> {
   const place = {dataCentre: 'nairobi-a', region: 'nairobi'};
-  return startInProcessNode({nodeId, ...place, logUrl, seeds});
+  return startInProcessNode({nodeId, ...place, logUrl, seeds, limits});
 }
 
 /** Two nodes; `remote` has no server, `local` has those of the test. */
@@ -118,11 +119,12 @@
   async start(
     handlers: readonly RequestListener[],
     slots: number,
+    limits: Partial<NodeSettings['limits']> = {},
   ): Promise<HandlerServer[]> {
     const logUrl = await this.log.start();
-    const local = await startNode(logUrl, 'local', []);
+    const local = await startNode(logUrl, 'local', [], limits);
     const seeds = [`127.0.0.1:${local.ports.mesh}`];
-    const remote = await startNode(logUrl, 'remote', seeds);
+    const remote = await startNode(logUrl, 'remote', seeds, limits);
     this.nodes = [local, remote];
     this.urls = {
       local: `http://127.0.0.1:${local.ports.calls}`,
