--- a/packages/config/tests/parse-file-set.test.ts
+++ b/packages/config/tests/parse-file-set.test.ts
@@ -88,12 +88,22 @@
       texts: [BASE, routes({match: {path: '/a'}}, {match: {path: '/a'}})],
     },
     {
-      name: 'a route behind one with more methods',
+      name: 'routes with the same methods in another order',
       texts: [
         BASE,
         routes(
           {match: {pathPrefix: '/a/', methods: ['GET', 'PUT']}},
-          {match: {pathPrefix: '/a', methods: ['GET']}},
+          {match: {pathPrefix: '/a', methods: ['PUT', 'GET']}},
+        ),
+      ],
+    },
+    {
+      name: 'hosts that differ in case alone',
+      texts: [
+        BASE,
+        routes(
+          {match: {host: 'A.example', path: '/a'}},
+          {match: {host: 'a.example', path: '/a'}},
         ),
       ],
     },
@@ -107,6 +117,11 @@
 
   const distinct: {name: string; first: object; second: object}[] = [
     {name: 'methods', first: {}, second: {methods: ['GET']}},
+    {
+      name: 'fewer methods',
+      first: {methods: ['GET', 'PUT']},
+      second: {methods: ['GET']},
+    },
     {name: 'a header', first: {}, second: {headers: {'x-a': '1'}}},
     {name: 'a host', first: {}, second: {host: 'a.example'}},
     {name: 'a longer prefix', first: {}, second: {pathPrefix: '/a/b'}},
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -3,25 +3,29 @@
 import {HttpLogClient} from '@turmericmill/platform';
 import {LeastExpectedCostBalancer} from '@turmericmill/routing';
 import {SystemClock, SystemRandom} from '@turmericmill/utils';
-import type {MemberRecord} from '@turmericmill/wire';
 import {MAX_PROTOCOL_VERSION, MIN_PROTOCOL_VERSION} from '@turmericmill/wire';
 import type Logger from 'bunyan';
 
 import {AdminServer} from './admin/index.js';
 import {Bus} from './bus.js';
 import {CandidateIndex} from './calls/candidate-index.js';
-import {Dispatcher} from './calls/dispatcher.js';
+import {ClaimedDispatcher} from './calls/claimed-dispatcher.js';
+import {Dispatcher, type CallDispatcher} from './calls/dispatcher.js';
 import {IncomingCalls} from './calls/incoming-calls.js';
 import {LocalRunner} from './calls/local-runner.js';
+import {MeteredDispatcher} from './calls/metered-dispatcher.js';
 import {RemoteRunner} from './calls/remote-runner.js';
 import {FleetVersions} from './fleet-versions.js';
 import {LiveNodeView} from './live-node-view.js';
 import type {NodeSettings} from './settings/index.js';
 import {AnnounceTask} from './tasks/announce-task.js';
+import {ClaimsTask} from './tasks/claims-task.js';
 import {ConfigTask} from './tasks/config-task.js';
 import {IngressTask} from './tasks/ingress-task.js';
 import {MembershipTask} from './tasks/membership-task.js';
+import {MetricsTask} from './tasks/metrics-task.js';
 import {QuarantineTask} from './tasks/quarantine-task.js';
+import {UsageTask} from './tasks/usage-task.js';
 import {TransportTask} from './transport/transport-task.js';
 
 /** Ports in use, for those settings that left the choice to the platform. */
@@ -38,20 +42,25 @@
   readonly transport: TransportTask;
   readonly announce: AnnounceTask;
   readonly config: ConfigTask;
+  readonly claims: ClaimsTask;
+  readonly usage: UsageTask;
   readonly ingress: IngressTask;
   readonly local: LocalRunner;
+  private readonly incoming: IncomingCalls;
   private readonly view: LiveNodeView;
   private readonly admin: AdminServer;
+  private readonly metrics: MetricsTask | undefined;
   private membership: MembershipTask | undefined;
   private readonly log: HttpLogClient;
   private readonly clock = new SystemClock();
   private readonly random = new SystemRandom();
   private readonly incarnation = this.clock.now();
+  private stopped: Promise<void> | undefined;
   private candidates = new CandidateIndex();
 
   constructor(
     private readonly settings: NodeSettings,
-    logger: Logger,
+    private readonly logger: Logger,
   ) {
     const {bus, clock, random} = this;
     const {nodeId, dataCentre, region} = settings;
@@ -68,18 +77,20 @@
     this.transport = new TransportTask(mesh, bus, clock, logger);
     this.announce = new AnnounceTask(settings.announce, bus, clock, logger);
     const fleet = new FleetVersions();
-    const identity = {nodeId, dataCentre};
-    this.config = new ConfigTask(
-      identity,
-      this.log,
-      bus,
-      fleet,
-      random,
-      logger,
-    );
+    const {preference} = settings;
+    const identity = {nodeId, dataCentre, region, preference};
+    const {log} = this;
+    const parts = {log, bus, fleet, clock, random, logger};
+    this.config = new ConfigTask(identity, parts);
     const quarantine = new QuarantineTask(nodeId, bus, clock, random, logger);
+    const start = {nodeId, incarnation: this.incarnation};
+    this.claims = new ClaimsTask(start, this.log, bus, clock, random);
+    this.usage = new UsageTask(
+      {...start, region},
+      {log: this.log, bus, clock, random},
+    );
     this.local = new LocalRunner(bus, clock, quarantine);
-    new IncomingCalls(bus, this.local, clock);
+    this.incoming = new IncomingCalls(bus, this.local, clock);
     this.ingress = new IngressTask(
       settings.calls,
       settings.limits,
@@ -97,6 +108,7 @@
       fleet,
       inFlight: serverId => this.local.inFlightOf(serverId),
     });
+    this.metrics = this.makeMetrics();
     this.admin = new AdminServer(settings.admin, this.view, entry => {
       logger.info(entry, 'administration request');
     });
@@ -106,13 +118,12 @@
   async start(): Promise<NodePorts> {
     await this.transport.start();
     await this.announce.start();
-    this.membership = new MembershipTask(
-      {self: this.ownRecord(), seeds: this.settings.seeds},
-      this.bus,
-      this.clock,
-    );
+    this.membership = this.makeMembership();
     this.membership.start();
     this.config.start();
+    this.metrics?.start();
+    this.claims.start();
+    this.usage.start();
     await this.ingress.start();
     const admin = await this.admin.start();
     return {
@@ -123,15 +134,32 @@
     };
   }
 
-  /** Ends calls in flight in good order, then all tasks. */
-  async stop(): Promise<void> {
+  /**
+   * Shuts down without cutting a call: the servers drain, the other nodes learn
+   * of it, calls in flight end, then the sockets close.
+   */
+  stop(): Promise<void> {
+    this.stopped ??= this.shutDown();
+    return this.stopped;
+  }
+
+  private async shutDown(): Promise<void> {
     this.view.setStopping();
-    const grace = setTimeout(
-      () => this.ingress.abort(),
-      this.settings.limits.shutdownGraceMs,
-    );
+    this.announce.drainAll();
+    const {shutdownGraceMs, drainSpreadMs} = this.settings.limits;
+    const deadlineMs = this.clock.now() + shutdownGraceMs;
+    const spreadMs = this.announce.isEmpty ? 0 : drainSpreadMs;
+    const spread = new Promise(resolve => setTimeout(resolve, spreadMs));
+    await Promise.all([this.ingress.drain(deadlineMs), spread]);
+    await this.incoming.whenIdle(deadlineMs);
+    await this.stopTasks();
+  }
+
+  private async stopTasks(): Promise<void> {
     await this.ingress.stop();
-    clearTimeout(grace);
+    await this.metrics?.stop();
+    await this.claims.stop();
+    this.usage.stop();
     this.config.stop();
     this.membership?.stop();
     await this.announce.stop();
@@ -141,12 +169,12 @@
     await this.log.close();
   }
 
-  private makeDispatcher(): Dispatcher {
+  private makeDispatcher(): CallDispatcher {
     const {bus, clock, random} = this;
     bus.subscribe('view-changed', ({members}) => {
       this.candidates = new CandidateIndex(members);
     });
-    return new Dispatcher({
+    const dispatcher = new Dispatcher({
       nodeId: this.settings.nodeId,
       local: this.local,
       remote: new RemoteRunner(bus, clock),
@@ -155,20 +183,33 @@
       random,
       candidates: group => this.candidates.ofGroup(group),
     });
+    const metered = new MeteredDispatcher(this.usage, dispatcher);
+    return new ClaimedDispatcher(this.claims, metered);
   }
 
-  private ownRecord(): MemberRecord {
-    const {nodeId, dataCentre, region, mesh} = this.settings;
-    return {
+  private makeMetrics(): MetricsTask | undefined {
+    const {metrics, nodeId, dataCentre} = this.settings;
+    if (!metrics) return undefined;
+    return new MetricsTask(metrics, nodeId, dataCentre, {
+      statistics: this.ingress.statistics,
+      traffic: this.transport.counts,
+      version: () => this.config.version.version,
+      callsInFlight: () => this.ingress.callsInFlight,
+    });
+  }
+
+  private makeMembership(): MembershipTask {
+    const {nodeId, dataCentre, region, mesh, seeds} = this.settings;
+    const identity = {
       id: nodeId,
       incarnation: this.incarnation,
-      status: 'alive',
       address: mesh.address,
       port: this.transport.port,
       dataCentre,
       region,
-      servers: [],
-      revision: 0,
     };
+    const {bus, clock, random, log, logger} = this;
+    const parts = {bus, clock, random, log, logger};
+    return new MembershipTask({identity, seeds}, parts);
   }
 }
--- a/packages/node/src/tasks/ingress-task.ts
+++ b/packages/node/src/tasks/ingress-task.ts
@@ -30,7 +30,7 @@
   CallStatisticsRecorder,
   type CallEnd,
 } from '../calls/call-statistics.js';
-import type {CallDemand, Dispatcher} from '../calls/dispatcher.js';
+import type {CallDemand, CallDispatcher} from '../calls/dispatcher.js';
 import type {ListenAddress, NodeLimits} from '../settings/index.js';
 import {Task} from '../task.js';
 
@@ -45,12 +45,14 @@
   port = 0;
   private inFlight = 0;
   private table: RoutingTable | undefined;
+  private draining = false;
+  private closed: Promise<void> | undefined;
   private readonly server;
 
   constructor(
     private readonly listen: ListenAddress,
     limits: NodeLimits,
-    private readonly dispatcher: Dispatcher,
+    private readonly dispatcher: CallDispatcher,
     private readonly standing: (fingerprint: string) => Standing,
     bus: Bus,
     private readonly clock: Clock,
@@ -83,16 +85,36 @@
     this.port = (this.server.address() as AddressInfo).port;
   }
 
-  /** Takes no new connections; resolves when all calls have ended. */
-  override async stop(): Promise<void> {
-    const closed = new Promise(resolve => this.server.close(resolve));
+  /**
+   * Takes no new connections and ends each connection with its answer. Resolves
+   * when all calls have ended, at the latest at `deadlineMs`.
+   */
+  async drain(deadlineMs: number): Promise<void> {
+    this.draining = true;
+    this.closed = new Promise(resolve => {
+      this.server.close(() => resolve());
+    });
     this.server.closeIdleConnections();
-    await closed;
+    const timer = setTimeout(
+      () => this.server.closeAllConnections(),
+      Math.max(0, deadlineMs - this.clock.now()),
+    );
+    await this.closed;
+    clearTimeout(timer);
   }
 
-  /** Ends all connections at once. */
-  abort(): void {
+  override async stop(): Promise<void> {
     this.server.closeAllConnections();
+    this.closed ??= new Promise(resolve => {
+      this.server.close(() => resolve());
+    });
+    await this.closed;
+  }
+
+  /** A connection whose answer began before the drain is still kept alive. */
+  private closeIdle(): void {
+    if (!this.draining) return;
+    setImmediate(() => this.server.closeIdleConnections());
   }
 
   /** `askForBody` is called once the call is known to be worth its body. */
@@ -102,6 +124,8 @@
     askForBody?: () => void,
   ): Promise<void> {
     const startedMs = performance.now();
+    if (this.draining) res.shouldKeepAlive = false;
+    res.once('close', () => this.closeIdle());
     const exchange = new CallerExchange(req, res);
     const route = this.matchRoute(req);
     if (!route) {
