Slow start reaches the balancer from the group of the call

Cause: the time of the slow start was a field of the candidate, which membership cannot fill: it stands in the configuration of the group.

Change: it is a trait of the call, which the dispatcher takes from the route.

--- a/packages/node/src/calls/dispatcher.ts
+++ b/packages/node/src/calls/dispatcher.ts
@@ -101,12 +101,10 @@
 
   private choose(call: CallProgress): Candidate | undefined {
     const {balancer, clock, random} = this.parts;
-    return balancer.choose(
-      this.untried(call),
-      call.demand,
-      clock.now(),
-      random,
-    );
+    const {class: cls, priority} = call.demand;
+    const {slowStartMs} = call.route.groupSpec;
+    const traits = {class: cls, priority, slowStartMs};
+    return balancer.choose(this.untried(call), traits, clock.now(), random);
   }
 
   private untried({demand, tried}: CallProgress): readonly Candidate[] {
--- a/packages/routing/src/balancing/balancer.ts
+++ b/packages/routing/src/balancing/balancer.ts
@@ -19,11 +19,6 @@
   slots: number;
   /** Time in ms since the epoch at which the server became ready. */
   readySinceMs: number;
-  /**
-   * Time in ms over which it is brought to its full share after a start.
-   * Absent: at once.
-   */
-  slowStartMs?: number;
 }
 
 /** Identifies a server over its restarts. */
@@ -48,6 +43,11 @@
 export interface CallTraits {
   class: string;
   priority: ClassPriority;
+  /**
+   * Time in ms over which the servers of the call's group are brought to their
+   * full share after a start. Absent: at once.
+   */
+  slowStartMs?: number;
 }
 
 /** The end of a call, as its entry node saw it. */
--- a/packages/routing/src/balancing/least-expected-cost.ts
+++ b/packages/routing/src/balancing/least-expected-cost.ts
@@ -40,8 +40,11 @@
 }
 
 /** Share of its slots that a server gets at `nowMs` after a cold start. */
-export function slowStartShare(candidate: Candidate, nowMs: number): number {
-  const {readySinceMs, slowStartMs = 0} = candidate;
+export function slowStartShare(
+  {readySinceMs}: Candidate,
+  {slowStartMs = 0}: CallTraits,
+  nowMs: number,
+): number {
   if (slowStartMs <= 0) return 1;
   const share = (nowMs - readySinceMs) / slowStartMs;
   return Math.min(1, Math.max(FIRST_SHARE, share));
@@ -160,7 +163,7 @@
     const typicalMs = this.typicalServiceMs(candidates, call);
     return candidates.map(candidate => {
       const evidence = this.evidenceOf(candidate);
-      const share = slowStartShare(candidate, nowMs);
+      const share = slowStartShare(candidate, call, nowMs);
       const ownMs = evidence.serviceMs(call.class, typicalMs, nowMs);
       return {
         candidate,
--- a/packages/routing/tests/balancing/balancers.test.ts
+++ b/packages/routing/tests/balancing/balancers.test.ts
@@ -41,12 +41,13 @@
   balancer: Balancer,
   candidates: readonly Candidate[],
   nowMs = NOW_MS,
+  call = CALL,
 ): Record<string, number> {
   const random = new SeededRandom(SEED);
   const counts: Record<string, number> = {};
   for (let i = 0; i < 1_000; i++) {
     const id =
-      balancer.choose(candidates, CALL, nowMs, random)?.serverId ?? 'none';
+      balancer.choose(candidates, call, nowMs, random)?.serverId ?? 'none';
     counts[id] = (counts[id] ?? 0) + 1 / 1_000;
   }
   return counts;
@@ -190,12 +191,14 @@
 
   it('brings a cold server up slowly', () => {
     const balancer = new LeastExpectedCostBalancer('ncr-a');
-    const cold = server('c', {readySinceMs: NOW_MS, slowStartMs: 10_000});
+    const slow = {...CALL, slowStartMs: 10_000};
+    const cold = server('c', {readySinceMs: NOW_MS});
     for (const each of [a, b, cold]) {
       observe(balancer, each, ANSWERED);
       balancer.started(each, CALL);
     }
-    const keys = (nowMs: number) => shares(balancer, [a, b, cold], nowMs)['c'];
+    const keys = (nowMs: number) =>
+      shares(balancer, [a, b, cold], nowMs, slow)['c'];
     expect(keys(NOW_MS + 100)).to.equal(undefined);
     expect(keys(NOW_MS + 10_000)).to.be.above(0.2);
   });
--- a/packages/testkit/src/bench/policy/policy-sim.ts
+++ b/packages/testkit/src/bench/policy/policy-sim.ts
@@ -14,7 +14,12 @@
 
 import {ClassFigures, type ClassSummary} from './class-figures.js';
 import {EventQueue} from './event-queue.js';
-import {SimServer, type AttemptEnd, type FailedEnd} from './sim-server.js';
+import {
+  SLOW_START_MS,
+  SimServer,
+  type AttemptEnd,
+  type FailedEnd,
+} from './sim-server.js';
 import {
   capacityPerMs,
   drawClass,
@@ -262,7 +267,8 @@
 }
 
 function traitsOf({cls}: Call): CallTraits {
-  return {class: cls.priority, priority: cls.priority};
+  const {priority} = cls;
+  return {class: priority, priority, slowStartMs: SLOW_START_MS};
 }
 
 function outcomeOf(end: AttemptEnd): CallOutcome {
--- a/packages/testkit/src/bench/policy/sim-server.ts
+++ b/packages/testkit/src/bench/policy/sim-server.ts
@@ -24,7 +24,8 @@
 const COLD_FACTOR = 3;
 /** Time in ms until other nodes know of a change of state. */
 const NEWS_MS = 200;
-const SLOW_START_MS = 1_000;
+/** Time in ms over which a started server is brought to its full share. */
+export const SLOW_START_MS = 1_000;
 
 /** An attempt that brought no answer. */
 export interface FailedEnd {
@@ -77,7 +78,6 @@
       state: 'ready',
       slots: deployment.slots,
       readySinceMs: -SLOW_START_MS,
-      slowStartMs: SLOW_START_MS,
     };
     if (fault === 'crashing') this.scheduleCrash();
   }
