--- a/packages/node/src/calls/caller-exchange.ts
+++ b/packages/node/src/calls/caller-exchange.ts
@@ -115,16 +115,6 @@
     });
   }
 
-  /**
-   * Streams the rest of the body once the server takes it: until then the call
-   * can be sent to another one.
-   */
-  private stream(): void {
-    if (!this.streams || !this.begun || !this.leg || this.streaming) return;
-    this.streaming = true;
-    this.body.streamTo(this.leg);
-  }
-
   /** True when the caller is gone; nothing can be answered any more. */
   get hasLeft(): boolean {
     return this.left || this.res.destroyed;
@@ -138,6 +128,16 @@
     this.res.end(body);
   }
 
+  /**
+   * Streams the rest of the body once the server takes it: until then the call
+   * can be sent to another one.
+   */
+  private stream(): void {
+    if (!this.streams || !this.begun || !this.leg || this.streaming) return;
+    this.streaming = true;
+    this.body.streamTo(this.leg);
+  }
+
   /** Answers the caller that the call was refused or its outcome is open. */
   refuse(failure: CallFailure): void {
     if (this.left || this.res.headersSent) return;
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -73,12 +73,14 @@
       dataCentre,
       region,
     };
-    const mesh = {...settings.mesh, hello};
+    const {maxAcceptsPerSecond: acceptsPerSecond} = settings.limits;
+    const mesh = {...settings.mesh, hello, acceptsPerSecond};
     this.transport = new TransportTask(mesh, bus, clock, logger);
     this.announce = new AnnounceTask(settings.announce, bus, clock, logger);
     const fleet = new FleetVersions();
     const {preference} = settings;
-    const identity = {nodeId, dataCentre, region, preference};
+    const expectsPeers = settings.seeds.length > 0;
+    const identity = {nodeId, dataCentre, region, preference, expectsPeers};
     const {log} = this;
     const parts = {log, bus, fleet, clock, random, logger};
     this.config = new ConfigTask(identity, parts);
