Capacity page by role from measured slopes, checked against the budget

Cause: most cells of the page were not measured, its heartbeat figure was that of an earlier transport, and usage collectors were counted by data centre. Change: the benchmarks fold, usage, claims, overhead and convergence write slopes with the command that gave them (--slopes FILE); convergence separates bytes by role from quiet ones. The page works each role out and compares it with the budget of a node; heartbeats follow the times of the transport.

--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -9,8 +9,10 @@
   type ConfigTaskIdentity,
   type ConfigTaskParts,
 } from './tasks/config-task.js';
+export {WRITER_OPTIONS} from './tasks/claim-writers.js';
 export {MembershipTask} from './tasks/membership-task.js';
 export {
   TransportTask,
   type TransportOptions,
 } from './transport/transport-task.js';
+export {HEARTBEAT_TIMES} from './transport/peer-connection.js';
--- a/packages/testkit/src/bench/bench.ts
+++ b/packages/testkit/src/bench/bench.ts
@@ -39,3 +39,17 @@
   }
   return values;
 }
+
+/** Options that name files and don't change what is measured. */
+const FILE_OPTIONS: readonly string[] = ['slopes', 'result'];
+
+/** The command that gives the figures of benchmark `name` again. */
+export function commandOf(name: string, options: BenchOptions): string {
+  const start = globalThis.gc
+    ? 'node --expose-gc packages/testkit/dist/src/bench/main.js'
+    : 'npm run bench --';
+  const given = Object.entries(options)
+    .filter(([option]) => !FILE_OPTIONS.includes(option))
+    .map(([option, value]) => ` --${option} ${value ?? ''}`);
+  return `${start} ${name}${given.join('')}`;
+}
--- a/packages/testkit/src/bench/claims-bench.ts
+++ b/packages/testkit/src/bench/claims-bench.ts
@@ -8,8 +8,10 @@
 } from '@turmericmill/routing';
 import {LatencyHistograms} from '@turmericmill/utils';
 
+import {writeSlopes, type SlopeName} from '../capacity/slopes.js';
 import {
   Bench,
+  commandOf,
   numberOption,
   numbersOption,
   type BenchOptions,
@@ -24,10 +26,17 @@
 const NETWORK_MS = 1.5;
 const APPEND_INTERVAL_MS = 80;
 const BATCH_KEYS = 1000;
+interface MemoryFigures {
+  keys: number;
+  collected: boolean;
+  bytesPerKey: number;
+  foldMicrosPerKey: number;
+}
 
 class ClaimsBench extends Bench {
   override readonly summary = 'Appends and latency of claims for keyed calls';
 
+  /** Writes slopes into the file `--slopes`. */
   override async run(options: BenchOptions): Promise<object> {
     const rates = numbersOption(
       options,
@@ -38,20 +47,47 @@
     const keys = numberOption(options, 'keys', 200_000);
     const liveRates = numbersOption(options, 'live', [50, 200, 600]);
     const liveSeconds = numberOption(options, 'live-seconds', 8);
+    const model = rates.map(rate => modelRow(rate, seconds));
+    const memory = memoryOf(keys);
+    const {slopes: slopesFile} = options;
+    if (slopesFile) {
+      writeSlopes(
+        slopesFile,
+        commandOf('claims', options),
+        slopesOf(model, memory),
+      );
+    }
     return {
       bench: 'claims',
       log: {
         appendsPerSecond: LOG_APPENDS_PER_SECOND,
         latencyMs: LOG_LATENCY_MS,
       },
-      model: rates.map(rate => modelRow(rate, seconds)),
-      memory: memoryOf(keys),
+      model,
+      memory,
       live: await measureLiveClaims(liveRates, liveSeconds),
     };
   }
 }
 
-function modelRow(rate: number, seconds: number): object {
+/** Figures of the highest rate measured. */
+function slopesOf(
+  model: ReturnType<typeof modelRow>[],
+  memory: MemoryFigures,
+): Partial<Record<SlopeName, number>> {
+  const {claimsPerSecond, batched} = model.reduce((a, b) =>
+    a.claimsPerSecond > b.claimsPerSecond ? a : b,
+  );
+  return {
+    'claims.appendsPerSecond': batched.appendsPerSecond,
+    'claims.logBytesPerClaim': batched.bytesPerSecond / claimsPerSecond,
+    'claims.writerMicrosPerClaim': batched.writerMicrosPerClaim,
+    'claims.foldMicrosPerKey': memory.foldMicrosPerKey,
+    'claims.heapBytesPerKey': memory.bytesPerKey,
+  };
+}
+
+function modelRow(rate: number, seconds: number) {
   const log = new CappedLog(LOG_APPENDS_PER_SECOND, LOG_LATENCY_MS);
   const batched = new ClaimsModel({
     claimsPerSecond: rate,
@@ -86,7 +122,7 @@
 }
 
 /** Heap of a ledger, for each remembered key. */
-function memoryOf(keys: number): object {
+function memoryOf(keys: number): MemoryFigures {
   const limits = {windowMs: 600_000, maxAnswerBytes: 0};
   const ledger = new ClaimLedger(limits);
   globalThis.gc?.();
--- a/packages/testkit/src/bench/config-fleet.ts
+++ b/packages/testkit/src/bench/config-fleet.ts
@@ -7,6 +7,7 @@
 import type {ConfigNodeMode} from '../config-node/messages.js';
 import {ConfigNodeProcess} from '../launch/config-node-process.js';
 import {LogServer} from '../log-service/log-server.js';
+import type {SentFigures} from './config-roles.js';
 
 /** Processes started at once. */
 const LAUNCH_BATCH = 16;
@@ -126,6 +127,23 @@
     return counts.reduce((sum, count) => sum + count.controlBytesOut, 0);
   }
 
+  /** What each node sends to others while `action` runs. */
+  async sentDuring(action: () => Promise<void>): Promise<SentFigures[]> {
+    const before = await Promise.all(this.nodes.map(node => node.count()));
+    await action();
+    const after = await Promise.all(this.nodes.map(node => node.count()));
+    return this.nodes.map(({member}, index) => {
+      const {controlBytesOut = 0, messagesOut = 0} = before[index] ?? {};
+      return {
+        id: member.id,
+        dataCentre: member.dataCentre,
+        region: member.region,
+        controlBytes: (after[index]?.controlBytesOut ?? 0) - controlBytesOut,
+        messages: (after[index]?.messagesOut ?? 0) - messagesOut,
+      };
+    });
+  }
+
   /** Kills the nodes for which `isChosen` holds and starts them anew. */
   async restart(isChosen: (number: number) => boolean): Promise<number[]> {
     const chosen = this.nodes.filter(node => isChosen(numberOf(node)));
--- a/packages/testkit/src/bench/convergence-bench.ts
+++ b/packages/testkit/src/bench/convergence-bench.ts
@@ -3,19 +3,28 @@
 import type {Resource} from '@turmericmill/config';
 
 import type {ConfigNodeMode} from '../config-node/messages.js';
+import {writeSlopes, type SlopeName} from '../capacity/slopes.js';
 import {cpuTimeMs, residentBytes} from '../launch/cpu-time.js';
 import {
   Bench,
+  commandOf,
   numberOption,
   numbersOption,
   type BenchOptions,
 } from './bench.js';
 import {benchResources, benchService, ConfigFleet} from './config-fleet.js';
+import {roleBytes, type RoleBytes, type SentFigures} from './config-roles.js';
 
 const MODES: readonly ConfigNodeMode[] = ['convergence', 'bytes', 'poll'];
 const ENFORCED_TIMEOUT_MS = 30_000;
 const SETTLE_MS = 8000;
 
+/** Time in ms without a change in which quiet bytes are counted. */
+const QUIET_MS = 20_000;
+
+/** The preference whose figures the capacity page takes: it sends more. */
+const SLOPE_MODE: ConfigNodeMode = 'convergence';
+
 interface Load {
   nodes: number;
   resources: number;
@@ -40,18 +49,29 @@
   bytesPerChange: number;
   cpuPercentPerNode: number;
   residentMiB: number;
+  /** Processor time of the busiest node. */
+  maxCpuPercent: number;
+  /** Absent for the baseline, which sends nothing to other nodes. */
+  roles?: RoleBytes;
+}
+
+/** Figures with their ratios to the baseline of the same run. */
+interface Row extends Figures {
+  ratioP99: number;
+  ratioBytes: number;
 }
 
 /** Each mode in turn at each size of the fleet. */
 class ConvergenceBench extends Bench {
   override readonly summary = 'Time and bytes until all nodes enforce a change';
 
+  /** Writes slopes of the last size into the file `--slopes`. */
   override async run(options: BenchOptions): Promise<object> {
     const sizes = numbersOption(options, 'nodes', [12, 50, 100, 200]);
     const resourceCounts = numbersOption(options, 'resources', [300]);
     const changes = numberOption(options, 'changes', 20);
     const gapMs = numberOption(options, 'gapMs', 1000);
-    const rows = [];
+    const rows: Row[] = [];
     for (const nodes of sizes) {
       for (const resources of resourceCounts) {
         const load = {nodes, resources, changes, gapMs};
@@ -60,17 +80,39 @@
         rows.push(...figures.map(row => withRatios(row, figures)));
       }
     }
+    const {slopes: slopesFile} = options;
+    if (slopesFile) {
+      const command = commandOf('convergence', options);
+      writeSlopes(slopesFile, command, slopesOf(rows));
+    }
     return {bench: 'convergence', changes, gapMs, rows};
   }
 }
 
+/** Figures of the largest fleet, at one change in a second. */
+function slopesOf(rows: Figures[]): Partial<Record<SlopeName, number>> {
+  const row = rows.filter(({mode}) => mode === SLOPE_MODE).at(-1);
+  if (!row?.roles) return {};
+  const {roles} = row;
+  return {
+    'convergence.quietBytesPerSecond': roles.quietBytesPerSecond,
+    'convergence.leafBytesPerChange': roles.leafBytesPerChange,
+    'convergence.bytesPerChildAndChange': roles.bytesPerChildAndChange,
+    'convergence.relayBytesPerChange': roles.relayBytesPerChange,
+    'convergence.cpuMsPerSecond': row.cpuPercentPerNode * 10,
+    'convergence.maxCpuMsPerSecond': row.maxCpuPercent * 10,
+    'convergence.residentMiB': row.residentMiB,
+  };
+}
+
 async function measure(mode: ConfigNodeMode, load: Load): Promise<Figures> {
   const fleet = new ConfigFleet(mode);
   const resources = benchResources(load.resources);
   try {
     await fleet.start(load.nodes, resources);
     await sleep(SETTLE_MS);
-    return await measureChanges(mode, fleet, load, resources);
+    const quiet = await fleet.sentDuring(() => sleep(QUIET_MS));
+    return await measureChanges(mode, fleet, load, resources, quiet);
   } finally {
     await fleet.stop();
   }
@@ -81,25 +123,17 @@
   fleet: ConfigFleet,
   load: Load,
   resources: Resource[],
+  quiet: readonly SentFigures[],
 ): Promise<Figures> {
-  const meshBefore = await fleet.meshBytes();
   const logBefore = {...fleet.log.counts};
   const cpuBefore = fleet.nodes.map(node => cpuTimeMs(node.pid));
   const startMs = Date.now();
-  const accepted = new Map<number, number>();
-  for (let change = 0; change < load.changes; change++) {
-    const service = benchService(change % 100, 900 + change);
-    const index = resources.findIndex(item => item.key === service.key);
-    resources[index] = service;
-    const atMs = Date.now();
-    const writes = [{key: service.key, resource: service}];
-    accepted.set(fleet.publish(writes, resources), atMs);
-    await sleep(load.gapMs);
-  }
-  const last = [...accepted.keys()].at(-1) ?? -1;
-  await fleet.untilEnforced(last, ENFORCED_TIMEOUT_MS);
+  let accepted = new Map<number, number>();
+  const busy = await fleet.sentDuring(async () => {
+    accepted = await publishChanges(fleet, load, resources);
+  });
   const seconds = (Date.now() - startMs) / 1000;
-  const meshBytes = (await fleet.meshBytes()) - meshBefore;
+  const meshBytes = busy.reduce((sum, node) => sum + node.controlBytes, 0);
   const {counts} = fleet.log;
   const logBytes =
     counts.bytesOut - logBefore.bytesOut + counts.bytesIn - logBefore.bytesIn;
@@ -119,9 +153,40 @@
     bytesPerChange: round((meshBytes + logBytes) / load.changes),
     cpuPercentPerNode: round(mean(cpuMs) / seconds / 10),
     residentMiB: round(mean(resident) / 1024 / 1024),
+    maxCpuPercent: round(Math.max(...cpuMs) / seconds / 10),
+    ...(mode === 'poll'
+      ? {}
+      : {
+          roles: roleBytes(mode, quiet, busy, {
+            quietSeconds: QUIET_MS / 1000,
+            seconds,
+            changes: load.changes,
+          }),
+        }),
   };
 }
 
+/** Publishes all changes and waits until they are in force everywhere. */
+async function publishChanges(
+  fleet: ConfigFleet,
+  load: Load,
+  resources: Resource[],
+): Promise<Map<number, number>> {
+  const accepted = new Map<number, number>();
+  for (let change = 0; change < load.changes; change++) {
+    const service = benchService(change % 100, 900 + change);
+    const index = resources.findIndex(item => item.key === service.key);
+    resources[index] = service;
+    const atMs = Date.now();
+    const writes = [{key: service.key, resource: service}];
+    accepted.set(fleet.publish(writes, resources), atMs);
+    await sleep(load.gapMs);
+  }
+  const last = [...accepted.keys()].at(-1) ?? -1;
+  await fleet.untilEnforced(last, ENFORCED_TIMEOUT_MS);
+  return accepted;
+}
+
 /** Delays from acceptance until a node enforces that version or a later one. */
 function delays(fleet: ConfigFleet, accepted: Map<number, number>) {
   const all: number[] = [];
@@ -140,7 +205,7 @@
   return {p50Ms: at(0.5), p99Ms: at(0.99), maxMs: at(1), missed};
 }
 
-function withRatios(row: Figures, figures: readonly Figures[]): object {
+function withRatios(row: Figures, figures: readonly Figures[]): Row {
   const baseline = figures.find(item => item.mode === 'poll') as Figures;
   return {
     ...row,
--- a/packages/testkit/src/bench/fold-bench.ts
+++ b/packages/testkit/src/bench/fold-bench.ts
@@ -12,8 +12,11 @@
 import type {ConfigState} from '@turmericmill/distribution';
 import {RoutingTable} from '@turmericmill/routing';
 
+import {fitLine, writeSlopes, type SlopeName} from '../capacity/slopes.js';
+
 import {
   Bench,
+  commandOf,
   numberOption,
   numbersOption,
   type BenchOptions,
@@ -25,19 +28,48 @@
 
 const WARM_UP_RECORDS = 200;
 
+interface Row {
+  resources: number;
+  foldMicrosPerRecord: number;
+  ratioToWholeSetCheck: number;
+  wholeSetCheckMs: number;
+  routingTableMs: number;
+  heapBytes: number;
+  snapshotBytes: number;
+}
+
 /** Folds single changes against sets of several sizes. */
 class FoldBench extends Bench {
   override readonly summary = 'Cost of a change by the size of the set';
 
+  /** Writes slopes into the file `--slopes`. */
   override run(options: BenchOptions): Promise<object> {
     const sizes = numbersOption(options, 'resources', [300, 3000, 30_000]);
     const records = numberOption(options, 'records', 1000);
     const rows = sizes.map(size => measure(size, records));
+    const {slopes: slopesFile} = options;
+    if (slopesFile) {
+      writeSlopes(slopesFile, commandOf('fold', options), slopesOf(rows));
+    }
     return Promise.resolve({bench: 'fold', records, rows});
   }
 }
 
-function measure(size: number, records: number): object {
+/** Slopes over the sizes; the time of a record is the longest of them. */
+function slopesOf(rows: Row[]): Partial<Record<SlopeName, number>> {
+  const slopeOf = (field: 'routingTableMs' | 'heapBytes' | 'snapshotBytes') =>
+    fitLine(rows.map(row => ({x: row.resources, y: row[field]}))).slope;
+  return {
+    'fold.microsPerRecord': Math.max(
+      ...rows.map(row => row.foldMicrosPerRecord),
+    ),
+    'fold.tableMsPerResource': slopeOf('routingTableMs'),
+    'fold.heapBytesPerResource': slopeOf('heapBytes'),
+    'fold.snapshotBytesPerResource': slopeOf('snapshotBytes'),
+  };
+}
+
+function measure(size: number, records: number): Row {
   globalThis.gc?.();
   const heapBefore = process.memoryUsage().heapUsed;
   let state = initialState(size);
@@ -57,7 +89,7 @@
     ratioToWholeSetCheck: Number((foldMs / wholeMs).toPrecision(3)),
     wholeSetCheckMs: Number(wholeMs.toPrecision(3)),
     routingTableMs: Number(tableMs.toPrecision(3)),
-    heapMiB: Math.round((heapBytes / 1024 / 1024) * 10) / 10,
+    heapBytes,
     snapshotBytes,
   };
 }
--- a/packages/testkit/src/bench/overhead-bench.ts
+++ b/packages/testkit/src/bench/overhead-bench.ts
@@ -3,12 +3,14 @@
 import {LatencyHistograms} from '@turmericmill/utils';
 import {Agent, request} from 'undici';
 
+import {writeSlopes, type SlopeName} from '../capacity/slopes.js';
 import {BackendProcess} from '../launch/backend-process.js';
-import {cpuTimeMs} from '../launch/cpu-time.js';
+import {cpuTimeMs, residentBytes} from '../launch/cpu-time.js';
 import {NodeProcess} from '../launch/node-process.js';
 import {LogServer} from '../log-service/log-server.js';
 import {
   Bench,
+  commandOf,
   numberOption,
   numbersOption,
   type BenchOptions,
@@ -22,6 +24,11 @@
 const GROUP = 'bench/echo';
 const WARM_UP_CALLS = 3000;
 
+/** Time in ms without a call in which the nodes' own cost is taken. */
+const QUIET_MS = 10_000;
+/** Size in bytes of the calls whose figures the capacity page takes. */
+const SLOPE_BYTES = 1024;
+
 const FILE_SET = JSON.stringify({
   classes: [{name: 'interactive', priority: 'interactive'}],
   backendServerGroups: [{name: 'echo', maxSlots: 1000, maxConnections: 256}],
@@ -44,28 +51,55 @@
   urls: Record<Way, string>;
 }
 
+interface Row {
+  rate: number;
+  bytes: number;
+  failed: number;
+  cpuMsPerCallBeside: number;
+  cpuMsPerCallEntry: number;
+}
+
+/** What the nodes cost by themselves; the larger of the two. */
+interface NodeFigures {
+  quietCpuMsPerSecond: number;
+  residentMiB: number;
+}
+
 /** Calls by three ways in turn, at fixed rates and body sizes. */
 class OverheadBench extends Bench {
   override readonly summary = 'Latency and processor time added to a call';
   private readonly agent = new Agent({connections: 128, pipelining: 1});
 
+  /** Writes slopes into the file `--slopes`. */
   override async run(options: BenchOptions): Promise<object> {
     const rates = numbersOption(options, 'rates', [150, 600, 1500]);
     const sizes = numbersOption(options, 'bytes', [0, 1024, 65536]);
     const seconds = numberOption(options, 'seconds', 8);
     const setup = await this.setUp();
-    const rows = [];
+    const rows: Row[] = [];
+    let node: NodeFigures;
     try {
       await this.warmUp(setup.urls);
+      const quietCpuMsPerSecond = await quietCpu(setup.nodes);
       for (const bytes of sizes) {
         for (const rate of rates) {
           rows.push(await this.measure(setup, rate, bytes, seconds));
         }
       }
+      const residentMiB = memoryOf(setup.nodes);
+      node = {quietCpuMsPerSecond, residentMiB};
     } finally {
       await this.tearDown(setup);
     }
-    return {bench: 'overhead', targetAddedP99Ms: 0.36, rows};
+    const {slopes: slopesFile} = options;
+    if (slopesFile) {
+      writeSlopes(
+        slopesFile,
+        commandOf('overhead', options),
+        slopesOf(rows, node),
+      );
+    }
+    return {bench: 'overhead', targetAddedP99Ms: 0.36, node, rows};
   }
 
   private async setUp(): Promise<Setup> {
@@ -114,7 +148,7 @@
     rate: number,
     bytes: number,
     seconds: number,
-  ): Promise<object> {
+  ): Promise<Row> {
     const histograms = new LatencyHistograms();
     const body = Buffer.alloc(bytes, 'x');
     const cpuBefore = nodes.map(node => cpuTimeMs(node.child.pid ?? 0));
@@ -157,11 +191,41 @@
   }
 }
 
+/** Figures of the highest rate of calls of 1 KiB. */
+function slopesOf(
+  rows: Row[],
+  node: NodeFigures,
+): Partial<Record<SlopeName, number>> {
+  const sized = rows.filter(({bytes}) => bytes === SLOPE_BYTES);
+  if (sized.length === 0) return {};
+  const row = sized.reduce((a, b) => (a.rate > b.rate ? a : b));
+  return {
+    'overhead.cpuMsPerCallEntry': row.cpuMsPerCallEntry,
+    'overhead.cpuMsPerCallBeside': row.cpuMsPerCallBeside,
+    'overhead.quietCpuMsPerSecond': node.quietCpuMsPerSecond,
+    'overhead.residentMiB': node.residentMiB,
+  };
+}
+
+async function quietCpu(nodes: readonly NodeProcess[]): Promise<number> {
+  const before = nodes.map(node => cpuTimeMs(node.child.pid ?? 0));
+  await new Promise(resolve => setTimeout(resolve, QUIET_MS));
+  const spent = nodes.map(
+    (node, i) => cpuTimeMs(node.child.pid ?? 0) - (before[i] ?? 0),
+  );
+  return (Math.max(...spent) * 1000) / QUIET_MS;
+}
+
+function memoryOf(nodes: readonly NodeProcess[]): number {
+  const bytes = nodes.map(node => residentBytes(node.child.pid ?? 0));
+  return Math.round(Math.max(...bytes) / 1024 / 1024);
+}
+
 function figures(
   histograms: LatencyHistograms,
   cpuMs: number[],
   calls: number,
-): object {
+): Omit<Row, 'rate' | 'bytes' | 'failed'> {
   const direct = histograms.summaryOf('direct');
   const entries = WAYS.map(way => {
     const {p50Ms, p99Ms} = histograms.summaryOf(way);
--- a/packages/testkit/src/bench/usage-bench.ts
+++ b/packages/testkit/src/bench/usage-bench.ts
@@ -6,8 +6,10 @@
   type CallCounts,
 } from '@turmericmill/routing';
 
+import {writeSlopes, type SlopeName} from '../capacity/slopes.js';
 import {
   Bench,
+  commandOf,
   numberOption,
   numbersOption,
   type BenchOptions,
@@ -15,20 +17,45 @@
 
 const MAX_RECORD_BYTES = 256 * 1024;
 const ROUNDS = 3;
+interface Row {
+  nodes: number;
+  recordsPerRound: number;
+  bytesPerReport: number;
+  foldMicrosPerReport: number;
+  heapBytesPerNode: number;
+  baselineAppendsPerRound: number;
+  ratioAppends: number;
+}
 
 class UsageBench extends Bench {
   override readonly summary = 'Records and memory of the metering of customers';
 
+  /** Writes slopes into the file `--slopes`. */
   override run(options: BenchOptions): Promise<object> {
     const nodes = numbersOption(options, 'nodes', [12, 1000, 25000]);
     const customers = numberOption(options, 'customers', 5);
     const rows = nodes.map(count => measure(count, customers));
+    const {slopes: slopesFile} = options;
+    if (slopesFile) {
+      writeSlopes(slopesFile, commandOf('usage', options), slopesOf(rows));
+    }
     return Promise.resolve({bench: 'usage', customersPerNode: customers, rows});
   }
 }
 
+/** Figures of the most nodes measured. */
+function slopesOf(rows: Row[]): Partial<Record<SlopeName, number>> {
+  const most = rows.reduce((a, b) => (a.nodes > b.nodes ? a : b));
+  return {
+    'usage.recordsPerRound': most.recordsPerRound,
+    'usage.bytesPerReport': most.bytesPerReport,
+    'usage.foldMicrosPerReport': most.foldMicrosPerReport,
+    'usage.heapBytesPerNode': most.heapBytesPerNode,
+  };
+}
+
 /** Reports of all nodes, some rounds of them, collected and folded. */
-function measure(nodes: number, customers: number): object {
+function measure(nodes: number, customers: number): Row {
   globalThis.gc?.();
   const heapBefore = process.memoryUsage().heapUsed;
   const ledger = new UsageLedger();
--- a/packages/testkit/src/capacity/exact-sizes.ts
+++ b/packages/testkit/src/capacity/exact-sizes.ts
@@ -1,5 +1,6 @@
 /** Sizes of messages at the design size, counted by encoding them. */
 
+import {HEARTBEAT_TIMES} from '@turmericmill/node';
 import {
   encodeFrame,
   encodeMessage,
@@ -63,14 +64,16 @@
 }
 
 /**
- * Bytes sent by one end of an idle connection in a second: its own heartbeat
- * and the answer to the other's, with a TCP header each.
+ * Most bytes that one end of an idle connection sends in a second: after each
+ * silence a heartbeat of its own and the answer to the other's, with a TCP
+ * header each.
  */
 export function heartbeatBytesPerSecond(): number {
   const body = {nonce: 100_000};
   const ping = encodeFrame({type: 'ping', body}).length;
   const pong = encodeFrame({type: 'pong', body}).length;
-  return ping + pong + 2 * TCP_HEADER_BYTES;
+  const bytes = ping + pong + 2 * TCP_HEADER_BYTES;
+  return (bytes * 1000) / HEARTBEAT_TIMES.idleQuietMs;
 }
 
 /** Slots by group that all regions together tell one gateway. */
--- a/packages/testkit/src/capacity/roles.ts
+++ b/packages/testkit/src/capacity/roles.ts
@@ -1,22 +1,36 @@
 /** What each role costs a node at the design size. */
 
+import {CLAIM_PARTITIONS} from '@turmericmill/routing';
+
 import {DERIVED, DESIGN_SIZE} from './design-size.js';
-import {
-  GROUPS_PER_REGION,
-  heartbeatBytesPerSecond,
-  spreadSummaryBytes,
-  summaryBytes,
-} from './exact-sizes.js';
 import {show, type Figure, type FigureBook} from './figures.js';
-
-const BYTES_PER_MIB = 1024 * 1024;
-
-/** Changes of a member that one restart makes: drain, leave, join, ready. */
-const CHANGES_PER_RESTART = 4;
-
-/** Nodes to which each member passes a summary, and summaries a second. */
-const SUMMARY_FAN_OUT = 3;
-const SUMMARIES_PER_SECOND = DESIGN_SIZE.regions / 60;
+import {
+  configurationMemory,
+  controlCpu,
+  nodeMemory,
+  RESOURCES,
+  tableCpu,
+  viewMemory,
+} from './node-cost.js';
+import {
+  CALLS_PER_KEYED_CALL,
+  CLAIM_KEYS,
+  claimAppends,
+  claimBytes,
+  claimCpu,
+  claimMemory,
+  CLAIMS_PER_SECOND,
+  gatewayBytes,
+  gatewayState,
+  innerBytes,
+  relayBytes,
+  snapshotBytes,
+  usageAppends,
+  usageCpu,
+  usageMemory,
+  usageRead,
+  usageSent,
+} from './role-figures.js';
 
 const GATEWAYS_PER_REGION = 3;
 const RELAYS_PER_DATA_CENTRE = 3;
@@ -31,46 +45,8 @@
   cpu: string;
   memory: string;
   mechanism: string;
-}
-
-/** Control bytes that each node sends in a second, by part. */
-export function controlBytes(book: FigureBook): Record<string, Figure> {
-  const {membersPerRegion, churnPerRegion, changesPerSecond} = DERIVED;
-  return {
-    'membership, quiet': book.from(
-      ['membership.quietBytesBase', 'membership.quietBytesPerMember'],
-      'B/s',
-      ([base = 0, perMember = 0]) => base + perMember * membersPerRegion,
-    ),
-    'membership, daily churn': book.from(
-      ['membership.bytesPerChange'],
-      'B/s',
-      ([bytes = 0]) => bytes * churnPerRegion * CHANGES_PER_RESTART,
-    ),
-    'summaries of regions': book.exact(
-      SUMMARIES_PER_SECOND * SUMMARY_FAN_OUT * (spreadSummaryBytes() + 28),
-      'B/s',
-    ),
-    'configuration, leaf of the tree': book.from(
-      ['convergence.leafBytesPerChange'],
-      'B/s',
-      ([bytes = 0]) => bytes * changesPerSecond,
-    ),
-  };
-}
-
-/** Heartbeats of one open connection between nodes, one way. */
-export function heartbeatBytes(book: FigureBook): Figure {
-  return book.exact(heartbeatBytesPerSecond(), 'B/s');
-}
-
-/** Memory of the view of a region. */
-export function viewMemory(book: FigureBook): Figure {
-  return book.from(
-    ['membership.heapBytesPerMember'],
-    'MiB',
-    ([bytes = 0]) => (bytes * DERIVED.membersPerRegion) / BYTES_PER_MIB,
-  );
+  /** Benchmarks that the figures come from. */
+  measuredBy: string;
 }
 
 /** All roles of the page. */
@@ -80,153 +56,167 @@
     entryProxy(book),
     relay(book),
     innerNode(book),
+    leaf(book),
     claimWriter(book),
-    snapshotWriter(),
-    usageAggregator(),
+    snapshotWriter(book),
+    usageCollector(book),
     gateway(book),
     commandLine(),
   ];
 }
 
-function everyNode(book: FigureBook): RoleRow {
-  const cpu = book.from(
-    ['membership.agentCpuMsPerSecond'],
-    '% of a core',
-    ([ms = 0]) => ms / 10,
-  );
-  const resident = book.from(
-    ['membership.agentResidentMiB'],
-    'MiB',
-    ([mib = 0]) => mib,
+/** Appends a second that membership makes. */
+export function seedAppends(book: FigureBook): Figure {
+  return book.exact(SEED_APPENDS_PER_SECOND, 'appends/s');
+}
+
+/** Names of the benchmarks whose slopes went into the figures. */
+function benchesOf(figures: Figure[]): string {
+  const names = figures.flatMap(({from}) =>
+    from.map(slope => slope.split('.')[0] ?? ''),
   );
-  const {membersPerRegion} = DERIVED;
+  if (names.length === 0) return 'counted by encoding';
+  return [...new Set(names)].sort().join(', ');
+}
+
+function everyNode(book: FigureBook): RoleRow {
+  const cpu = controlCpu(book);
+  const memory = nodeMemory(book);
   return {
     role: 'server-side node (every node)',
     nodes: String(DESIGN_SIZE.servers),
-    state: `${membersPerRegion} members, ${show(viewMemory(book))}`,
+    state: `${DERIVED.membersPerRegion} members, ${show(viewMemory(book))}; ${RESOURCES} resources, ${show(configurationMemory(book))}`,
     messages: 'see "Control bytes"',
-    cpu: `membership: ${show(cpu)}`,
-    memory: `process with membership alone: ${show(resident)}`,
+    cpu: `control, at most: ${show(cpu)}; of it tables and folds: ${show(tableCpu(book))}`,
+    memory: `whole process: ${show(memory)}`,
     mechanism: 'ring probes, gossip, checksums (packages/membership)',
+    measuredBy: benchesOf([cpu, memory]),
   };
 }
 
 function entryProxy(book: FigureBook): RoleRow {
   const cpu = book.from(
-    ['overhead.cpuMsPerCall'],
+    ['overhead.cpuMsPerCallEntry', 'overhead.cpuMsPerCallBeside'],
     '% of a core',
-    ([ms = 0]) => (ms * DERIVED.callsPerNode) / 10,
-  );
-  const table = book.from(
-    ['convergence.heapBytesPerResource'],
-    'MiB',
-    ([bytes = 0]) => (bytes * DESIGN_SIZE.services * 3) / BYTES_PER_MIB,
+    ([entry = 0, beside = 0]) => ((entry + beside) * DERIVED.callsPerNode) / 10,
   );
+  const memory = nodeMemory(book);
   return {
     role: 'entry proxy (every node)',
     nodes: String(DESIGN_SIZE.servers),
-    state: `routing table of ${DESIGN_SIZE.services} services with group and route each: ${show(table)}`,
-    messages: `${DERIVED.callsPerNode} calls/s on average`,
-    cpu: `calls (not control): ${show(cpu)}`,
-    memory: 'open calls and connections: not measured',
+    state: `routing table of ${RESOURCES} resources, open calls`,
+    messages: `${DERIVED.callsPerNode} calls/s on average, and as many beside its server`,
+    cpu: `calls of both ends (not control): ${show(cpu)}`,
+    memory: `after load: ${show(memory)}; at 220 connections: not measured`,
     mechanism: 'dispatcher and connections between nodes (packages/node)',
+    measuredBy: benchesOf([cpu, memory]),
   };
 }
 
 function relay(book: FigureBook): RoleRow {
   const relays = DESIGN_SIZE.dataCentres * RELAYS_PER_DATA_CENTRE;
-  const bytes = book.from(
-    ['convergence.relayBytesPerChange'],
-    'B/s',
-    ([each = 0]) => each * DERIVED.changesPerSecond,
-  );
+  const bytes = relayBytes(book);
+  const cpu = controlCpu(book, 'convergence.maxCpuMsPerSecond');
   return {
     role: 'relay',
     nodes: `${relays} (3 of each data centre)`,
     state: 'as every node',
-    messages: `${relays} long polls at the log together; sent: ${show(bytes)}`,
-    cpu: 'not measured',
-    memory: 'not measured',
+    messages: `${relays} long polls at the log together; sent beyond a leaf: ${show(bytes)}`,
+    cpu: `with all control, at most: ${show(cpu)}`,
+    memory: 'as every node',
     mechanism: 'rendezvous hashing; reads only, several are harmless',
+    measuredBy: benchesOf([bytes, cpu]),
   };
 }
 
 function innerNode(book: FigureBook): RoleRow {
+  const bytes = innerBytes(book);
+  const cpu = controlCpu(book, 'convergence.maxCpuMsPerSecond');
+  return {
+    role: 'inner node of the push tree',
+    nodes: `a sixth of ${DERIVED.hostsPerDataCentre} of a data centre in each tree`,
+    state: 'as every node',
+    messages: `sent beyond a leaf, inner in both trees: ${show(bytes)}`,
+    cpu: `with all control, at most: ${show(cpu)}`,
+    memory: 'as every node',
+    mechanism: 'push tree from the membership, deltas, anti-entropy',
+    measuredBy: benchesOf([bytes, cpu]),
+  };
+}
+
+function leaf(book: FigureBook): RoleRow {
   const bytes = book.from(
-    ['convergence.innerBytesPerChange'],
+    ['convergence.leafBytesPerChange'],
     'B/s',
     ([each = 0]) => each * DERIVED.changesPerSecond,
   );
-  const cpu = book.from(
-    ['convergence.cpuMsPerChange'],
-    '% of a core',
-    ([ms = 0]) => (ms * DERIVED.changesPerSecond) / 10,
-  );
   return {
-    role: 'inner node of the push tree',
-    nodes: `within ${DERIVED.hostsPerDataCentre} of a data centre`,
+    role: 'leaf of the push tree',
+    nodes: 'all others',
     state: 'as every node',
-    messages: `sent: ${show(bytes)}`,
-    cpu: show(cpu),
-    memory: 'not measured',
+    messages: `sent for changes: ${show(bytes)}`,
+    cpu: 'as every node',
+    memory: 'as every node',
     mechanism: 'push tree from the membership, deltas, anti-entropy',
+    measuredBy: benchesOf([bytes]),
   };
 }
 
 function claimWriter(book: FigureBook): RoleRow {
-  const appends = book.from(
-    ['claims.claimsPerAppend'],
-    'appends/s',
-    ([claims = 1]) => (DESIGN_SIZE.callsPerSecond / 100) * (1 / claims),
-  );
+  const [appends, bytes] = [claimAppends(book), claimBytes(book)];
+  const [cpu, memory] = [claimCpu(book), claimMemory(book)];
   return {
     role: 'claim writer',
-    nodes: '1 for each partition',
-    state: 'claims within the window in which a key is remembered',
-    messages: `in all, if 1 call in 100 carries a key: ${show(appends)}`,
-    cpu: 'not measured',
-    memory: 'not measured',
+    nodes: `${CLAIM_PARTITIONS}, 1 for each partition`,
+    state: `${CLAIM_KEYS.toLocaleString('en-GB')} keys of 10 minutes in each partition`,
+    messages: `if 1 call in ${CALLS_PER_KEYED_CALL} carries a key, ${CLAIMS_PER_SECOND.toLocaleString('en-GB')}/s: ${show(appends)} in all; ${show(bytes)} appended by each and read again`,
+    cpu: show(cpu),
+    memory: `of the keys it may hold: ${show(memory)}`,
     mechanism: 'batches in a stream of the log; first in its order wins',
+    measuredBy: benchesOf([appends, bytes, cpu, memory]),
   };
 }
 
-function snapshotWriter(): RoleRow {
+function snapshotWriter(book: FigureBook): RoleRow {
+  const bytes = snapshotBytes(book);
   return {
     role: 'snapshot writer',
     nodes: '1, others when it is gone',
     state: 'as every node',
-    messages: 'appends now and then: not measured',
+    messages: `a snapshot each 10 minutes, on average: ${show(bytes)}`,
     cpu: 'not measured',
-    memory: 'not measured',
+    memory: 'as every node',
     mechanism: "content is a function of the log's prefix",
+    measuredBy: benchesOf([bytes]),
   };
 }
 
-function usageAggregator(): RoleRow {
-  const {hostsPerDataCentre} = DERIVED;
+function usageCollector(book: FigureBook): RoleRow {
+  const [sent, read] = [usageSent(book), usageRead(book)];
+  const [cpu, memory] = [usageCpu(book), usageMemory(book)];
   return {
-    role: 'usage aggregator',
-    nodes: `${DESIGN_SIZE.dataCentres} (1 of each data centre)`,
-    state: `counters by customer of ${hostsPerDataCentre} nodes`,
-    messages: 'not measured',
-    cpu: 'not measured',
-    memory: 'not measured',
+    role: 'usage collector',
+    nodes: `${DESIGN_SIZE.regions} (1 of each region)`,
+    state: `rows of all ${DESIGN_SIZE.servers} nodes`,
+    messages: `${show(usageAppends(book))} in all, at most; appended by each: ${show(sent)}, read by each: ${show(read)}`,
+    cpu: `folding, 5 customers a node: ${show(cpu)}`,
+    memory: `rows: ${show(memory)}`,
     mechanism: 'cumulative counters; repeats add nothing',
+    measuredBy: benchesOf([sent, read, cpu, memory]),
   };
 }
 
 function gateway(book: FigureBook): RoleRow {
   const others = DESIGN_SIZE.regions - 1;
-  const out = (others * summaryBytes(GROUPS_PER_REGION)) / 60;
-  const state = (others * summaryBytes(GROUPS_PER_REGION)) / 1024;
   return {
     role: 'gateway',
     nodes: `${DESIGN_SIZE.regions * GATEWAYS_PER_REGION} (3 of each region)`,
-    state: `${others} summaries, ${show(book.exact(state, 'KiB'))}`,
-    messages: `sent by the first of a region: ${show(book.exact(out, 'B/s'))}`,
+    state: `${others} summaries, ${show(gatewayState(book))} as they are sent`,
+    messages: `sent by the first of a region: ${show(gatewayBytes(book))}`,
     cpu: 'not measured',
     memory: 'as its state',
     mechanism: 'summaries each minute, the newest counts',
+    measuredBy: benchesOf([gatewayBytes(book)]),
   };
 }
 
@@ -239,10 +229,6 @@
     cpu: 'not measured',
     memory: 'not measured',
     mechanism: 'versions in force are summed up the push tree',
+    measuredBy: 'nothing',
   };
 }
-
-/** Appends a second that membership makes. */
-export function seedAppends(book: FigureBook): Figure {
-  return book.exact(SEED_APPENDS_PER_SECOND, 'appends/s');
-}
--- a/packages/testkit/src/capacity/slopes.ts
+++ b/packages/testkit/src/capacity/slopes.ts
@@ -26,19 +26,44 @@
   | 'membership.worstDrainMs'
   /** Worst time in ms until a third that died at once is out of all views. */
   | 'membership.worstHerdMs'
-  /** Processor time in ms that one call costs its nodes together. */
-  | 'overhead.cpuMsPerCall'
-  /** Bytes that a node receives and sends for one change, in each role. */
+  /** Processor time in ms of one call at the node of each end. */
+  | 'overhead.cpuMsPerCallEntry'
+  | 'overhead.cpuMsPerCallBeside'
+  /** Processor time in ms of a quiet second of a whole node. */
+  | 'overhead.quietCpuMsPerSecond'
+  /** Memory in MiB of a whole node after the load. */
+  | 'overhead.residentMiB'
+  /** Bytes that a node sends for configuration in a second of no change. */
+  | 'convergence.quietBytesPerSecond'
+  /** Bytes sent for one change: by a leaf, more for each child, by a relay. */
   | 'convergence.leafBytesPerChange'
-  | 'convergence.innerBytesPerChange'
+  | 'convergence.bytesPerChildAndChange'
   | 'convergence.relayBytesPerChange'
-  | 'convergence.cpuMsPerChange'
-  | 'convergence.heapBytesPerResource'
-  /** Keyed calls that one append of a claim writer carries. */
-  | 'claims.claimsPerAppend'
-  | 'claims.heapBytesPerClaim'
-  | 'snapshots.bytesPerResource'
-  | 'usage.bytesPerCustomer';
+  /**
+   * Processor time in ms of a second with one change, quiet cost included:
+   * mean of the nodes, and the busiest node.
+   */
+  | 'convergence.cpuMsPerSecond'
+  | 'convergence.maxCpuMsPerSecond'
+  /** Memory in MiB of a process with the transport and configuration alone. */
+  | 'convergence.residentMiB'
+  /** Processor time in µs of one record of the log. */
+  | 'fold.microsPerRecord'
+  /** Time in ms to build the routing table, for each resource. */
+  | 'fold.tableMsPerResource'
+  | 'fold.heapBytesPerResource'
+  | 'fold.snapshotBytesPerResource'
+  /** All claim writers together, at the highest rate measured. */
+  | 'claims.appendsPerSecond'
+  | 'claims.logBytesPerClaim'
+  | 'claims.writerMicrosPerClaim'
+  | 'claims.foldMicrosPerKey'
+  | 'claims.heapBytesPerKey'
+  /** Records for one report of every node, at the most nodes measured. */
+  | 'usage.recordsPerRound'
+  | 'usage.bytesPerReport'
+  | 'usage.foldMicrosPerReport'
+  | 'usage.heapBytesPerNode';
 
 /** One measured figure and how to measure it again. */
 export interface Slope {
--- /dev/null
+++ b/packages/testkit/tests/bench/config-roles.test.ts
@@ -0,0 +1,46 @@
+import {Topology} from '@turmericmill/distribution';
+import {expect} from 'chai';
+
+import {roleBytes} from '../../src/bench/config-roles.js';
+
+const HEADER_BYTES = 40;
+const [LEAF, CHILD, RELAY, QUIET] = [300, 200, 2000, 70];
+const TIMES = {quietSeconds: 10, seconds: 20, changes: 5};
+const NODES = Array.from({length: 40}, (unused, index) => ({
+  id: `node-${index}`,
+  dataCentre: 'nairobi-a',
+  region: 'nairobi',
+}));
+
+/** Bytes that a node sends for a change, by its place in the trees. */
+function bytesPerChange(index: number): number {
+  const self = NODES[index] as (typeof NODES)[number];
+  const topology = new Topology(self, NODES);
+  if (topology.isRelay) return RELAY;
+  const [first, second] = topology.relays.map(root =>
+    topology.treeOf(root).childrenOf(self.id),
+  );
+  return LEAF + CHILD * ((first?.length ?? 0) + (second?.length ?? 0));
+}
+
+describe('bytes by role', () => {
+  it('separate leaves, children and relays from quiet bytes', () => {
+    const quietBytes = (QUIET - HEADER_BYTES) * TIMES.quietSeconds;
+    const quiet = NODES.map(node => ({
+      ...node,
+      controlBytes: quietBytes,
+      messages: TIMES.quietSeconds,
+    }));
+    const busy = NODES.map((node, index) => ({
+      ...node,
+      controlBytes:
+        QUIET * TIMES.seconds + bytesPerChange(index) * TIMES.changes,
+      messages: 0,
+    }));
+    const bytes = roleBytes('convergence', quiet, busy, TIMES);
+    expect(bytes.quietBytesPerSecond).to.be.closeTo(QUIET, 1e-9);
+    expect(bytes.leafBytesPerChange).to.be.closeTo(LEAF, 1e-6);
+    expect(bytes.bytesPerChildAndChange).to.be.closeTo(CHILD, 1e-6);
+    expect(bytes.relayBytesPerChange).to.be.closeTo(RELAY, 1e-6);
+  });
+});
--- /dev/null
+++ b/packages/testkit/tests/capacity/budget.test.ts
@@ -0,0 +1,35 @@
+import {expect} from 'chai';
+
+import {verdict} from '../../src/capacity/budget.js';
+
+describe('verdict on a role', () => {
+  const cases: [number | undefined, number, number, string][] = [
+    [4.8, 256, 3072, 'yes'],
+    [4.9, 256, 3072, '**processor 1.02 times the budget**'],
+    [1, 512, 3072, '**memory 2 times the budget**'],
+    [1, 1, 9216, '**bytes 3 times the budget**'],
+    [undefined, 1, 1, 'processor not measured'],
+    [
+      undefined,
+      512,
+      1,
+      'processor not measured, **memory 2 times the budget**',
+    ],
+  ];
+  for (const [cpu, memory, bytes, expected] of cases) {
+    it(`of ${cpu} %, ${memory} MiB, ${bytes} B/s: ${expected}`, () => {
+      const figure = (value: number | undefined) => ({
+        value,
+        unit: '',
+        from: [],
+      });
+      const row = {
+        role: 'relay',
+        cpu: figure(cpu),
+        memory: figure(memory),
+        bytes: figure(bytes),
+      };
+      expect(verdict(row)).to.equal(expected);
+    });
+  }
+});
