Commands on one node and on one team share how they begin

Cause: three commands opened the administration API and three the log of a team with the same lines. Change: AdminCommand and TeamCommand do it once.

--- a/packages/cli/src/commands/calls-command.ts
+++ b/packages/cli/src/commands/calls-command.ts
@@ -3,11 +3,12 @@
 import type {Result} from '@turmericmill/utils';
 
 import type {CallStatistics, CallSummary} from '../admin/admin-answers.js';
-import type {CliContext} from '../cli-context.js';
+import type {AdminClient} from '../admin/admin-client.js';
 import type {CliError} from '../cli-error.js';
-import {Command, type CommandInput, type CommandOutput} from '../command.js';
-import {ADMIN_FLAGS, ConnectionOptions} from '../connection-flags.js';
+import type {CommandOutput} from '../command.js';
+import {ADMIN_FLAGS} from '../connection-flags.js';
 import {renderTable} from '../output/table.js';
+import {AdminCommand} from './admin-command.js';
 
 const FIGURES = [
   'ANSWERED',
@@ -20,7 +21,7 @@
 ];
 
 /** Shows the calls that entered the mesh at one node. */
-export class CallsCommand extends Command {
+export class CallsCommand extends AdminCommand {
   override readonly name = 'calls';
   override readonly summary = 'show outcomes and latencies of calls';
   override readonly flags = ADMIN_FLAGS;
@@ -29,14 +30,10 @@
     'calls --profile nairobi.json --json',
   ];
 
-  override async run(
-    context: CliContext,
-    {flags}: CommandInput,
+  protected override async ask(
+    client: AdminClient,
   ): Promise<Result<CommandOutput, CliError>> {
-    const options = await ConnectionOptions.load(context, flags);
-    const client = options.andThen(loaded => loaded.openAdmin());
-    if (client.isErr()) return client;
-    const statistics = await client.value.calls();
+    const statistics = await client.calls();
     return statistics.map(value => ({value, text: renderCalls(value)}));
   }
 }
--- a/packages/cli/src/commands/plan-command.ts
+++ b/packages/cli/src/commands/plan-command.ts
@@ -3,14 +3,8 @@
 import {diffResources} from '@turmericmill/config';
 import {Ok, type Result} from '@turmericmill/utils';
 
-import type {CliContext} from '../cli-context.js';
 import type {CliError} from '../cli-error.js';
-import {
-  Command,
-  type CommandInput,
-  type CommandOutput,
-  type FlagSpecs,
-} from '../command.js';
+import type {CommandInput, CommandOutput, FlagSpecs} from '../command.js';
 import {LOG_FLAGS} from '../connection-flags.js';
 import {loadFileSet} from '../log/team-set.js';
 import {
@@ -18,11 +12,11 @@
   describeChanges,
   renderChanges,
 } from '../output/changes.js';
-import {LogSession} from './log-session.js';
+import {TeamCommand, type TeamSession} from './team-command.js';
 import {TEAM_FLAGS} from './team-flag.js';
 
 /** Compares a file set with the version in the log. */
-export class PlanCommand extends Command {
+export class PlanCommand extends TeamCommand {
   override readonly name = 'plan';
   override readonly summary = 'show what publishing a file set would change';
   override readonly args = ['DIR'];
@@ -32,24 +26,15 @@
     'plan files --profile nairobi.json --json',
   ];
 
-  override async run(
-    context: CliContext,
-    {args, flags}: CommandInput,
+  protected override async runFor(
+    {context, session, team}: TeamSession,
+    {args}: CommandInput,
   ): Promise<Result<CommandOutput, CliError>> {
-    const opened = await LogSession.open(context, flags);
-    if (opened.isErr()) return opened;
-    const {log, options} = opened.value;
-    const team = options.team();
-    if (team.isErr()) return team;
+    const {log} = session;
     const {resources, version} = log.state;
-    const set = await loadFileSet(
-      context,
-      args[0] ?? '',
-      team.value,
-      resources,
-    );
+    const set = await loadFileSet(context, args[0] ?? '', team, resources);
     if (set.isErr()) return set;
-    const writes = diffResources(resources, team.value, set.value);
+    const writes = diffResources(resources, team, set.value);
     const changes = describeChanges(resources, writes);
     const summary = `Against version ${version}: ${countChanges(changes)}.`;
     const text =
--- a/packages/cli/src/commands/publish-command.ts
+++ b/packages/cli/src/commands/publish-command.ts
@@ -3,21 +3,15 @@
 import {diffResources} from '@turmericmill/config';
 import {Err, Ok, type Result} from '@turmericmill/utils';
 
-import type {CliContext} from '../cli-context.js';
 import type {CliError} from '../cli-error.js';
-import {
-  Command,
-  type CommandInput,
-  type CommandOutput,
-  type FlagSpecs,
-} from '../command.js';
+import type {CommandInput, CommandOutput, FlagSpecs} from '../command.js';
 import {ADMIN_FLAGS, LOG_FLAGS} from '../connection-flags.js';
 import {loadFileSet} from '../log/team-set.js';
-import {LogSession} from './log-session.js';
+import {TeamCommand, type TeamSession} from './team-command.js';
 import {PUBLISH_FLAGS} from './team-flag.js';
 
 /** Publishes a file set as a whole. */
-export class PublishCommand extends Command {
+export class PublishCommand extends TeamCommand {
   override readonly name = 'publish';
   override readonly summary = 'publish a file set as a whole';
   override readonly args = ['DIR'];
@@ -36,15 +30,11 @@
     'publish files --profile nairobi.json --base 41 --wait --timeout 10',
   ];
 
-  override async run(
-    context: CliContext,
+  protected override async runFor(
+    {context, session, team}: TeamSession,
     {args, flags}: CommandInput,
   ): Promise<Result<CommandOutput, CliError>> {
-    const opened = await LogSession.open(context, flags);
-    if (opened.isErr()) return opened;
-    const {log, options} = opened.value;
-    const team = options.team();
-    if (team.isErr()) return team;
+    const {log} = session;
     const base = flags.number('base') ?? log.state.version;
     const baseState = log.stateAt(base);
     if (!baseState) {
@@ -54,16 +44,16 @@
     const set = await loadFileSet(
       context,
       args[0] ?? '',
-      team.value,
+      team,
       log.state.resources,
     );
     if (set.isErr()) return set;
-    const writes = diffResources(baseState.resources, team.value, set.value);
+    const writes = diffResources(baseState.resources, team, set.value);
     if (writes.length === 0) {
       const text = `Nothing differs from version ${base}; nothing published.`;
       return Ok({value: {version: base, published: false}, text});
     }
     const message = flags.text('message');
-    return opened.value.publish({team: team.value, base, writes, message});
+    return session.publish({team, base, writes, message});
   }
 }
--- a/packages/cli/src/commands/rollback-command.ts
+++ b/packages/cli/src/commands/rollback-command.ts
@@ -3,21 +3,15 @@
 import {diffResources} from '@turmericmill/config';
 import {Err, Ok, type Result} from '@turmericmill/utils';
 
-import type {CliContext} from '../cli-context.js';
 import type {CliError} from '../cli-error.js';
-import {
-  Command,
-  type CommandInput,
-  type CommandOutput,
-  type FlagSpecs,
-} from '../command.js';
+import type {CommandInput, CommandOutput, FlagSpecs} from '../command.js';
 import {ADMIN_FLAGS, LOG_FLAGS} from '../connection-flags.js';
 import {resourcesOfTeam} from '../log/team-set.js';
-import {LogSession} from './log-session.js';
+import {TeamCommand, type TeamSession} from './team-command.js';
 import {PUBLISH_FLAGS} from './team-flag.js';
 
 /** A new version with old content; versions themselves never go back. */
-export class RollbackCommand extends Command {
+export class RollbackCommand extends TeamCommand {
   override readonly name = 'rollback';
   override readonly summary =
     'publish what a team had at an older version as a new version';
@@ -32,15 +26,11 @@
     'rollback 41 --team nyota --log http://10.0.0.9:7080',
   ];
 
-  override async run(
-    context: CliContext,
+  protected override async runFor(
+    {session, team}: TeamSession,
     {args, flags}: CommandInput,
   ): Promise<Result<CommandOutput, CliError>> {
-    const opened = await LogSession.open(context, flags);
-    if (opened.isErr()) return opened;
-    const {log, options} = opened.value;
-    const team = options.team();
-    if (team.isErr()) return team;
+    const {log} = session;
     const wanted = args[0] ?? '';
     const old = log.stateAt(Number(wanted));
     if (!old) {
@@ -48,13 +38,13 @@
       return Err({exit: 'not-found', message});
     }
     const {resources, version: base} = log.state;
-    const desired = resourcesOfTeam(old.resources, team.value);
-    const writes = diffResources(resources, team.value, desired);
+    const desired = resourcesOfTeam(old.resources, team);
+    const writes = diffResources(resources, team, desired);
     if (writes.length === 0) {
-      const text = `Team ${team.value} has this content already.`;
+      const text = `Team ${team} has this content already.`;
       return Ok({value: {version: base, published: false}, text});
     }
     const message = flags.text('message') ?? `Roll back to version ${wanted}`;
-    return opened.value.publish({team: team.value, base, writes, message});
+    return session.publish({team, base, writes, message});
   }
 }
--- a/packages/cli/src/commands/servers-command.ts
+++ b/packages/cli/src/commands/servers-command.ts
@@ -3,17 +3,12 @@
 import type {Result} from '@turmericmill/utils';
 
 import type {ServerList} from '../admin/admin-answers.js';
-import type {ServerQuery} from '../admin/admin-client.js';
-import type {CliContext} from '../cli-context.js';
+import type {AdminClient, ServerQuery} from '../admin/admin-client.js';
 import type {CliError} from '../cli-error.js';
-import {
-  Command,
-  type CommandInput,
-  type CommandOutput,
-  type FlagSpecs,
-} from '../command.js';
-import {ADMIN_FLAGS, ConnectionOptions} from '../connection-flags.js';
+import type {CommandInput, CommandOutput, FlagSpecs} from '../command.js';
+import {ADMIN_FLAGS} from '../connection-flags.js';
 import {renderTable} from '../output/table.js';
+import {AdminCommand} from './admin-command.js';
 
 const HEAD = [
   'NODE/SERVER',
@@ -26,7 +21,7 @@
 ];
 
 /** Lists backend servers. */
-export class ServersCommand extends Command {
+export class ServersCommand extends AdminCommand {
   override readonly name = 'servers';
   override readonly summary = 'list the backend servers that are announced';
   override readonly flags: FlagSpecs = {
@@ -43,19 +38,16 @@
     'servers --profile nairobi.json --group nyota/homeowner-api --json',
   ];
 
-  override async run(
-    context: CliContext,
+  protected override async ask(
+    client: AdminClient,
     {flags}: CommandInput,
   ): Promise<Result<CommandOutput, CliError>> {
-    const options = await ConnectionOptions.load(context, flags);
-    const client = options.andThen(loaded => loaded.openAdmin());
-    if (client.isErr()) return client;
     const query: ServerQuery = {};
     const group = flags.text('group');
     const limit = flags.number('limit');
     if (group !== undefined) query.group = group;
     if (limit !== undefined) query.limit = limit;
-    const list = await client.value.servers(query);
+    const list = await client.servers(query);
     return list.map(value => ({value, text: renderServers(value)}));
   }
 }
--- a/packages/cli/src/commands/status-command.ts
+++ b/packages/cli/src/commands/status-command.ts
@@ -3,14 +3,15 @@
 import type {Result} from '@turmericmill/utils';
 
 import type {FleetStatus} from '../admin/admin-answers.js';
-import type {CliContext} from '../cli-context.js';
+import type {AdminClient} from '../admin/admin-client.js';
 import type {CliError} from '../cli-error.js';
-import {Command, type CommandInput, type CommandOutput} from '../command.js';
-import {ADMIN_FLAGS, ConnectionOptions} from '../connection-flags.js';
+import type {CommandOutput} from '../command.js';
+import {ADMIN_FLAGS} from '../connection-flags.js';
 import {renderTable} from '../output/table.js';
+import {AdminCommand} from './admin-command.js';
 
 /** Shows which versions are in force, and which nodes are behind. */
-export class StatusCommand extends Command {
+export class StatusCommand extends AdminCommand {
   override readonly name = 'status';
   override readonly summary = 'show versions in force by data centre';
   override readonly flags = ADMIN_FLAGS;
@@ -19,14 +20,10 @@
     'status --profile nairobi.json --json',
   ];
 
-  override async run(
-    context: CliContext,
-    {flags}: CommandInput,
+  protected override async ask(
+    client: AdminClient,
   ): Promise<Result<CommandOutput, CliError>> {
-    const options = await ConnectionOptions.load(context, flags);
-    const client = options.andThen(loaded => loaded.openAdmin());
-    if (client.isErr()) return client;
-    const status = await client.value.status();
+    const status = await client.status();
     return status.map(value => ({value, text: renderStatus(value)}));
   }
 }
