--- a/packages/testkit/src/capacity/budget.ts
+++ b/packages/testkit/src/capacity/budget.ts
@@ -75,7 +75,10 @@
   ];
 }
 
-/** `yes`, or what is over or not known. */
+/** Part of a limit from which on a figure is near it. */
+const NEAR = 0.95;
+
+/** `yes`, or what is over, near its limit or not known. */
 export function verdict({cpu, memory, bytes}: BudgetRow): string {
   const checks: [string, Figure, number][] = [
     ['processor', cpu, NODE_BUDGET.cpuPercent],
@@ -84,7 +87,8 @@
   ];
   const faults = checks.flatMap(([name, figure, limit]) => {
     if (figure.value === undefined) return [`${name} not measured`];
-    if (figure.value <= limit) return [];
+    if (figure.value <= limit * NEAR) return [];
+    if (figure.value <= limit) return [`${name} near the limit`];
     const times = formatNumber(figure.value / limit);
     return [`**${name} ${times} times the budget**`];
   });
--- a/packages/testkit/src/capacity/limits.ts
+++ b/packages/testkit/src/capacity/limits.ts
@@ -7,7 +7,9 @@
   CLAIM_KEYS,
   claimBytes,
   gatewayBytes,
+  innerBytes,
   MAX_CLAIM_KEYS,
+  relayBytes,
   usageHeartbeats,
   usageRead,
   usageTotalsHeaders,
@@ -26,6 +28,7 @@
   return [
     herdLimit(slopes),
     heartbeatLimit(book),
+    relayLimit(book),
     usageLimit(book),
     gatewayLimit(book),
     claimLimit(book),
@@ -64,6 +67,13 @@
   it: closing connections that were idle for some minutes.`;
 }
 
+function relayLimit(book: FigureBook): string {
+  return `- **Relays with the preference \`convergence\`.** The busiest relay sends ${show(relayBytes(book))}
+  beyond a leaf, an inner node of both trees ${show(innerBytes(book))}. What would carry
+  it: the preference \`bytes\`, whose figures of the same run are lower
+  ([measurements/capacity.md](measurements/capacity.md)), or a smaller fan-out.`;
+}
+
 function usageLimit(book: FigureBook): string {
   return `- **Usage.** The collector of a region reads the rows of all ${DESIGN_SIZE.servers} nodes from
   the log (${show(usageRead(book))}), holds a connection to each of ${DERIVED.membersPerRegion} nodes
--- a/packages/testkit/src/capacity/page.ts
+++ b/packages/testkit/src/capacity/page.ts
@@ -79,9 +79,10 @@
   const rows = budgetRows(book).map(budgetCells);
   const text = `Each row includes what every node does. Processor time is an upper bound: a
 quiet whole node, membership and configuration were measured as processes of
-their own, each with its transport, the last two at more load than the size asks
-for (one change a second). The figures of calls are not part of it. Bytes
-are those that are measured.`;
+their own, each with its transport, configuration at one change a second, which
+is twice what the size asks for; inner nodes and relays count as the busiest
+node of that fleet. Calls are not part of it. Bytes are those sent,
+at the mean rate of changes of a day.`;
   return `## Within the budget of a node\n\n${text}\n\n${table(head, rows)}`;
 }
 
--- a/packages/testkit/tests/capacity/budget.test.ts
+++ b/packages/testkit/tests/capacity/budget.test.ts
@@ -4,9 +4,10 @@
 
 describe('verdict on a role', () => {
   const cases: [number | undefined, number, number, string][] = [
-    [4.8, 256, 3072, 'yes'],
-    [4.9, 256, 3072, '**processor 1.02 times the budget**'],
-    [1, 512, 3072, '**memory 2 times the budget**'],
+    [4.5, 240, 2900, 'yes'],
+    [4.8, 1, 1, 'processor near the limit'],
+    [4.9, 1, 1, '**processor 1.02 times the budget**'],
+    [1, 512, 1, '**memory 2 times the budget**'],
     [1, 1, 9216, '**bytes 3 times the budget**'],
     [undefined, 1, 1, 'processor not measured'],
     [
