--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -11,6 +11,7 @@
   writesDigest,
 } from './digest.js';
 export {FILE_SECTIONS, type FileSection} from './file-schema.js';
+export type * from './mesh-config.js';
 export {parseFileSet} from './parse-file-set.js';
 export {
   describeReferences,
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -10,5 +10,6 @@
 export type * from './membership-types.js';
 export * from './roles.js';
 export * from './server-registry.js';
+export * from './reported-server.js';
 export type {ServerLifeState} from './server-state.js';
 export {TokenBucket} from './token-bucket.js';
--- a/packages/node/src/bus.ts
+++ b/packages/node/src/bus.ts
@@ -1,5 +1,6 @@
 /** Typed messages between the tasks of one node. */
 
+import type {MeshConfig} from '@turmericmill/config';
 import type {ConfigVersion} from '@turmericmill/distribution';
 import type {RoutingTable} from '@turmericmill/routing';
 import type {
@@ -50,6 +51,8 @@
   'view-changed': {members: readonly MemberRecord[]};
   /** From configuration: a version was swapped in. */
   'config-in-force': {state: ConfigVersion; table: RoutingTable};
+  /** From configuration: the platform's operators' version was swapped in. */
+  'mesh-config': {config: MeshConfig};
   /** From configuration: the node knows that it may serve. */
   'config-settled': {version: number};
   /** From announce: the backend servers beside this node. */
--- a/packages/node/src/calls/admitted-server.ts
+++ b/packages/node/src/calls/admitted-server.ts
@@ -153,6 +153,7 @@
       body,
       this.watched(head, events),
       {
+        now: () => this.clock.now(),
         load: () => this.admission.load(head),
         ended: outcome => this.ended(id, outcome),
       },
--- a/packages/node/src/calls/call-leg.ts
+++ b/packages/node/src/calls/call-leg.ts
@@ -23,6 +23,8 @@
   reason: FailureReason;
   detail: string;
   load: ServerLoad;
+  /** True if the request was sent to the server, which did not run it. */
+  reachedServer?: boolean;
 }
 
 /** The load to report when nothing is known. */
--- a/packages/node/src/calls/server-exchange.ts
+++ b/packages/node/src/calls/server-exchange.ts
@@ -23,6 +23,8 @@
 
 /** What an exchange needs of its surroundings. */
 export interface ExchangeHooks {
+  /** The time by the clock that the deadline was set by. */
+  now(): number;
   load(): ServerLoad;
   /** Called once, when the exchange no longer holds a slot. */
   ended(outcome: ServerOutcome): void;
@@ -47,13 +49,13 @@
     private readonly events: CallEvents,
     private readonly hooks: ExchangeHooks,
   ) {
-    const remainingMs = Math.max(0, head.deadlineMs - Date.now());
+    const remainingMs = Math.max(0, head.deadlineMs - hooks.now());
     this.timer = setTimeout(() => this.expire(), remainingMs);
     dispatcher.dispatch(
       {
         method: head.method as Dispatcher.HttpMethod,
         path: head.path,
-        headers: requestHeaders(head),
+        headers: requestHeaders(head, hooks.now()),
         body: this.bodyOf(body),
       },
       {
@@ -187,7 +189,7 @@
 }
 
 /** What the server is sent: the limits are those at this moment. */
-function requestHeaders(head: CallHead): FlatHeaders {
-  const limits = {...formatLimits(head, Date.now())};
+function requestHeaders(head: CallHead, nowMs: number): FlatHeaders {
+  const limits = {...formatLimits(head, nowMs)};
   return replaceHeaders(endToEndHeaders(head.headers), limits);
 }
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -10,7 +10,21 @@
   type ConfigTaskParts,
 } from './tasks/config-task.js';
 export {WRITER_OPTIONS} from './tasks/claim-writers.js';
+export * from './calls/call-leg.js';
+export {CandidateIndex} from './calls/candidate-index.js';
+export {
+  endToEndHeaders,
+  flatten,
+  headerOf,
+  replaceHeaders,
+} from './calls/headers.js';
+export {IncomingCalls} from './calls/incoming-calls.js';
+export {RemoteRunner} from './calls/remote-runner.js';
+export {Task} from './task.js';
 export {MembershipTask} from './tasks/membership-task.js';
+export {QuarantineTask} from './tasks/quarantine-task.js';
+export {SeedDirectory} from './tasks/seed-directory.js';
+export {SeedStream} from './tasks/seed-stream.js';
 export {
   TransportTask,
   type TransportOptions,
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -25,6 +25,7 @@
 import {MembershipTask} from './tasks/membership-task.js';
 import {MetricsTask} from './tasks/metrics-task.js';
 import {QuarantineTask} from './tasks/quarantine-task.js';
+import {SeedStream} from './tasks/seed-stream.js';
 import {UsageTask} from './tasks/usage-task.js';
 import {TransportTask} from './transport/transport-task.js';
 
@@ -212,7 +213,8 @@
       region,
     };
     const {bus, clock, random, log, logger} = this;
-    const parts = {bus, clock, random, log, logger};
+    const seedDirectory = new SeedStream(log, clock, random, logger);
+    const parts = {bus, clock, random, seedDirectory, logger};
     return new MembershipTask({identity, seeds}, parts);
   }
 }
--- a/packages/node/src/tasks/membership-task.ts
+++ b/packages/node/src/tasks/membership-task.ts
@@ -11,14 +11,14 @@
   type MembershipView,
   type NodeIdentity,
 } from '@turmericmill/membership';
-import type {LogClient} from '@turmericmill/platform';
 import type {Clock, RandomSource} from '@turmericmill/utils';
 import type {Message, ServerRecord} from '@turmericmill/wire';
 import type Logger from 'bunyan';
 
 import type {Bus, LocalServer} from '../bus.js';
 import {Task} from '../task.js';
-import {parseEndpoint, SeedStream} from './seed-stream.js';
+import type {SeedDirectory} from './seed-directory.js';
+import {parseEndpoint} from './seed-stream.js';
 
 /** Least time in ms between two publications of the view. */
 const VIEW_INTERVAL_MS = 50;
@@ -35,7 +35,8 @@
   bus: Bus;
   clock: Clock;
   random: RandomSource;
-  log: LogClient;
+  /** Where nodes find each other before they have met. */
+  seedDirectory: SeedDirectory;
   logger: Logger;
   /** A later process runs under this node's id: this one has to stop. */
   onReplaced?: () => void;
@@ -51,7 +52,6 @@
 
 export class MembershipTask extends Task {
   private readonly membership: Membership;
-  private readonly seedStream: SeedStream;
   private readonly ownSeeds: Endpoint[];
   private tickTimer: NodeJS.Timeout | undefined;
   private viewTimer: NodeJS.Timeout | undefined;
@@ -62,12 +62,9 @@
     private readonly parts: MembershipParts,
   ) {
     super();
-    const {bus, clock, random, log, logger} = parts;
+    const {bus, clock, random} = parts;
     this.membership = new Membership(options.identity, clock.now(), random);
     this.ownSeeds = options.seeds.flatMap(text => parseEndpoint(text) ?? []);
-    this.seedStream = new SeedStream(log, clock, random, logger, endpoints =>
-      this.setSeeds(endpoints),
-    );
     bus.subscribe('local-servers', ({servers}) => this.setServers(servers));
     bus.subscribe('datagram', ({address, port, message}) => {
       if (!isDatagram(message)) return;
@@ -92,7 +89,7 @@
   override start(): void {
     this.setSeeds([]);
     this.publishView();
-    this.seedStream.start();
+    this.parts.seedDirectory.start(endpoints => this.setSeeds(endpoints));
     this.tickTimer = setInterval(
       () => this.handle({type: 'tick'}),
       TICK_INTERVAL_MS,
@@ -103,7 +100,7 @@
     clearInterval(this.tickTimer);
     clearTimeout(this.viewTimer);
     this.viewTimer = undefined;
-    this.seedStream.stop();
+    this.parts.seedDirectory.stop();
     this.handle({type: 'leave'});
     clearTimeout(this.viewTimer);
   }
@@ -141,7 +138,7 @@
         this.publishViewSoon();
         break;
       case 'persist-seed':
-        this.seedStream.append(effect.endpoint);
+        this.parts.seedDirectory.append(effect.endpoint);
         break;
       case 'identity-taken':
         logger.error({by: effect.by}, 'another process has this node id');
--- a/packages/node/src/tasks/seed-stream.ts
+++ b/packages/node/src/tasks/seed-stream.ts
@@ -8,6 +8,8 @@
 import type {Clock, RandomSource} from '@turmericmill/utils';
 import type Logger from 'bunyan';
 
+import {SeedDirectory} from './seed-directory.js';
+
 /** Newest records read. */
 const MAX_RECORDS = 200;
 
@@ -26,31 +28,34 @@
   atMs: number;
 }
 
-export class SeedStream {
+export class SeedStream extends SeedDirectory {
   private timer: NodeJS.Timeout | undefined;
   private stopped = false;
   private failures = 0;
+  private onSeeds: (endpoints: Endpoint[]) => void = () => undefined;
 
   constructor(
     private readonly log: LogClient,
     private readonly clock: Clock,
     private readonly random: RandomSource,
     private readonly logger: Logger,
-    private readonly onSeeds: (endpoints: Endpoint[]) => void,
-  ) {}
+  ) {
+    super();
+  }
 
   /** Reads now and then; the first time within a jittered moment. */
-  start(): void {
+  override start(onSeeds: (endpoints: Endpoint[]) => void): void {
+    this.onSeeds = onSeeds;
     this.readAfter(this.random.jitter(RETRY_BASE_MS, 0, RETRY_CAP_MS));
   }
 
-  stop(): void {
+  override stop(): void {
     this.stopped = true;
     clearTimeout(this.timer);
   }
 
   /** Appends an endpoint; a failure is left to the next turn. */
-  append({address, port}: Endpoint): void {
+  override append({address, port}: Endpoint): void {
     const record: SeedRecord = {address, port, atMs: this.clock.now()};
     void this.log.append('seeds', JSON.stringify(record)).then(result => {
       if (result.isErr()) {
--- a/packages/node/src/transport/transport-task.ts
+++ b/packages/node/src/transport/transport-task.ts
@@ -239,8 +239,10 @@
     const other = connection.peer?.nodeId ?? connection.expectedNodeId;
     if (other !== undefined) return other === nodeId;
     connection.expectedNodeId = nodeId;
+    // Calls may have gone over a connection that the peer opened meanwhile.
     connection.onceFailed = () => {
-      this.bus.publish('peer-lost', {nodeId, opened: false});
+      const opened = this.byNode.has(nodeId);
+      this.bus.publish('peer-lost', {nodeId, opened});
     };
     return true;
   }
--- a/packages/routing/src/balancing/balancer.ts
+++ b/packages/routing/src/balancing/balancer.ts
@@ -48,6 +48,8 @@
    * full share after a start. Absent: at once.
    */
   slowStartMs?: number;
+  /** Expected size of the answer in bytes; absent: small. */
+  answerBytes?: number;
 }
 
 /** The end of a call, as its entry node saw it. */
--- a/packages/routing/src/balancing/least-expected-cost.ts
+++ b/packages/routing/src/balancing/least-expected-cost.ts
@@ -15,6 +15,7 @@
 const REMOTE_CHOICES = 2;
 /** Round trip in ms to another data centre of the region. */
 const CROSSING_MS = 3;
+const BYTES_PER_KIB = 1024;
 /** What a failed call and a refused call are worth, in ms of delay. */
 const FAILURE_COST_MS = 1_000;
 const REFUSAL_COST_MS = 300;
@@ -93,7 +94,14 @@
     max: MAX_SERVERS,
   });
 
-  constructor(private readonly dataCentre: string) {
+  /**
+   * `crossingMsPerKib`: what each KiB of an answer that crosses to another data
+   * centre is worth, in ms of delay.
+   */
+  constructor(
+    private readonly dataCentre: string,
+    private readonly crossingMsPerKib = 0,
+  ) {
     super();
   }
 
@@ -203,11 +211,15 @@
     return candidate.dataCentre === this.dataCentre;
   }
 
+  private crossingMs({answerBytes = 0}: CallTraits): number {
+    return CROSSING_MS + (answerBytes / BYTES_PER_KIB) * this.crossingMsPerKib;
+  }
+
   private costMs(option: Option, call: CallTraits, nowMs: number): number {
     const {evidence, slots, serviceMs} = option;
     const use = evidence.occupied(call.priority, nowMs) / slots;
     const delayMs = serviceMs * delayFactor(use);
-    const crossingMs = this.isLocal(option) ? 0 : CROSSING_MS;
+    const crossingMs = this.isLocal(option) ? 0 : this.crossingMs(call);
     const failures = evidence.ejection.failureRate(nowMs);
     const refusals = evidence.refusalRate(call.priority, nowMs);
     return (
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -9,6 +9,13 @@
   type AdmissionEffect,
   type LoadTraits,
 } from './admission/admission.js';
+export {ServiceTimes} from './admission/service-times.js';
+export {
+  SlotQueue,
+  type QueuedCall,
+  type SlotEffect,
+  type SlotRefusal,
+} from './admission/slot-queue.js';
 export {type AdmissionCall} from './admission/call-lane.js';
 export {
   Balancer,
@@ -37,6 +44,7 @@
   type LimitHeaders,
 } from './calls/deadline.js';
 export {RetryBudget} from './calls/retry-budget.js';
+export {returnAfterMs} from './calls/return-time.js';
 export {
   decideRetry,
   MAX_ATTEMPTS,
@@ -63,6 +71,8 @@
   FINGERPRINT_BODY_BYTES,
   type FingerprintParts,
 } from './quarantine/fingerprint.js';
+export {PrefixRoutes} from './routes/prefix-routes.js';
+export {SplitRotation} from './routes/split-rotation.js';
 export {groupKey, type MatchedRoute} from './routes/matched-route.js';
 export {
   RoutingTable,
--- /dev/null
+++ b/packages/sidecar/src/control/report-server.ts
@@ -0,0 +1,126 @@
+/** Owns the HTTP socket at which the backend server reports. */
+
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from 'node:http';
+
+import {ReportedServer, type CurrentServer} from '@turmericmill/membership';
+import {Task} from '@turmericmill/node';
+import {
+  formatFindings,
+  MAX_REPORT_BYTES,
+  parseDeparture,
+  parseHeartbeat,
+  parseReportPath,
+  type HostAddress,
+  type ReportPath,
+} from '@turmericmill/platform-adapter';
+import type {Clock} from '@turmericmill/utils';
+import type Logger from 'bunyan';
+
+/** Time in ms within which a report has to be complete. */
+const REQUEST_TIMEOUT_MS = 2_000;
+
+interface Reply {
+  status: number;
+  body: object;
+}
+
+/** Acknowledges reports once their effect is in force on this node. */
+export class ReportServer extends Task {
+  private readonly reported = new ReportedServer();
+  private readonly server = createServer((req, res) => {
+    void this.serve(req, res);
+  });
+
+  constructor(
+    private readonly listen: HostAddress,
+    private readonly clock: Clock,
+    private readonly logger: Logger,
+    private readonly onServer: (server: CurrentServer) => void,
+  ) {
+    super();
+    this.server.requestTimeout = REQUEST_TIMEOUT_MS;
+    this.server.headersTimeout = REQUEST_TIMEOUT_MS;
+  }
+
+  override async start(): Promise<void> {
+    const {address, port} = this.listen;
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, address, resolve);
+    });
+  }
+
+  override async stop(): Promise<void> {
+    this.server.closeAllConnections();
+    await new Promise(resolve => this.server.close(resolve));
+  }
+
+  private async serve(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    const path = parseReportPath(req.url ?? '');
+    if (!path) {
+      send(res, {status: 404, body: {error: 'This path takes no report.'}});
+      return;
+    }
+    if (req.method !== 'POST') {
+      send(res, {status: 405, body: {error: 'Reports are posted.'}});
+      return;
+    }
+    try {
+      const text = await readText(req);
+      send(res, this.take(path, text));
+    } catch (err) {
+      this.logger.debug({err}, 'report cut off');
+      res.destroy();
+    }
+  }
+
+  private take({serverId, type}: ReportPath, text: string): Reply {
+    const change =
+      type === 'heartbeat'
+        ? parseHeartbeat(serverId, text).map(report =>
+            this.reported.report(report, this.clock.now()),
+          )
+        : parseDeparture(serverId, text).map(({bornMs}) =>
+            this.reported.depart(serverId, bornMs),
+          );
+    if (change.isErr()) {
+      const error = formatFindings(change.error);
+      this.logger.warn({serverId, error}, 'malformed report');
+      return {status: 400, body: {error}};
+    }
+    const {current} = this.reported;
+    if (current && change.value !== 'stale') {
+      if (change.value !== 'updated') {
+        this.logger.info({server: current}, `server ${change.value}`);
+      }
+      this.onServer(current);
+    }
+    return {status: 200, body: {}};
+  }
+}
+
+async function readText(req: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for await (const chunk of req) {
+    bytes += (chunk as Buffer).length;
+    if (bytes <= MAX_REPORT_BYTES) chunks.push(chunk as Buffer);
+  }
+  return Buffer.concat(chunks).toString();
+}
+
+function send(res: ServerResponse, {status, body}: Reply): void {
+  const text = JSON.stringify(body);
+  res.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+  });
+  res.end(text);
+}
--- /dev/null
+++ b/packages/sidecar/src/ingress/ingress-server.ts
@@ -0,0 +1,250 @@
+/** Owns the HTTP socket at which this host's callers send their requests. */
+
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+
+import type {CallerLimits, MeshConfig, PrefixRoute} from '@turmericmill/config';
+import {Task, type Bus} from '@turmericmill/node';
+import {
+  REMAINING_TIME_HEADER,
+  REQUEST_ID_HEADER,
+  type HostAddress,
+} from '@turmericmill/platform-adapter';
+import {
+  fingerprint,
+  PrefixRoutes,
+  returnAfterMs,
+  SplitRotation,
+} from '@turmericmill/routing';
+import type {Clock, RandomSource} from '@turmericmill/utils';
+import type Logger from 'bunyan';
+
+import {CallerRequest, type OwnAnswer} from './caller-request.js';
+import type {
+  RequestDispatch,
+  RequestEnd,
+  RoutedRequest,
+} from './request-dispatch.js';
+
+/** Limits until a configuration is in force; the platform's usual ones. */
+const FIRST_LIMITS: CallerLimits = {
+  maxHeaderBytes: 16 * 1024,
+  maxBodyBytes: 64 * 1024 * 1024,
+  headerTimeoutMs: 3_000,
+  idleTimeoutMs: 15_000,
+};
+/** Time in ms between looks for requests that arrive too slowly. */
+const CONNECTION_CHECK_MS = 1_000;
+/** Largest header section in bytes that the parser takes; limits may be less. */
+const MAX_HEADER_BYTES = 64 * 1024;
+/** Time in ms after which a caller may come back to a node without config. */
+const NO_CONFIG_RETURN_MS = 200;
+
+export interface IngressServerParts {
+  listen: HostAddress;
+  /** Service beside which requests to this socket begin. */
+  callerService: string;
+  dispatch: RequestDispatch;
+  bus: Bus;
+  clock: Clock;
+  random: RandomSource;
+  logger: Logger;
+}
+
+interface RouteTable {
+  config: MeshConfig;
+  routes: PrefixRoutes;
+}
+
+export class IngressServer extends Task {
+  private readonly server: Server;
+  private readonly split = new SplitRotation();
+  private table: RouteTable | undefined;
+  private limits = FIRST_LIMITS;
+  private draining = false;
+  private inFlight = 0;
+
+  constructor(private readonly parts: IngressServerParts) {
+    super();
+    this.server = createServer({
+      maxHeaderSize: MAX_HEADER_BYTES,
+      connectionsCheckingInterval: CONNECTION_CHECK_MS,
+    });
+    this.server.requestTimeout = 0;
+    this.applyLimits(FIRST_LIMITS);
+    this.server.on('request', (req, res) => void this.serve(req, res));
+    parts.bus.subscribe('mesh-config', ({config}) => {
+      this.table = {config, routes: new PrefixRoutes(config.routes)};
+      this.applyLimits(config.limits);
+    });
+  }
+
+  /** Requests of callers that have not ended. */
+  get requestsInFlight(): number {
+    return this.inFlight;
+  }
+
+  override async start(): Promise<void> {
+    const {address, port} = this.parts.listen;
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, address, resolve);
+    });
+  }
+
+  /** From now on each connection ends with its answer. */
+  drain(): void {
+    this.draining = true;
+  }
+
+  /** Takes no new connections and closes those that carry no request. */
+  override async stop(): Promise<void> {
+    const closed = new Promise(resolve => this.server.close(resolve));
+    this.server.closeIdleConnections();
+    await closed;
+  }
+
+  private applyLimits(limits: CallerLimits): void {
+    this.limits = limits;
+    this.server.headersTimeout = limits.headerTimeoutMs;
+    this.server.keepAliveTimeout = limits.idleTimeoutMs;
+  }
+
+  private async serve(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    const arrivedMs = this.parts.clock.now();
+    if (this.draining) res.shouldKeepAlive = false;
+    const caller = new CallerRequest(req, res);
+    this.inFlight += 1;
+    try {
+      await this.answer(caller, arrivedMs);
+    } catch (err) {
+      this.parts.logger.info({err, path: req.url}, 'request broken off');
+      caller.cut();
+    } finally {
+      this.inFlight -= 1;
+    }
+  }
+
+  private async answer(
+    caller: CallerRequest,
+    arrivedMs: number,
+  ): Promise<void> {
+    const {req} = caller;
+    const {table, limits} = this;
+    if (!table) {
+      const answer = {status: 503, reason: 'no configuration yet'};
+      caller.refuse({...answer, returnAfterMs: NO_CONFIG_RETURN_MS});
+      return;
+    }
+    const route = table.routes.match(req.headers.host ?? '', req.url ?? '/');
+    if (!route) {
+      caller.refuse({status: 404, reason: 'no route'});
+      return;
+    }
+    if (headerBytes(req) > limits.maxHeaderBytes) {
+      caller.refuse({status: 431, reason: 'headers too large'});
+      return;
+    }
+    const body = await caller.readBody(limits.maxBodyBytes);
+    if (!body) {
+      caller.refuse({status: 413, reason: 'body too large'});
+      return;
+    }
+    const request = this.routed(caller, route, body, arrivedMs);
+    const end = await this.parts.dispatch.dispatch(request);
+    this.note(request, end, table.config.version, arrivedMs);
+    if (end.kind === 'failed') caller.refuse(this.refusal(request, end));
+  }
+
+  private routed(
+    caller: CallerRequest,
+    route: PrefixRoute,
+    body: Uint8Array,
+    arrivedMs: number,
+  ): RoutedRequest {
+    const {req} = caller;
+    const {callerService} = this.parts;
+    const method = req.method ?? 'GET';
+    const path = req.url ?? '/';
+    const waitMs = Math.min(route.timeoutMs, remainingTimeMs(req));
+    return {
+      caller,
+      route,
+      service: this.split.next(route),
+      method,
+      path,
+      headers: req.rawHeaders,
+      body,
+      callerService,
+      fingerprint: fingerprint({
+        method,
+        path,
+        customer: callerService,
+        bodyStart: body,
+      }),
+      targetMs: arrivedMs + Math.min(route.targetLatencyMs, waitMs),
+      deadlineMs: arrivedMs + waitMs,
+    };
+  }
+
+  /** 503 only for what has not run; 504 and 502 leave it open. */
+  private refusal(
+    request: RoutedRequest,
+    end: Extract<RequestEnd, {kind: 'failed'}>,
+  ): OwnAnswer {
+    const {failure, mayHaveRun} = end;
+    const {reason} = failure;
+    if (mayHaveRun) {
+      return {status: reason === 'deadline' ? 504 : 502, reason};
+    }
+    const {clock, random} = this.parts;
+    const remainingMs = remainingTimeMs(request.caller.req);
+    const leftMs = Math.min(remainingMs, request.deadlineMs - clock.now());
+    const waitMs = failure.load.waitMs ?? 0;
+    const awayMs = returnAfterMs(waitMs, leftMs, random);
+    return {status: 503, reason, returnAfterMs: awayMs};
+  }
+
+  private note(
+    request: RoutedRequest,
+    end: RequestEnd,
+    version: number,
+    arrivedMs: number,
+  ): void {
+    const {logger, clock} = this.parts;
+    if (end.kind === 'answered' && !logger.debug()) return;
+    const entry = {
+      requestId: request.caller.req.headers[REQUEST_ID_HEADER],
+      version,
+      route: request.route.name,
+      service: request.service,
+      tries: end.tries,
+      latencyMs: Math.round(clock.now() - arrivedMs),
+    };
+    if (end.kind !== 'failed') {
+      logger.debug(entry, `request ${end.kind}`);
+      return;
+    }
+    const {reason, detail, load} = end.failure;
+    const {mayHaveRun} = end;
+    logger.info({...entry, reason, detail, load, mayHaveRun}, 'request failed');
+  }
+}
+
+/** Time in ms that the caller waits; without bound if it does not say. */
+function remainingTimeMs(req: IncomingMessage): number {
+  const value = req.headers[REMAINING_TIME_HEADER];
+  const ms = typeof value === 'string' ? Number(value) : NaN;
+  return Number.isFinite(ms) && ms > 0 ? ms : Infinity;
+}
+
+function headerBytes(req: IncomingMessage): number {
+  return req.rawHeaders.reduce((sum, text) => sum + text.length, 0);
+}
--- /dev/null
+++ b/packages/sidecar/src/main.ts
@@ -0,0 +1,59 @@
+#!/usr/bin/env node
+/** Entry point of the node on the platform's hosts. */
+
+import {SETTINGS_PATH_VARIABLE} from '@turmericmill/platform-adapter';
+import bunyan from 'bunyan';
+
+import {readSettingsFile, SettingsFile} from './settings-file.js';
+import {Sidecar} from './sidecar.js';
+
+const EXIT_INVALID_SETTINGS = 1;
+const EXIT_USAGE = 2;
+const EXIT_START_FAILED = 3;
+
+async function main(): Promise<void> {
+  const path = process.env[SETTINGS_PATH_VARIABLE];
+  if (path === undefined) {
+    process.stderr.write(`${SETTINGS_PATH_VARIABLE} names no settings file.\n`);
+    process.exit(EXIT_USAGE);
+  }
+  const read = readSettingsFile(path);
+  if (read.isErr()) {
+    process.stderr.write(`${read.error}\n`);
+    process.exit(EXIT_INVALID_SETTINGS);
+  }
+  const {text, settings} = read.value;
+  const logger = bunyan.createLogger({
+    name: 'turmericmill-sidecar',
+    nodeId: settings.nodeId,
+  });
+  const sidecar = new Sidecar(settings, logger);
+  const file = new SettingsFile(path, text, logger, changed => {
+    sidecar.reload(changed);
+  });
+  process.on('SIGHUP', () => file.reload());
+  process.once('SIGTERM', () => void stop(sidecar, file, logger));
+  process.once('SIGINT', () => void stop(sidecar, file, logger));
+  try {
+    await sidecar.start();
+    file.watch();
+    logger.info('started');
+  } catch (err) {
+    logger.fatal({err}, 'cannot start');
+    process.exit(EXIT_START_FAILED);
+  }
+}
+
+async function stop(
+  sidecar: Sidecar,
+  file: SettingsFile,
+  logger: bunyan,
+): Promise<void> {
+  logger.info('stopping');
+  file.close();
+  await sidecar.stop();
+  logger.info('stopped');
+  process.exit(0);
+}
+
+await main();
--- /dev/null
+++ b/packages/sidecar/src/server/answer-parser.ts
@@ -0,0 +1,132 @@
+/** Parses the answers of a backend server from the bytes of one connection. */
+
+import {HTTPParser} from 'http-parser-js';
+
+/** An answer that has arrived whole. */
+export interface ServerAnswer {
+  status: number;
+  /** Names and values in the order received, flattened. */
+  headers: string[];
+  body: Buffer;
+  /** False if the connection cannot carry another request. */
+  keepAlive: boolean;
+}
+
+/** What the parser tells its owner. */
+export interface AnswerEvents {
+  /** A whole answer; informational ones are left out. */
+  answer(answer: ServerAnswer): void;
+  /** Bytes that are no answer in the protocol. */
+  malformed(detail: string): void;
+}
+
+const CONTENT_LENGTH = /^\d+$/;
+const CHUNK_SIZE = /^[0-9a-fA-F]+[ \t]*(?:;.*)?$/;
+const SKIP_BODY = 1;
+/** Largest answer in bytes that is taken; far above what servers send. */
+const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+
+/** Parts of the library's parser that its types keep private. */
+interface ParserInternals {
+  offset: number;
+  end: number;
+  /** `undefined` while the line has not arrived whole. */
+  consumeLine(): string | undefined;
+  // The names are those of the library.
+  /* eslint-disable @typescript-eslint/naming-convention */
+  body_bytes: number;
+  state: string;
+  BODY_CHUNKHEAD: (this: ParserInternals) => void;
+  /* eslint-enable @typescript-eslint/naming-convention */
+}
+
+/** Replaces the library's step, which takes a malformed size for the last. */
+function readChunkSize(this: ParserInternals): void {
+  const line = this.consumeLine();
+  if (line === undefined) return;
+  if (!CHUNK_SIZE.test(line)) throw new Error('malformed chunk size');
+  this.body_bytes = Number.parseInt(line, 16);
+  this.state = this.body_bytes > 0 ? 'BODY_CHUNK' : 'BODY_CHUNKTRAILERS';
+}
+
+HTTPParser.encoding = 'latin1';
+
+/** One parser for each connection. */
+export class AnswerParser {
+  private readonly parser = new HTTPParser('RESPONSE');
+  private status = 0;
+  private headers: string[] = [];
+  private chunks: Buffer[] = [];
+  private bytes = 0;
+  private keepAlive = false;
+  private failed = false;
+  /** True while part of an answer has arrived. */
+  private partial = false;
+  /** For HEAD requests, whose answers have no body. */
+  bodyless = false;
+
+  constructor(private readonly events: AnswerEvents) {
+    const {parser} = this;
+    this.internals.BODY_CHUNKHEAD = readChunkSize;
+    parser[HTTPParser.kOnHeadersComplete] = info => {
+      this.status = info.statusCode;
+      this.headers = info.headers;
+      this.keepAlive = info.shouldKeepAlive;
+      this.checkLength();
+      return this.bodyless ? SKIP_BODY : undefined;
+    };
+    parser[HTTPParser.kOnBody] = (chunk: Buffer) => {
+      this.bytes += chunk.length;
+      if (this.bytes > MAX_ANSWER_BYTES) throw new Error('answer too large');
+      this.chunks.push(chunk);
+    };
+    parser[HTTPParser.kOnMessageComplete] = () => this.complete();
+  }
+
+  /** Takes received bytes. */
+  push(chunk: Buffer): void {
+    if (this.failed) return;
+    this.partial = true;
+    try {
+      const result: unknown = this.parser.execute(chunk);
+      if (result instanceof Error) this.fail(result.message);
+    } catch (err) {
+      this.fail(err instanceof Error ? err.message : String(err));
+    }
+  }
+
+  /** The server has closed its side in order: an unframed answer is whole. */
+  end(): void {
+    if (!this.failed && this.partial) this.parser.finish();
+  }
+
+  private complete(): void {
+    const {status, headers, keepAlive} = this;
+    const body = Buffer.concat(this.chunks);
+    this.chunks = [];
+    this.bytes = 0;
+    this.partial = false;
+    if (status < 200) return;
+    const hasMore = this.internals.offset < this.internals.end;
+    const answer = {status, headers, body, keepAlive: keepAlive && !hasMore};
+    this.events.answer(answer);
+  }
+
+  private get internals(): ParserInternals {
+    return this.parser as unknown as ParserInternals;
+  }
+
+  private checkLength(): void {
+    for (let i = 0; i + 1 < this.headers.length; i += 2) {
+      if (this.headers[i]?.toLowerCase() !== 'content-length') continue;
+      if (!CONTENT_LENGTH.test(this.headers[i + 1] ?? '')) {
+        throw new Error('malformed content length');
+      }
+    }
+  }
+
+  private fail(detail: string): void {
+    this.failed = true;
+    this.events.malformed(detail);
+  }
+}
--- /dev/null
+++ b/packages/sidecar/src/server/server-call.ts
@@ -0,0 +1,53 @@
+/** One call at the node beside its server: gathers the body, then waits. */
+
+import type {
+  CallEvents,
+  CallHead,
+  CallLeg,
+  FirstBody,
+} from '@turmericmill/node';
+
+import type {PoolExchange} from './server-pool.js';
+
+/** Most bytes of a body in one frame between nodes. */
+export const MAX_BODY_FRAME_BYTES = 1024 * 1024;
+
+export class ServerCall implements CallLeg {
+  /** Set while the call runs on the server. */
+  exchange: PoolExchange | undefined;
+  private readonly chunks: Uint8Array[] = [];
+
+  constructor(
+    readonly head: CallHead,
+    first: FirstBody,
+    readonly events: CallEvents,
+    private readonly hooks: {whole: () => void; left: () => void},
+  ) {
+    if (first.chunk.length > 0) this.chunks.push(first.chunk);
+  }
+
+  /** The body, once it is whole. */
+  get body(): Uint8Array {
+    const [only] = this.chunks;
+    if (this.chunks.length === 1 && only) return only;
+    return Buffer.concat(this.chunks);
+  }
+
+  data(chunk: Uint8Array): void {
+    this.chunks.push(chunk);
+    this.events.credit(chunk.length);
+  }
+
+  end(): void {
+    this.hooks.whole();
+  }
+
+  /** Answers are whole before they are sent on: nothing waits for credit. */
+  credit(): void {
+    return;
+  }
+
+  cancel(): void {
+    this.hooks.left();
+  }
+}
--- /dev/null
+++ b/packages/sidecar/src/server/server-connection.ts
@@ -0,0 +1,167 @@
+/** One TCP connection to the backend server; one request at a time. */
+
+import {connect, type Socket} from 'node:net';
+
+import {REQUEST_ID_HEADER} from '@turmericmill/platform-adapter';
+import {headerOf} from '@turmericmill/node';
+
+import {AnswerParser, type ServerAnswer} from './answer-parser.js';
+
+/** A request as it goes on the wire. */
+export interface WireRequest {
+  head: Buffer;
+  body: Uint8Array;
+  requestId: string | undefined;
+  /** True for HEAD, whose answer has no body. */
+  bodyless: boolean;
+}
+
+/**
+ * How an exchange ended. `not-sent`: no byte of the request went out. `lost`:
+ * the request went out, and no whole answer to it came back.
+ */
+export type ExchangeEnd =
+  | {kind: 'answered'; answer: ServerAnswer}
+  | {kind: 'not-sent'; detail: string}
+  | {kind: 'lost'; detail: string};
+
+type Settle = (end: ExchangeEnd) => void;
+
+const KEEP_ALIVE_TIMEOUT = /timeout=(\d+)/i;
+const MS_PER_S = 1000;
+/** Part of the server's idle timeout after which a connection is not reused. */
+const IDLE_SHARE = 0.6;
+/** Idle time in ms after which a connection is not reused, if none is told. */
+const DEFAULT_IDLE_MS = 4_000;
+
+/** Tells its owner only of its end; exchanges settle their own callbacks. */
+export class ServerConnection {
+  /** Time in ms at which the connection became idle. */
+  idleSinceMs = 0;
+  /** Idle time in ms after which the connection is not reused. */
+  maxIdleMs = DEFAULT_IDLE_MS;
+  /** Called once when the connection is over. */
+  onClosed: (() => void) | undefined;
+  private readonly socket: Socket;
+  private readonly parser: AnswerParser;
+  private settle: Settle | undefined;
+  private requestId: string | undefined;
+  private closed = false;
+  private tainted = false;
+
+  private constructor(socket: Socket) {
+    this.socket = socket;
+    this.parser = new AnswerParser({
+      answer: answer => this.take(answer),
+      malformed: detail => this.close(`malformed answer: ${detail}`),
+    });
+    socket.setNoDelay(true);
+    socket.on('data', chunk => this.receive(chunk));
+    socket.on('end', () => {
+      this.parser.end();
+      this.close('closed by the server');
+    });
+    socket.on('error', err => this.close(err.message));
+    socket.on('close', () => this.close('closed'));
+  }
+
+  /** Opens a connection, or rejects by `timeoutMs`. */
+  static open(
+    address: string,
+    port: number,
+    timeoutMs: number,
+  ): Promise<ServerConnection> {
+    return new Promise((resolve, reject) => {
+      const socket = connect({host: address, port});
+      const timer = setTimeout(() => {
+        socket.destroy(new Error('connect timeout'));
+      }, timeoutMs);
+      socket.once('error', err => {
+        clearTimeout(timer);
+        reject(err);
+      });
+      socket.once('connect', () => {
+        clearTimeout(timer);
+        socket.removeAllListeners('error');
+        resolve(new ServerConnection(socket));
+      });
+    });
+  }
+
+  /** True if another request may be sent. */
+  isUsable(nowMs: number): boolean {
+    if (this.closed || this.settle) return false;
+    return nowMs - this.idleSinceMs < this.maxIdleMs;
+  }
+
+  get isClosed(): boolean {
+    return this.closed;
+  }
+
+  /** Sends a request; `settle` is called once. */
+  exchange(req: WireRequest, settle: Settle): void {
+    if (this.closed) {
+      settle({kind: 'not-sent', detail: 'The connection is closed.'});
+      return;
+    }
+    this.settle = settle;
+    this.requestId = req.requestId;
+    this.parser.bodyless = req.bodyless;
+    this.socket.cork();
+    this.socket.write(req.head);
+    if (req.body.length > 0) this.socket.write(req.body);
+    this.socket.uncork();
+  }
+
+  /** Ends the connection; a running exchange is lost. */
+  close(detail: string): void {
+    if (this.closed) return;
+    this.closed = true;
+    this.socket.destroy();
+    const {settle} = this;
+    this.settle = undefined;
+    settle?.({kind: 'lost', detail});
+    this.onClosed?.();
+  }
+
+  /** Bytes without a request belong to no one: the connection is not kept. */
+  private receive(chunk: Buffer): void {
+    if (!this.settle) {
+      this.close('bytes without a request');
+      return;
+    }
+    this.parser.push(chunk);
+  }
+
+  private take(answer: ServerAnswer): void {
+    const {settle} = this;
+    if (!settle) {
+      this.tainted = true;
+      return;
+    }
+    const echoed = headerOf(answer.headers, REQUEST_ID_HEADER);
+    if (echoed !== undefined && echoed !== this.requestId) {
+      // A late second answer to an earlier request; ours is still to come.
+      this.tainted = true;
+      return;
+    }
+    this.settle = undefined;
+    this.noteIdleTimeout(answer);
+    settle({kind: 'answered', answer});
+    // Whatever came behind the answer has been parsed by then.
+    queueMicrotask(() => this.retireUnlessClean(answer));
+  }
+
+  private noteIdleTimeout(answer: ServerAnswer): void {
+    const text = headerOf(answer.headers, 'keep-alive') ?? '';
+    const match = KEEP_ALIVE_TIMEOUT.exec(text);
+    if (!match) return;
+    this.maxIdleMs = Number(match[1]) * MS_PER_S * IDLE_SHARE;
+  }
+
+  private retireUnlessClean(answer: ServerAnswer): void {
+    const unsent = this.socket.writableLength > 0;
+    if (answer.keepAlive && !this.tainted && !unsent) return;
+    if (!this.settle) this.close('not to be reused');
+  }
+}
--- /dev/null
+++ b/packages/sidecar/src/server/server-request.ts
@@ -0,0 +1,49 @@
+/** The request to a backend server as it goes on the wire. */
+
+import type {CallHead} from '@turmericmill/node';
+import {endToEndHeaders, headerOf, replaceHeaders} from '@turmericmill/node';
+import {
+  CALLER_SERVICE_HEADER,
+  EXPECTED_SERVER_HEADER,
+  REMAINING_TIME_HEADER,
+  REQUEST_ID_HEADER,
+} from '@turmericmill/platform-adapter';
+
+import type {WireRequest} from './server-connection.js';
+
+const FRAMING: ReadonlySet<string> = new Set([
+  'content-length',
+  'transfer-encoding',
+]);
+/** Methods whose requests have no body unless they say so. */
+const BODYLESS: ReadonlySet<string> = new Set(['GET', 'HEAD', 'DELETE']);
+
+/** Serializes a request for the server with id `serverId`. */
+export function serializeRequest(
+  head: CallHead,
+  body: Uint8Array,
+  serverId: string,
+  nowMs: number,
+): WireRequest {
+  const remainingMs = Math.max(1, Math.floor(head.deadlineMs - nowMs));
+  const headers = replaceHeaders(endToEndHeaders(head.headers), {
+    [REMAINING_TIME_HEADER]: String(remainingMs),
+    [EXPECTED_SERVER_HEADER]: serverId,
+    [CALLER_SERVICE_HEADER]: head.customer,
+  });
+  const lines = [`${head.method} ${head.path} HTTP/1.1`];
+  for (let i = 0; i + 1 < headers.length; i += 2) {
+    const name = headers[i] as string;
+    if (FRAMING.has(name.toLowerCase())) continue;
+    lines.push(`${name}: ${headers[i + 1] as string}`);
+  }
+  if (body.length > 0 || !BODYLESS.has(head.method)) {
+    lines.push(`Content-Length: ${body.length}`);
+  }
+  return {
+    head: Buffer.from(`${lines.join('\r\n')}\r\n\r\n`, 'latin1'),
+    body,
+    requestId: headerOf(head.headers, REQUEST_ID_HEADER),
+    bodyless: head.method === 'HEAD',
+  };
+}
--- /dev/null
+++ b/packages/sidecar/src/server/server-runner.ts
@@ -0,0 +1,118 @@
+/** Runs calls on the backend server beside this node. */
+
+import type {CurrentServer} from '@turmericmill/membership';
+import {
+  CallRunner,
+  NO_LOAD,
+  type Bus,
+  type CallEvents,
+  type CallFailure,
+  type CallHead,
+  type CallLeg,
+  type FirstBody,
+  type QuarantineTask,
+} from '@turmericmill/node';
+import type {Clock} from '@turmericmill/utils';
+import type Logger from 'bunyan';
+
+import {ServerSession} from './server-session.js';
+
+const ENDED_LEG: CallLeg = {
+  data: () => undefined,
+  end: () => undefined,
+  credit: () => undefined,
+  cancel: () => undefined,
+};
+/** Connections to a server while its service's limit is not known. */
+const DEFAULT_CONNECTIONS = 64;
+
+/** What the runner is given. */
+export interface ServerRunnerParts {
+  bus: Bus;
+  clock: Clock;
+  logger: Logger;
+  quarantine: QuarantineTask;
+  /** Where the server beside this node listens. */
+  address: string;
+  port: number;
+}
+
+/** Keeps one session for each start of the server. */
+export class ServerRunner extends CallRunner {
+  private session: ServerSession | undefined;
+  private stopping = false;
+
+  constructor(private readonly parts: ServerRunnerParts) {
+    super();
+  }
+
+  /** Calls that hold a slot of the server. */
+  get inFlight(): number {
+    return this.session?.inFlight ?? 0;
+  }
+
+  /** Takes over what the server has reported. */
+  update(server: CurrentServer): void {
+    const known = this.session;
+    const same =
+      known?.server.serverId === server.serverId &&
+      known.server.bornMs === server.bornMs;
+    if (known && same) {
+      known.update(server);
+    } else {
+      known?.retire();
+      const publish = () => this.publish();
+      this.session = new ServerSession(server, this.parts, publish);
+    }
+    this.publish();
+  }
+
+  /** No new calls of other nodes; those that run go on. */
+  stopTaking(): void {
+    this.stopping = true;
+    this.publish();
+  }
+
+  override run(head: CallHead, body: FirstBody, events: CallEvents): CallLeg {
+    const {session} = this;
+    if (session?.server.service === head.group) {
+      return session.run(head, body, events);
+    }
+    events.failed(noServer());
+    return ENDED_LEG;
+  }
+
+  /** Ends all connections to the server. */
+  close(): void {
+    this.session?.retire();
+  }
+
+  private publish(): void {
+    const {bus, address, port} = this.parts;
+    const {session} = this;
+    if (!session) return;
+    const {serverId, service, bornMs, slots, warmUntilMs} = session.server;
+    const state = this.stopping ? 'draining' : session.state;
+    const server = {
+      id: serverId,
+      group: service,
+      incarnation: bornMs,
+      state,
+      slots,
+      connections: DEFAULT_CONNECTIONS,
+      readySinceMs: Math.round(warmUntilMs),
+      address,
+      port,
+    };
+    bus.publish('local-servers', {servers: [server]});
+  }
+}
+
+function noServer(): CallFailure {
+  return {
+    outcome: 'not-run',
+    reason: 'no-server',
+    detail: 'No server of the service is beside this node.',
+    load: {...NO_LOAD},
+  };
+}
--- /dev/null
+++ b/packages/sidecar/src/server/server-session.ts
@@ -0,0 +1,304 @@
+/** Slots, waiting calls and connections of one start of the server. */
+
+import type {CurrentServer} from '@turmericmill/membership';
+import type {
+  CallEvents,
+  CallFailure,
+  CallHead,
+  CallLeg,
+  FirstBody,
+  LocalServer,
+} from '@turmericmill/node';
+import {CrashWatch, SlotQueue, type SlotEffect} from '@turmericmill/routing';
+import type {FailureReason, ServerLoad, ServerState} from '@turmericmill/wire';
+
+import {checkAnswer} from './answer-check.js';
+import type {ServerAnswer} from './answer-parser.js';
+import {ServerCall} from './server-call.js';
+import type {ExchangeEnd} from './server-connection.js';
+import {ServerPool} from './server-pool.js';
+import {serializeRequest} from './server-request.js';
+import type {ServerRunnerParts} from './server-runner.js';
+
+/** Time in ms between looks at deadlines of waiting and running calls. */
+const SWEEP_INTERVAL_MS = 20;
+/** Time in ms after its deadline in which the server may still say so. */
+const DEADLINE_GRACE_MS = 40;
+/** Time in ms between tries to reach a server that took no connection. */
+const PROBE_INTERVAL_MS = 300;
+/** Time in ms in which the losses of a crash become known. */
+const CRASH_SETTLE_MS = 50;
+/** Bytes of an answer in one frame between nodes. */
+const ANSWER_FRAME_BYTES = 64 * 1024;
+
+const DETAILS: Partial<Record<FailureReason, string>> = {
+  overload: 'The server has no slot in time.',
+  deadline: 'The deadline is too near.',
+  draining: 'The server is leaving.',
+  'server-failed': 'The server cannot be reached.',
+  quarantined: 'The request has crashed servers.',
+};
+
+export class ServerSession {
+  private readonly queue: SlotQueue;
+  private readonly pool: ServerPool;
+  private readonly calls = new Map<number, ServerCall>();
+  private readonly watch = new CrashWatch();
+  private readonly sweep: NodeJS.Timeout;
+  private probeTimer: NodeJS.Timeout | undefined;
+  private crashTimer: NodeJS.Timeout | undefined;
+  private nextId = 1;
+  private reachable = true;
+  private retired = false;
+
+  constructor(
+    private current: CurrentServer,
+    private readonly parts: ServerRunnerParts,
+    private readonly stateChanged: () => void,
+  ) {
+    const {address, port, clock} = parts;
+    this.queue = new SlotQueue(current.slots);
+    this.pool = new ServerPool(address, port, clock);
+    this.sweep = setInterval(() => this.expire(), SWEEP_INTERVAL_MS);
+    if (current.state === 'leaving') this.queue.close('draining');
+  }
+
+  get server(): CurrentServer {
+    return this.current;
+  }
+
+  get inFlight(): number {
+    return this.queue.inFlight;
+  }
+
+  /** What other nodes are told. */
+  get state(): ServerState {
+    if (this.current.state === 'leaving') return 'draining';
+    return this.reachable ? 'ready' : 'starting';
+  }
+
+  /** Takes over a newer report of the same start. */
+  update(server: CurrentServer): void {
+    const wasReady = this.current.state === 'ready';
+    this.current = server;
+    const now = this.parts.clock.now();
+    if (server.state === 'leaving') {
+      if (wasReady) this.apply(this.queue.close('draining'));
+      return;
+    }
+    if (!this.reachable) void this.probe();
+    this.apply(this.queue.resize(server.slots, now));
+  }
+
+  /** The start is over; calls that run end with their connections. */
+  retire(): void {
+    if (this.retired) return;
+    this.retired = true;
+    clearInterval(this.sweep);
+    clearTimeout(this.probeTimer);
+    this.apply(this.queue.close('server-failed'));
+    this.pool.destroy('The server has been started again.');
+    this.suspectCrash();
+  }
+
+  run(head: CallHead, first: FirstBody, events: CallEvents): CallLeg {
+    const id = this.nextId;
+    this.nextId += 1;
+    const call = new ServerCall(head, first, events, {
+      whole: () => this.offer(id),
+      left: () => this.cancel(id),
+    });
+    this.calls.set(id, call);
+    if (first.end) this.offer(id);
+    return call;
+  }
+
+  private offer(id: number): void {
+    const call = this.calls.get(id);
+    if (!call) return;
+    const {head} = call;
+    const {clock, quarantine} = this.parts;
+    const standing = quarantine.standing(head.fingerprint);
+    if (standing === 'quarantined') {
+      this.refuse(id, 'quarantined');
+      return;
+    }
+    const now = clock.now();
+    const {urgency} = head;
+    const offer = {
+      id,
+      class: head.class,
+      rank: urgency?.rank ?? 0,
+      targetMs: now + (urgency?.targetRemainingMs ?? Infinity),
+      deadlineMs: head.deadlineMs,
+      acceptsLate: urgency?.acceptsLate ?? true,
+      suspect: standing === 'suspect',
+    };
+    this.apply(this.queue.offer(offer, now));
+  }
+
+  private apply(effects: readonly SlotEffect[]): void {
+    for (const effect of effects) {
+      if (effect.type === 'run') this.begin(effect.id);
+      else this.refuse(effect.id, effect.reason);
+    }
+  }
+
+  private begin(id: number): void {
+    const call = this.calls.get(id);
+    if (!call) {
+      this.finish(id, false);
+      return;
+    }
+    const now = this.parts.clock.now();
+    const {serverId} = this.current;
+    const req = serializeRequest(call.head, call.body, serverId, now);
+    const repeatable = call.head.urgency?.repeatable ?? false;
+    call.exchange = this.pool.run(req, repeatable, end => {
+      this.ended(id, call, end);
+    });
+  }
+
+  private ended(id: number, call: ServerCall, end: ExchangeEnd): void {
+    this.calls.delete(id);
+    const answer = end.kind === 'answered' ? end.answer : undefined;
+    const verdict = answer && checkAnswer(answer);
+    this.finish(id, verdict === 'whole');
+    if (answer && verdict === 'whole') {
+      this.parts.quarantine.answered(call.head.fingerprint);
+      this.deliver(call, answer);
+    } else if (verdict === 'not-run' || verdict === 'wrong-server') {
+      const failure = this.failure(call, 'not-run', 'overload', verdict);
+      call.events.failed({...failure, reachedServer: true});
+    } else if (end.kind === 'not-sent') {
+      this.lostServer(end.detail);
+      const {detail} = end;
+      const reason = 'server-unreachable';
+      call.events.failed(this.failure(call, 'not-run', reason, detail));
+    } else {
+      this.noteLoss(call);
+      const detail = end.kind === 'lost' ? end.detail : 'spoiled answer';
+      const reason = 'server-failed';
+      call.events.failed(this.failure(call, 'unknown', reason, detail));
+    }
+  }
+
+  private deliver({events, head}: ServerCall, answer: ServerAnswer): void {
+    const {body} = answer;
+    events.answerStart(answer.status, answer.headers, this.load(head));
+    for (let at = 0; at < body.length; at += ANSWER_FRAME_BYTES) {
+      events.answerData(body.subarray(at, at + ANSWER_FRAME_BYTES));
+    }
+    events.answerEnd([]);
+  }
+
+  private cancel(id: number): void {
+    const call = this.calls.get(id);
+    if (!call) return;
+    this.calls.delete(id);
+    if (this.queue.withdraw(id)) return;
+    call.exchange?.cancel();
+    this.finish(id, false);
+  }
+
+  private finish(id: number, answered: boolean): void {
+    const now = this.parts.clock.now();
+    this.apply(this.queue.finished(id, answered, now));
+  }
+
+  private refuse(id: number, reason: FailureReason): void {
+    const call = this.calls.get(id);
+    this.calls.delete(id);
+    if (!call) return;
+    const detail = DETAILS[reason] ?? 'The server took no call.';
+    call.events.failed(this.failure(call, 'not-run', reason, detail));
+  }
+
+  private failure(
+    {head}: ServerCall,
+    outcome: CallFailure['outcome'],
+    reason: FailureReason,
+    detail: string,
+  ): CallFailure {
+    return {outcome, reason, detail, load: this.load(head)};
+  }
+
+  private load(head: CallHead): ServerLoad {
+    const {queue, parts} = this;
+    const load: ServerLoad = {
+      inFlight: queue.inFlight,
+      queued: queue.queued,
+      limit: queue.limit,
+      waitMs: Math.round(
+        queue.waitMs(head.urgency?.rank ?? 0, parts.clock.now()),
+      ),
+    };
+    const serviceMs = queue.times.knownMs(head.class);
+    return serviceMs === undefined ? load : {...load, serviceMs};
+  }
+
+  /** Refuses what waits too long and ends what the server keeps too long. */
+  private expire(): void {
+    const now = this.parts.clock.now();
+    this.apply(this.queue.expire(now));
+    for (const [id, call] of this.calls) {
+      if (!call.exchange) continue;
+      if (now < call.head.deadlineMs + DEADLINE_GRACE_MS) continue;
+      this.calls.delete(id);
+      call.exchange.cancel();
+      this.finish(id, false);
+      const detail = 'The server has not answered by the deadline.';
+      call.events.failed(this.failure(call, 'unknown', 'deadline', detail));
+    }
+  }
+
+  private noteLoss({head}: ServerCall): void {
+    this.watch.lost(head.fingerprint, this.parts.clock.now());
+  }
+
+  /** A server of this host that takes no connection has ended or hangs. */
+  private lostServer(detail: string): void {
+    if (!this.reachable || this.retired) return;
+    this.reachable = false;
+    const {serverId} = this.current;
+    this.parts.logger.warn({serverId, detail}, 'server lost');
+    this.apply(this.queue.close('server-failed'));
+    this.suspectCrash();
+    this.stateChanged();
+    this.probeLater();
+  }
+
+  private probeLater(): void {
+    clearTimeout(this.probeTimer);
+    this.probeTimer = setTimeout(() => void this.probe(), PROBE_INTERVAL_MS);
+  }
+
+  private async probe(): Promise<void> {
+    const open = await this.pool.probe();
+    if (this.retired || this.reachable) return;
+    if (!open) {
+      this.probeLater();
+      return;
+    }
+    this.reachable = true;
+    const {serverId, state} = this.current;
+    this.parts.logger.info({serverId}, 'server regained');
+    if (state === 'ready') this.queue.reopen();
+    else this.queue.close('draining');
+    this.stateChanged();
+  }
+
+  /** Waits a little: the losses of a crash do not arrive all at once. */
+  private suspectCrash(): void {
+    this.crashTimer ??= setTimeout(() => this.reportCrash(), CRASH_SETTLE_MS);
+  }
+
+  private reportCrash(): void {
+    this.crashTimer = undefined;
+    const fingerprints = this.watch.gone(this.parts.clock.now());
+    if (fingerprints.length === 0) return;
+    const {serverId, bornMs} = this.current;
+    const server = {id: serverId, incarnation: bornMs} as LocalServer;
+    this.parts.quarantine.crashed(server, fingerprints);
+  }
+}
--- /dev/null
+++ b/packages/sidecar/src/sidecar.ts
@@ -0,0 +1,216 @@
+/** The node on one of the platform's hosts: its tasks, wired together. */
+
+import {
+  Bus,
+  CandidateIndex,
+  IncomingCalls,
+  MembershipTask,
+  QuarantineTask,
+  RemoteRunner,
+  TransportTask,
+} from '@turmericmill/node';
+import {HttpStore, type HostSettings} from '@turmericmill/platform-adapter';
+import {LeastExpectedCostBalancer} from '@turmericmill/routing';
+import {SystemClock, SystemRandom} from '@turmericmill/utils';
+import {MAX_PROTOCOL_VERSION, MIN_PROTOCOL_VERSION} from '@turmericmill/wire';
+import type Logger from 'bunyan';
+
+import {ConfigFollower} from './config/config-follower.js';
+import {ReportServer} from './control/report-server.js';
+import {AnswerSizes} from './ingress/answer-sizes.js';
+import {IngressServer} from './ingress/ingress-server.js';
+import {RequestDispatch} from './ingress/request-dispatch.js';
+import {ServerRunner} from './server/server-runner.js';
+import {ReadinessServer} from './tasks/readiness-server.js';
+import {StoreSeeds} from './tasks/store-seeds.js';
+
+/** Delay in ms that a KiB between data centres is worth; transfer is dear. */
+const CROSSING_MS_PER_KIB = 8;
+/**
+ * Part of the fleet's share of repetitions that a node spends: the rest is left
+ * for calls that repeated requests make and for windows that do not align.
+ */
+const RETRY_SHARE_USED = 0.7;
+const PERCENT = 100;
+/** Time in ms after which a node that knows no other one serves by itself. */
+const JOIN_PATIENCE_MS = 3_000;
+/**
+ * Time in ms after SIGTERM in which callers are still served in full: the
+ * platform needs two readiness questions, a second apart, to stop sending.
+ */
+const LEAVE_SERVING_MS = 2_500;
+/** Time in ms kept between the last work and the end of the grace period. */
+const GRACE_RESERVE_MS = 700;
+/** Time in ms between looks whether work is left. */
+const IDLE_CHECK_MS = 20;
+
+export class Sidecar {
+  private readonly bus = new Bus();
+  private readonly clock = new SystemClock();
+  private readonly random = new SystemRandom();
+  private readonly startedMs = this.clock.now();
+  private readonly store: HttpStore;
+  private readonly transport: TransportTask;
+  private readonly membership: MembershipTask;
+  private readonly config: ConfigFollower;
+  private readonly server: ServerRunner;
+  private readonly incoming: IncomingCalls;
+  private readonly ingress: IngressServer;
+  private readonly reports: ReportServer;
+  private readonly readiness: ReadinessServer;
+  private candidates = new CandidateIndex();
+  private hasPeers = false;
+  private leaving = false;
+  private stopped: Promise<void> | undefined;
+
+  constructor(
+    private settings: HostSettings,
+    private readonly logger: Logger,
+  ) {
+    const {bus, clock, random} = this;
+    const {nodeId, dataCentre} = settings;
+    this.store = new HttpStore(() => this.settings.store);
+    this.transport = this.makeTransport();
+    this.membership = this.makeMembership();
+    this.config = new ConfigFollower({
+      nodeId,
+      dataCentre,
+      store: this.store,
+      bus,
+      clock,
+      random,
+      logger,
+    });
+    const quarantine = new QuarantineTask(nodeId, bus, clock, random, logger);
+    const {address, port} = settings.server;
+    this.server = new ServerRunner({
+      bus,
+      clock,
+      logger,
+      quarantine,
+      address,
+      port,
+    });
+    this.incoming = new IncomingCalls(bus, this.server, clock);
+    this.ingress = this.makeIngress();
+    const {listen} = settings;
+    this.reports = new ReportServer(listen.reports, clock, logger, server =>
+      this.server.update(server),
+    );
+    this.readiness = new ReadinessServer(listen.readiness, () => this.isReady);
+    bus.subscribe('view-changed', ({members}) => {
+      this.candidates = new CandidateIndex(members);
+      this.hasPeers = members.some(({id}) => id !== nodeId);
+    });
+  }
+
+  async start(): Promise<void> {
+    await this.transport.start();
+    await this.reports.start();
+    this.membership.start();
+    this.config.start();
+    await this.ingress.start();
+    await this.readiness.start();
+  }
+
+  /** Takes over settings that may change while the process runs. */
+  reload(settings: HostSettings): void {
+    this.settings = settings;
+  }
+
+  /** Serves on until callers have gone elsewhere, ends all work, closes. */
+  stop(): Promise<void> {
+    this.stopped ??= this.shutDown();
+    return this.stopped;
+  }
+
+  private get isReady(): boolean {
+    if (this.leaving || this.config.version === 0) return false;
+    const ageMs = this.clock.now() - this.startedMs;
+    return this.hasPeers || ageMs > JOIN_PATIENCE_MS;
+  }
+
+  private async shutDown(): Promise<void> {
+    const {shutdownGraceMs} = this.settings;
+    const deadlineMs = this.clock.now() + shutdownGraceMs - GRACE_RESERVE_MS;
+    this.leaving = true;
+    this.ingress.drain();
+    await sleep(LEAVE_SERVING_MS);
+    this.server.stopTaking();
+    const isBusy = () =>
+      this.ingress.requestsInFlight + this.incoming.size > 0;
+    while (isBusy() && this.clock.now() < deadlineMs) {
+      await sleep(IDLE_CHECK_MS);
+    }
+    this.membership.stop();
+    this.config.stop();
+    await Promise.race([this.ingress.stop(), sleep(IDLE_CHECK_MS)]);
+    await Promise.race([this.transport.stop(), sleep(IDLE_CHECK_MS)]);
+    this.server.close();
+    this.store.close();
+  }
+
+  private makeTransport(): TransportTask {
+    const {nodeId, dataCentre, region, ip, meshPorts} = this.settings;
+    const hello = {
+      minVersion: MIN_PROTOCOL_VERSION,
+      maxVersion: MAX_PROTOCOL_VERSION,
+      nodeId,
+      incarnation: this.incarnation,
+      dataCentre,
+      region,
+    };
+    const options = {address: ip, port: meshPorts[0], hello};
+    return new TransportTask(options, this.bus, this.clock, this.logger);
+  }
+
+  /** Grows with each start; the clock is that of the process's start. */
+  private get incarnation(): number {
+    return Math.floor(this.startedMs);
+  }
+
+  private makeMembership(): MembershipTask {
+    const {bus, clock, random, logger, store} = this;
+    const {nodeId, dataCentre, region, ip, meshPorts} = this.settings;
+    const own = {address: ip, port: meshPorts[0]};
+    const identity = {
+      id: nodeId,
+      incarnation: this.incarnation,
+      ...own,
+      dataCentre,
+      region,
+    };
+    const seedDirectory = new StoreSeeds(nodeId, own, store, random, logger);
+    const parts = {bus, clock, random, seedDirectory, logger};
+    return new MembershipTask({identity, seeds: []}, parts);
+  }
+
+  private makeIngress(): IngressServer {
+    const {bus, clock, random, logger} = this;
+    const {nodeId, dataCentre, service, listen, retries} = this.settings;
+    const dispatch = new RequestDispatch({
+      nodeId,
+      local: this.server,
+      remote: new RemoteRunner(bus, clock),
+      balancer: new LeastExpectedCostBalancer(dataCentre, CROSSING_MS_PER_KIB),
+      clock,
+      random,
+      sizes: new AnswerSizes(),
+      retryPercent: retries.share * RETRY_SHARE_USED * PERCENT,
+      candidates: name => this.candidates.ofGroup(name),
+    });
+    return new IngressServer({
+      listen: listen.callers,
+      callerService: service,
+      dispatch,
+      bus,
+      clock,
+      random,
+      logger,
+    });
+  }
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
--- a/packages/testkit/src/membership/agent-main.ts
+++ b/packages/testkit/src/membership/agent-main.ts
@@ -3,7 +3,7 @@
  * so that their bytes and processor time can be counted apart.
  */
 
-import {Bus, MembershipTask, TransportTask} from '@turmericmill/node';
+import {Bus, MembershipTask, SeedStream, TransportTask} from '@turmericmill/node';
 import {SystemClock, SystemRandom} from '@turmericmill/utils';
 import {
   MAX_PROTOCOL_VERSION,
@@ -69,8 +69,8 @@
       region: REGION,
     };
     const random = new SystemRandom();
-    const log = new DownLog();
-    const parts = {bus, clock, random, log, logger};
+    const seedDirectory = new SeedStream(new DownLog(), clock, random, logger);
+    const parts = {bus, clock, random, seedDirectory, logger};
     this.membership = new MembershipTask({identity, seeds}, parts);
     this.membership.start();
     this.setState('ready');
--- a/packages/utils/src/clock.ts
+++ b/packages/utils/src/clock.ts
@@ -5,10 +5,13 @@
   now(): number;
 }
 
-/** The clock of the host. */
+/**
+ * The steady clock of the process, counted from the time of day at its start.
+ * It does not follow steps of the time of day, so that deadlines hold.
+ */
 export class SystemClock implements Clock {
   now(): number {
-    return Date.now();
+    return performance.timeOrigin + performance.now();
   }
 }
 
--- a/packages/wire/src/message-table.ts
+++ b/packages/wire/src/message-table.ts
@@ -31,6 +31,8 @@
   versionReport: configuration.VersionReport;
   fleetQuery: configuration.FleetQuery;
   fleetReply: configuration.VersionReport;
+  configNotice: configuration.ConfigNotice;
+  configAsk: configuration.ConfigAsk;
   callStart: calls.CallStart;
   callData: calls.CallData;
   callWindow: calls.CallWindow;
@@ -71,6 +73,8 @@
   versionReport: 25,
   fleetQuery: 26,
   fleetReply: 27,
+  configNotice: 28,
+  configAsk: 29,
   callStart: 30,
   callData: 31,
   callWindow: 32,
--- a/packages/wire/src/messages/calls.ts
+++ b/packages/wire/src/messages/calls.ts
@@ -20,6 +20,20 @@
   hops: number;
   /** Identifies the request for quarantine. */
   fingerprint: string;
+  /** How the call waits for a slot; absent where `priority` alone decides. */
+  urgency?: CallUrgency;
+}
+
+/** What a queue weighs of a call beyond its deadline. */
+export interface CallUrgency {
+  /** Rank among the routes of a service; 0 is the most urgent. */
+  rank: number;
+  /** Time left in ms until the answer loses worth. */
+  targetRemainingMs: number;
+  /** True if an answer after the target is wanted rather than a refusal. */
+  acceptsLate: boolean;
+  /** True if the request may run more than once. */
+  repeatable: boolean;
 }
 
 /** Opens a call. `callId` is unique within the connection. */
@@ -63,6 +77,8 @@
   limit: number;
   /** Moving average in ms of the time that the server took for the class. */
   serviceMs?: number;
+  /** Time in ms that a new call of the same urgency would wait. */
+  waitMs?: number;
 }
 
 export interface AnswerStart {
@@ -107,4 +123,6 @@
   reason: FailureReason;
   detail: string;
   load: ServerLoad;
+  /** True if the request was sent to the server, which did not run it. */
+  reachedServer?: boolean;
 }
--- a/packages/wire/src/messages/configuration.ts
+++ b/packages/wire/src/messages/configuration.ts
@@ -61,3 +61,17 @@
   /** Time in ms at which it was sent; for the receiver's log alone. */
   atMs: number;
 }
+
+/** A configuration that the sender has read or been given, whole. */
+export interface ConfigNotice {
+  version: number;
+  /** Time in ms since the sender has last heard of it from its source. */
+  ageMs: number;
+  /** The document as published; absent where only the version is told. */
+  document?: Uint8Array;
+}
+
+/** Asks for the receiver's configuration if it is newer than `version`. */
+export interface ConfigAsk {
+  version: number;
+}
