--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,11 +1,19 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  {ignores: ['**/dist/**', '**/node_modules/**', 'bench-results/**']},
+  {
+    ignores: [
+      '**/dist/**',
+      '**/node_modules/**',
+      'bench-results/**',
+      'target/**',
+      'journal/**',
+    ],
+  },
   ...tseslint.configs.strict,
   ...tseslint.configs.stylistic,
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     languageOptions: {
       parserOptions: {projectService: true},
     },
@@ -65,7 +73,7 @@
     },
   },
   {
-    files: ['packages/*/tests/**/*.ts'],
+    files: ['packages/*/tests/**/*.ts', 'platform/tests/**/*.ts'],
     rules: {
       'max-lines-per-function': 'off',
       '@typescript-eslint/no-unused-expressions': 'off',
--- a/packages/routing/src/admission/service-times.ts
+++ b/packages/routing/src/admission/service-times.ts
@@ -14,7 +14,8 @@
   record(cls: string, ms: number): void {
     this.overall += SAMPLE_WEIGHT * (ms - this.overall);
     const known = this.means.get(cls);
-    const next = known === undefined ? ms : known + SAMPLE_WEIGHT * (ms - known);
+    const next =
+      known === undefined ? ms : known + SAMPLE_WEIGHT * (ms - known);
     this.means.set(cls, next);
   }
 
--- a/packages/routing/src/admission/slot-queue.ts
+++ b/packages/routing/src/admission/slot-queue.ts
@@ -31,7 +31,8 @@
   suspect: boolean;
 }
 
-export type SlotRefusal = 'overload' | 'deadline' | 'draining' | 'server-failed';
+export type SlotRefusal =
+  'overload' | 'deadline' | 'draining' | 'server-failed';
 
 /** Every call offered ends in exactly one of these. */
 export type SlotEffect =
--- /dev/null
+++ b/packages/routing/tests/admission/slot-queue.test.ts
@@ -0,0 +1,134 @@
+import {expect} from 'chai';
+
+import {SlotQueue, type QueuedCall, type SlotEffect} from '../../src/index.js';
+
+let nextId = 1;
+
+function call(changes: Partial<QueuedCall> = {}): QueuedCall {
+  nextId += 1;
+  return {
+    id: nextId,
+    class: 'read',
+    rank: 1,
+    targetMs: 400,
+    deadlineMs: 1500,
+    acceptsLate: false,
+    suspect: false,
+    ...changes,
+  };
+}
+
+/** A queue whose server takes 100 ms for each call. */
+function learned(slots: number): SlotQueue {
+  const queue = new SlotQueue(slots);
+  for (let i = 0; i < 50; i++) queue.times.record('read', 100);
+  return queue;
+}
+
+function texts(effects: SlotEffect[]): string[] {
+  return effects.map(effect =>
+    effect.type === 'run' ? 'run' : `refuse ${effect.reason}`,
+  );
+}
+
+describe('SlotQueue', () => {
+  it('runs at once while a slot is free, whatever the target', () => {
+    const queue = learned(1);
+    expect(texts(queue.offer(call({targetMs: 50}), 0))).to.deep.equal(['run']);
+  });
+
+  it('lets a call wait while it can be on time', () => {
+    const queue = learned(1);
+    queue.offer(call(), 0);
+    expect(queue.offer(call(), 0)).to.deep.equal([]);
+    expect(queue.queued).to.equal(1);
+  });
+
+  it('refuses at once what cannot be on time', () => {
+    const queue = learned(1);
+    const results = [1, 2, 3, 4, 5].map(() => texts(queue.offer(call(), 0)));
+    expect(results).to.deep.equal([
+      ['run'],
+      [],
+      [],
+      ['refuse overload'],
+      ['refuse overload'],
+    ]);
+  });
+
+  it('keeps a late call that prefers an answer to a refusal', () => {
+    const queue = learned(1);
+    for (let i = 0; i < 4; i++) queue.offer(call(), 0);
+    expect(queue.offer(call({acceptsLate: true}), 0)).to.deep.equal([]);
+  });
+
+  it('gives a slot to the most urgent, then to the oldest', () => {
+    const queue = learned(1);
+    const first = call();
+    queue.offer(first, 0);
+    const older = call({rank: 2});
+    const newer = call({rank: 2});
+    const urgent = call({rank: 0});
+    for (const each of [older, newer, urgent]) queue.offer(each, 10);
+    const order: number[] = [];
+    let running = first.id;
+    for (let now = 100; now <= 300; now += 100) {
+      const [effect] = queue.finished(running, true, now);
+      running = effect?.id ?? 0;
+      order.push(running);
+    }
+    expect(order).to.deep.equal([urgent.id, older.id, newer.id]);
+  });
+
+  it('runs what can be on time before what is late already', () => {
+    const queue = learned(1);
+    const first = call();
+    queue.offer(first, 0);
+    const late = call({acceptsLate: true, targetMs: 120});
+    const timely = call();
+    queue.offer(late, 0);
+    queue.offer(timely, 0);
+    expect(queue.finished(first.id, true, 100)[0]?.id).to.equal(timely.id);
+  });
+
+  it('refuses a waiting call once it can no longer be on time', () => {
+    const queue = learned(1);
+    queue.offer(call(), 0);
+    queue.offer(call(), 0);
+    expect(queue.expire(280)).to.deep.equal([]);
+    expect(texts(queue.expire(300))).to.deep.equal(['refuse overload']);
+  });
+
+  it('refuses a late call in time for its caller to hear of it', () => {
+    const queue = learned(1);
+    queue.offer(call(), 0);
+    queue.offer(call({acceptsLate: true}), 0);
+    expect(queue.expire(1400)).to.deep.equal([]);
+    expect(texts(queue.expire(1450))).to.deep.equal(['refuse deadline']);
+  });
+
+  it('runs one suspect at a time', () => {
+    const queue = learned(3);
+    expect(texts(queue.offer(call({suspect: true}), 0))).to.deep.equal(['run']);
+    expect(texts(queue.offer(call({suspect: true}), 0))).to.deep.equal([]);
+    expect(queue.inFlight).to.equal(1);
+  });
+
+  it('refuses all when it closes, and takes calls when it reopens', () => {
+    const queue = learned(1);
+    queue.offer(call(), 0);
+    queue.offer(call(), 0);
+    expect(texts(queue.close('draining'))).to.deep.equal(['refuse draining']);
+    expect(texts(queue.offer(call(), 0))).to.deep.equal(['refuse draining']);
+    expect(queue.limit).to.equal(0);
+    queue.reopen();
+    expect(texts(queue.offer(call(), 0))).to.deep.equal([]);
+  });
+
+  it('tells the wait by rank', () => {
+    const queue = learned(2);
+    for (let i = 0; i < 4; i++) queue.offer(call({rank: 2}), 0);
+    expect(queue.waitMs(2, 0)).to.equal(200);
+    expect(queue.waitMs(0, 0)).to.equal(100);
+  });
+});
--- a/packages/sidecar/src/settings-file.ts
+++ b/packages/sidecar/src/settings-file.ts
@@ -24,7 +24,9 @@
     return Err(`${path} cannot be read: ${String(err)}`);
   }
   const settings = parseHostSettings(text);
-  if (settings.isErr()) return Err(`${path}: ${formatFindings(settings.error)}`);
+  if (settings.isErr()) {
+    return Err(`${path}: ${formatFindings(settings.error)}`);
+  }
   return Ok({text, settings: settings.value});
 }
 
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -137,8 +137,7 @@
     this.ingress.drain();
     await sleep(LEAVE_SERVING_MS);
     this.server.stopTaking();
-    const isBusy = () =>
-      this.ingress.requestsInFlight + this.incoming.size > 0;
+    const isBusy = () => this.ingress.requestsInFlight + this.incoming.size > 0;
     while (isBusy() && this.clock.now() < deadlineMs) {
       await sleep(IDLE_CHECK_MS);
     }
--- a/packages/testkit/src/membership/agent-main.ts
+++ b/packages/testkit/src/membership/agent-main.ts
@@ -3,7 +3,12 @@
  * so that their bytes and processor time can be counted apart.
  */
 
-import {Bus, MembershipTask, SeedStream, TransportTask} from '@turmericmill/node';
+import {
+  Bus,
+  MembershipTask,
+  SeedStream,
+  TransportTask,
+} from '@turmericmill/node';
 import {SystemClock, SystemRandom} from '@turmericmill/utils';
 import {
   MAX_PROTOCOL_VERSION,
