--- a/packages/sidecar/src/ingress/request-dispatch.ts
+++ b/packages/sidecar/src/ingress/request-dispatch.ts
@@ -216,6 +216,8 @@
       let bytes = 0;
       let status = 0;
       let load: ServerLoad = NO_LOAD;
+      // The local node may settle the try before `start` returns.
+      let timer: NodeJS.Timeout | undefined;
       const settle = (end: TryEnd) => {
         if (ended) return;
         ended = true;
@@ -249,18 +251,18 @@
           settle({kind: 'cut'});
         },
       });
+      if (ended) return;
       const waitMs = request.deadlineMs - clock.now() + DEADLINE_GRACE_MS;
-      const timer = setTimeout(() => {
+      timer = setTimeout(() => {
         leg.cancel();
         settle({kind: 'failed', failure: deadlinePassed()});
       }, waitMs);
-      if (ended) clearTimeout(timer);
       const leave = () => {
         leg.cancel();
         settle({kind: 'left'});
       };
       if (caller.hasLeft) leave();
-      else if (!ended) caller.onLeft = leave;
+      else caller.onLeft = leave;
     });
   }
 
--- a/packages/sidecar/src/ingress/try-decision.ts
+++ b/packages/sidecar/src/ingress/try-decision.ts
@@ -33,7 +33,7 @@
  */
 export function nextStep(state: TryState, failure: CallFailure): NextStep {
   const {outcome, reason, reachedServer = false} = failure;
-  if (reason === 'quarantined') return 'stop';
+  if (reason === 'quarantined' || reason === 'deadline') return 'stop';
   if (state.remainingMs < LEAST_TIME_LEFT_MS) return 'stop';
   const hasRun = outcome === 'unknown';
   if (hasRun && !state.repeatable) return 'stop';
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -25,7 +25,7 @@
 import {StoreSeeds} from './tasks/store-seeds.js';
 
 /** Delay in ms that a KiB between data centres is worth; transfer is dear. */
-const CROSSING_MS_PER_KIB = 8;
+const CROSSING_MS_PER_KIB = 30;
 /**
  * Part of the fleet's share of repetitions that a node spends: the rest is left
  * for calls that repeated requests make and for windows that do not align.
--- /dev/null
+++ b/packages/sidecar/tests/ingress/request-dispatch.test.ts
@@ -0,0 +1,236 @@
+import type {PrefixRoute} from '@turmericmill/config';
+import {
+  CallRunner,
+  NO_LOAD,
+  type CallEvents,
+  type CallFailure,
+  type CallHead,
+  type CallLeg,
+  type FirstBody,
+  type RemoteRunner,
+} from '@turmericmill/node';
+import {LeastExpectedCostBalancer, type Candidate} from '@turmericmill/routing';
+import {ManualClock, SeededRandom} from '@turmericmill/utils';
+import {expect} from 'chai';
+
+import {AnswerSizes} from '../../src/ingress/answer-sizes.js';
+import type {CallerRequest} from '../../src/ingress/caller-request.js';
+import {RequestDispatch} from '../../src/ingress/request-dispatch.js';
+
+const LOAD = {inFlight: 1, queued: 0, limit: 9, waitMs: 70};
+
+/** What a node answers to one call; `silent` answers nothing. */
+type Answer =
+  | {status: number}
+  | 'silent'
+  | Partial<CallFailure>
+  | {status: number; cutBy: Partial<CallFailure>};
+
+const ROUTE: PrefixRoute = {
+  name: 'r-1',
+  host: 'a.example',
+  pathPrefix: '/',
+  kind: 'safe',
+  timeoutMs: 800,
+  targetLatencyMs: 400,
+  rank: 1,
+  maxAttempts: 2,
+  split: [{service: 'desk', weight: 1}],
+};
+
+class ScriptedRunner extends CallRunner {
+  readonly heads: CallHead[] = [];
+  cancelled = 0;
+
+  constructor(private readonly answers: Answer[]) {
+    super();
+  }
+
+  /** Answers before it returns, as a node that knows at once. */
+  override run(head: CallHead, body: FirstBody, events: CallEvents): CallLeg {
+    this.heads.push(head);
+    const answer = this.answers.shift() ?? 'silent';
+    if (answer !== 'silent') reply(answer, events);
+    return {
+      data: () => undefined,
+      end: () => undefined,
+      credit: () => undefined,
+      cancel: () => {
+        this.cancelled += 1;
+      },
+    };
+  }
+}
+
+function reply(answer: Exclude<Answer, 'silent'>, events: CallEvents): void {
+  const failure = {
+    outcome: 'not-run' as const,
+    reason: 'overload' as const,
+    detail: '',
+    load: LOAD,
+  };
+  if (!('status' in answer)) {
+    events.failed({...failure, ...answer});
+    return;
+  }
+  events.answerStart(answer.status, [], LOAD);
+  events.answerData(Buffer.from('x'));
+  if ('cutBy' in answer) events.failed({...failure, ...answer.cutBy});
+  else events.answerEnd([]);
+}
+
+/** Records what the caller is told. */
+class FakeCaller {
+  hasLeft = false;
+  onLeft: (() => void) | undefined;
+  readonly seen: string[] = [];
+
+  start(status: number): void {
+    this.seen.push(String(status));
+  }
+
+  data(chunk: Uint8Array): void {
+    this.seen.push(Buffer.from(chunk).toString());
+  }
+
+  end(): void {
+    this.seen.push('end');
+  }
+
+  cut(): void {
+    this.seen.push('cut');
+  }
+}
+
+function candidate(nodeId: string): Candidate {
+  return {
+    nodeId,
+    serverId: `s-${nodeId}`,
+    incarnation: 1,
+    group: 'desk',
+    dataCentre: 'ncr-a',
+    state: 'ready',
+    slots: 9,
+    readySinceMs: 0,
+  };
+}
+
+interface Setting {
+  route?: Partial<PrefixRoute>;
+  servers?: number;
+}
+
+async function play(answers: Answer[], {route, servers = 6}: Setting = {}) {
+  const runner = new ScriptedRunner(answers);
+  const caller = new FakeCaller();
+  const clock = new ManualClock(1_000);
+  const candidates = Array.from({length: servers}, (unused, index) =>
+    candidate(`n-${index}`),
+  );
+  const remote = {
+    run: (nodeId: string, ...rest: Parameters<CallRunner['run']>) =>
+      runner.run(...rest),
+  } as unknown as RemoteRunner;
+  const dispatch = new RequestDispatch({
+    nodeId: 'n-0',
+    local: runner,
+    remote,
+    balancer: new LeastExpectedCostBalancer('ncr-a'),
+    clock,
+    random: new SeededRandom(1),
+    sizes: new AnswerSizes(),
+    retryPercent: 20,
+    candidates: () => candidates,
+  });
+  const end = await dispatch.dispatch({
+    caller: caller as unknown as CallerRequest,
+    route: {...ROUTE, ...route},
+    service: 'desk',
+    method: 'GET',
+    path: '/x',
+    headers: [],
+    body: Buffer.alloc(0),
+    callerService: 'desk',
+    fingerprint: 'f',
+    targetMs: 1_400,
+    deadlineMs: 1_050,
+  });
+  return {end, caller, runner};
+}
+
+const LOST: Answer = {outcome: 'unknown', reason: 'server-failed'};
+const NO_SLOT: Answer = {};
+const SHED: Answer = {reachedServer: true};
+
+describe('RequestDispatch', () => {
+  it('delivers an answer that comes at once', async () => {
+    const {end, caller} = await play([{status: 200}]);
+    expect(end.kind).to.equal('answered');
+    expect(caller.seen).to.deep.equal(['200', 'x', 'end']);
+  });
+
+  it('asks other nodes when one has no slot', async () => {
+    const {end, runner} = await play([NO_SLOT, NO_SLOT, {status: 200}]);
+    expect(end).to.deep.include({kind: 'answered', tries: 3});
+    const nodes = new Set(runner.heads.map(({serverId}) => serverId));
+    expect(nodes.size).to.equal(3);
+  });
+
+  it('accepts a late answer once every node has refused', async () => {
+    const answers = [NO_SLOT, NO_SLOT, {status: 200}];
+    const {end, runner} = await play(answers, {servers: 2});
+    expect(end.kind).to.equal('answered');
+    const late = runner.heads.map(({urgency}) => urgency?.acceptsLate);
+    expect(late).to.deep.equal([false, false, true]);
+  });
+
+  it('tells the wait when nobody has a slot', async () => {
+    const {end, caller} = await play([NO_SLOT, NO_SLOT, NO_SLOT, NO_SLOT]);
+    expect(end).to.deep.include({kind: 'failed', mayHaveRun: false});
+    expect(end.kind === 'failed' && end.failure.load.waitMs).to.equal(70);
+    expect(caller.seen).to.deep.equal([]);
+  });
+
+  it('repeats a safe request that may have run', async () => {
+    const {end} = await play([LOST, {status: 200}]);
+    expect(end.kind).to.equal('answered');
+  });
+
+  it('never repeats an unsafe request that may have run', async () => {
+    const route = {kind: 'unsafe' as const};
+    const {end, runner} = await play([LOST, {status: 200}], {route});
+    expect(end).to.deep.include({kind: 'failed', mayHaveRun: true});
+    expect(runner.heads).to.have.length(1);
+  });
+
+  it('repeats an unsafe request that its server has not run', async () => {
+    const route = {kind: 'unsafe' as const};
+    const {end} = await play([SHED, {status: 200}], {route});
+    expect(end.kind).to.equal('answered');
+  });
+
+  it('reaches no more servers than the route allows', async () => {
+    const {end, runner} = await play([SHED, LOST, {status: 200}]);
+    expect(end).to.deep.include({kind: 'failed', mayHaveRun: true});
+    expect(runner.heads).to.have.length(2);
+  });
+
+  it('cuts an answer that breaks off', async () => {
+    const broken = {status: 200, cutBy: {outcome: 'unknown' as const}};
+    const {end, caller} = await play([broken]);
+    expect(end.kind).to.equal('cut');
+    expect(caller.seen).to.deep.equal(['200', 'x', 'cut']);
+  });
+
+  it('gives up at the deadline and cancels the call', async () => {
+    const {end, runner} = await play(['silent']);
+    expect(end).to.deep.include({kind: 'failed', mayHaveRun: true});
+    expect(runner.cancelled).to.equal(1);
+  });
+
+  it('fails without a server', async () => {
+    const {end} = await play([], {servers: 0});
+    expect(end).to.deep.include({kind: 'failed', tries: 0, mayHaveRun: false});
+    expect(end.kind === 'failed' && end.failure.load).to.deep.include(NO_LOAD);
+  });
+});
--- /dev/null
+++ b/packages/sidecar/tests/server/server-pool.test.ts
@@ -0,0 +1,226 @@
+import {
+  createServer,
+  type AddressInfo,
+  type Server,
+  type Socket,
+} from 'node:net';
+
+import {SystemClock} from '@turmericmill/utils';
+import {expect} from 'chai';
+
+import type {
+  ExchangeEnd,
+  WireRequest,
+} from '../../src/server/server-connection.js';
+import {ServerPool} from '../../src/server/server-pool.js';
+
+const ID = 'X-Turmericmill-Request-Id';
+
+function answer(id: string, body: string, more = ''): string {
+  return `HTTP/1.1 200 OK\r\n${ID}: ${id}\r\n${more}Content-Length: ${body.length}\r\n\r\n${body}`;
+}
+
+/** What the server writes for one request; `reset` and `end` close it. */
+type Step = string | 'reset' | 'end' | {afterMs: number};
+
+/** A server that answers each request with the next script. */
+class ScriptedServer {
+  connections = 0;
+  private readonly server: Server;
+  private readonly sockets = new Set<Socket>();
+
+  constructor(private readonly scripts: Step[][]) {
+    this.server = createServer(socket => this.serve(socket));
+  }
+
+  async listen(): Promise<number> {
+    await new Promise<void>(resolve => {
+      this.server.listen(0, '127.0.0.1', resolve);
+    });
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  close(): void {
+    for (const socket of this.sockets) socket.destroy();
+    this.server.close();
+  }
+
+  private serve(socket: Socket): void {
+    this.connections += 1;
+    this.sockets.add(socket);
+    socket.on('error', () => socket.destroy());
+    socket.on('data', () => void this.play(socket, this.scripts.shift() ?? []));
+  }
+
+  private async play(socket: Socket, steps: Step[]): Promise<void> {
+    for (const step of steps) {
+      if (step === 'reset') socket.resetAndDestroy();
+      else if (step === 'end') socket.end();
+      else if (typeof step === 'string') socket.write(step, 'latin1');
+      else await new Promise(resolve => setTimeout(resolve, step.afterMs));
+    }
+  }
+}
+
+function request(requestId: string): WireRequest {
+  const head = Buffer.from(`GET /x HTTP/1.1\r\n${ID}: ${requestId}\r\n\r\n`);
+  return {head, body: Buffer.alloc(0), requestId, bodyless: false};
+}
+
+function textOf(end: ExchangeEnd): string {
+  if (end.kind !== 'answered') return end.kind;
+  return `${end.answer.status} ${end.answer.body.toString('latin1')}`;
+}
+
+async function play(scripts: Step[][]) {
+  const server = new ScriptedServer(scripts);
+  const port = await server.listen();
+  const pool = new ServerPool('127.0.0.1', port, new SystemClock());
+  const ends: string[] = [];
+  const count = scripts.length;
+  for (let i = 1; i <= count; i++) {
+    const end = await new Promise<ExchangeEnd>(resolve => {
+      pool.run(request(`id-${i}`), true, resolve);
+    });
+    ends.push(textOf(end));
+    // What comes behind an answer has to be seen before the next request.
+    await new Promise(resolve => setTimeout(resolve, 10));
+  }
+  pool.destroy('The test is over.');
+  server.close();
+  return {ends, connections: server.connections};
+}
+
+interface Case {
+  scripts: Step[][];
+  ends: string[];
+  connections: number;
+}
+
+const CHUNKED = `HTTP/1.1 200 OK\r\n${ID}: id-1\r\nTransfer-Encoding: chunked\r\n\r\n`;
+const UNFRAMED = `HTTP/1.1 200 OK\r\n${ID}: id-1\r\n\r\n`;
+const OK_2 = [answer('id-2', 'two')];
+
+const CASES: Record<string, Case> = {
+  'one connection carries one request after the other': {
+    scripts: [[answer('id-1', 'one')], OK_2],
+    ends: ['200 one', '200 two'],
+    connections: 1,
+  },
+  'an answer in pieces is whole': {
+    scripts: [['HTTP/1.1 200 O', `K\r\nContent-Le`, 'ngth: 3\r\n\r\no', 'ne']],
+    ends: ['200 one'],
+    connections: 1,
+  },
+  'a chunked answer is whole with its last chunk': {
+    scripts: [[`${CHUNKED}3\r\none\r\n0\r\n\r\n`], OK_2],
+    ends: ['200 one', '200 two'],
+    connections: 1,
+  },
+  'a chunked answer without its last chunk is lost': {
+    scripts: [[`${CHUNKED}3\r\none\r\n`, 'end'], OK_2],
+    ends: ['lost', '200 two'],
+    connections: 2,
+  },
+  'a malformed chunk size is not the last chunk': {
+    scripts: [[`${CHUNKED}zz\r\n\r\n`], OK_2],
+    ends: ['lost', '200 two'],
+    connections: 2,
+  },
+  'an answer that is shorter than its length is lost': {
+    scripts: [[answer('id-1', 'one').slice(0, -1), 'end'], OK_2],
+    ends: ['lost', '200 two'],
+    connections: 2,
+  },
+  'an answer without a length ends with its connection': {
+    scripts: [[`${UNFRAMED}one`, 'end'], OK_2],
+    ends: ['200 one', '200 two'],
+    connections: 2,
+  },
+  'an answer without a length that is reset is lost': {
+    scripts: [[`${UNFRAMED}one`, {afterMs: 20}, 'reset'], OK_2],
+    ends: ['lost', '200 two'],
+    connections: 2,
+  },
+  'a malformed length is no answer': {
+    scripts: [['HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n'], OK_2],
+    ends: ['lost', '200 two'],
+    connections: 2,
+  },
+  'bytes that are no answer are lost': {
+    scripts: [['hello\r\n\r\n'], OK_2],
+    ends: ['lost', '200 two'],
+    connections: 2,
+  },
+  'an informational answer is passed over': {
+    scripts: [['HTTP/1.1 103 Early Hints\r\n\r\n', answer('id-1', 'one')]],
+    ends: ['200 one'],
+    connections: 1,
+  },
+  'a second answer right behind the first belongs to nobody': {
+    scripts: [[answer('id-1', 'one') + answer('id-1', 'bad')], OK_2],
+    ends: ['200 one', '200 two'],
+    connections: 2,
+  },
+  'stray bytes behind an answer end the connection': {
+    scripts: [[`${answer('id-1', 'one')}x`], OK_2],
+    ends: ['200 one', '200 two'],
+    connections: 2,
+  },
+  'a late second answer is told apart by its id': {
+    scripts: [
+      [answer('id-1', 'one')],
+      [answer('id-1', 'bad'), {afterMs: 5}, answer('id-2', 'two')],
+      [answer('id-3', 'three')],
+    ],
+    ends: ['200 one', '200 two', '200 three'],
+    connections: 2,
+  },
+  'the server asks to close': {
+    scripts: [[answer('id-1', 'one', 'Connection: close\r\n')], OK_2],
+    ends: ['200 one', '200 two'],
+    connections: 2,
+  },
+  'the server allows no idle time': {
+    scripts: [[answer('id-1', 'one', 'Keep-Alive: timeout=0\r\n')], OK_2],
+    ends: ['200 one', '200 two'],
+    connections: 2,
+  },
+};
+
+describe('ServerPool', () => {
+  for (const [name, {scripts, ends, connections}] of Object.entries(CASES)) {
+    it(name, async () => {
+      expect(await play(scripts)).to.deep.equal({ends, connections});
+    });
+  }
+
+  it('says so when nothing was sent', async () => {
+    const server = new ScriptedServer([]);
+    const port = await server.listen();
+    server.close();
+    const pool = new ServerPool('127.0.0.1', port, new SystemClock());
+    const end = await new Promise<ExchangeEnd>(resolve => {
+      pool.run(request('id-1'), true, resolve);
+    });
+    expect(end.kind).to.equal('not-sent');
+  });
+
+  it('ends the connection of a cancelled request', async () => {
+    const server = new ScriptedServer([[], OK_2]);
+    const port = await server.listen();
+    const pool = new ServerPool('127.0.0.1', port, new SystemClock());
+    const settled: ExchangeEnd[] = [];
+    const exchange = pool.run(request('id-1'), true, end => settled.push(end));
+    await new Promise(resolve => setTimeout(resolve, 20));
+    exchange.cancel();
+    const end = await new Promise<ExchangeEnd>(resolve => {
+      pool.run(request('id-2'), true, resolve);
+    });
+    pool.destroy('The test is over.');
+    server.close();
+    expect(textOf(end)).to.equal('200 two');
+    expect(settled).to.deep.equal([]);
+    expect(server.connections).to.equal(2);
+  });
+});
