--- a/packages/sidecar/src/ingress/ingress-server.ts
+++ b/packages/sidecar/src/ingress/ingress-server.ts
@@ -11,7 +11,6 @@
 import {Task, type Bus} from '@turmericmill/node';
 import {
   REMAINING_TIME_HEADER,
-  REQUEST_ID_HEADER,
   type HostAddress,
 } from '@turmericmill/platform-adapter';
 import {
@@ -23,6 +22,7 @@
 import type {Clock, RandomSource} from '@turmericmill/utils';
 import type Logger from 'bunyan';
 
+import type {RequestContext} from '../observe/request-log.js';
 import {CallerRequest, type OwnAnswer} from './caller-request.js';
 import type {
   RequestDispatch,
@@ -55,6 +55,13 @@
   clock: Clock;
   random: RandomSource;
   logger: Logger;
+  /** Called once for each routed request, with what its caller was told. */
+  onEnded(
+    request: RoutedRequest,
+    end: RequestEnd,
+    context: RequestContext,
+    status?: number,
+  ): void;
 }
 
 interface RouteTable {
@@ -165,8 +172,11 @@
     }
     const request = this.routed(caller, route, body, arrivedMs);
     const end = await this.parts.dispatch.dispatch(request);
-    this.note(request, end, table.config.version, arrivedMs);
-    if (end.kind === 'failed') caller.refuse(this.refusal(request, end));
+    const own = end.kind === 'failed' ? this.refusal(request, end) : undefined;
+    if (own) caller.refuse(own);
+    const latencyMs = this.parts.clock.now() - arrivedMs;
+    const context = {version: table.config.version, latencyMs};
+    this.parts.onEnded(request, end, context, own?.status);
   }
 
   private routed(
@@ -217,31 +227,6 @@
     const awayMs = returnAfterMs(waitMs, leftMs, random);
     return {status: 503, reason, returnAfterMs: awayMs};
   }
-
-  private note(
-    request: RoutedRequest,
-    end: RequestEnd,
-    version: number,
-    arrivedMs: number,
-  ): void {
-    const {logger, clock} = this.parts;
-    if (end.kind === 'answered' && !logger.debug()) return;
-    const entry = {
-      requestId: request.caller.req.headers[REQUEST_ID_HEADER],
-      version,
-      route: request.route.name,
-      service: request.service,
-      tries: end.tries,
-      latencyMs: Math.round(clock.now() - arrivedMs),
-    };
-    if (end.kind !== 'failed') {
-      logger.debug(entry, `request ${end.kind}`);
-      return;
-    }
-    const {reason, detail, load} = end.failure;
-    const {mayHaveRun} = end;
-    logger.info({...entry, reason, detail, load, mayHaveRun}, 'request failed');
-  }
 }
 
 /** Time in ms that the caller waits; without bound if it does not say. */
--- a/packages/sidecar/src/main.ts
+++ b/packages/sidecar/src/main.ts
@@ -4,6 +4,7 @@
 import {SETTINGS_PATH_VARIABLE} from '@turmericmill/platform-adapter';
 import bunyan from 'bunyan';
 
+import {LogDestination} from './observe/log-destination.js';
 import {readSettingsFile, SettingsFile} from './settings-file.js';
 import {Sidecar} from './sidecar.js';
 
@@ -23,11 +24,14 @@
     process.exit(EXIT_INVALID_SETTINGS);
   }
   const {text, settings} = read.value;
+  const destination = new LogDestination();
   const logger = bunyan.createLogger({
     name: 'turmericmill-sidecar',
     nodeId: settings.nodeId,
+    stream: destination.stream,
   });
-  const sidecar = new Sidecar(settings, logger);
+  process.once('exit', () => destination.flush());
+  const sidecar = new Sidecar(settings, logger, destination);
   const file = new SettingsFile(path, text, logger, changed => {
     sidecar.reload(changed);
   });
--- /dev/null
+++ b/packages/sidecar/src/observe/log-budget.ts
@@ -0,0 +1,54 @@
+/** Bounds how many lines each event may write, and tells how many it left out. */
+
+import {TokenBucket} from '@turmericmill/membership';
+
+/** Lines that an event may write in a second and at once. */
+export interface LineRate {
+  perSecond: number;
+  burst: number;
+}
+
+/** Whether to write a line, and how many came before it unwritten. */
+export interface LineDecision {
+  write: boolean;
+  leftOut: number;
+}
+
+interface EventState {
+  bucket: TokenBucket;
+  leftOut: number;
+}
+
+/**
+ * Load pattern: a fault that ends hundreds of requests a second in the same
+ * way. Each event has a budget of its own, so that a common one does not hide
+ * a rare one.
+ */
+export class LogBudget {
+  private readonly states = new Map<string, EventState>();
+
+  /** Lines left out so far, over all events. */
+  leftOutTotal = 0;
+
+  take(event: string, rate: LineRate, nowMs: number): LineDecision {
+    const state = this.stateOf(event, rate, nowMs);
+    if (!state.bucket.take(1, nowMs)) {
+      state.leftOut += 1;
+      this.leftOutTotal += 1;
+      return {write: false, leftOut: state.leftOut};
+    }
+    const {leftOut} = state;
+    state.leftOut = 0;
+    return {write: true, leftOut};
+  }
+
+  private stateOf(event: string, rate: LineRate, nowMs: number): EventState {
+    let state = this.states.get(event);
+    if (!state) {
+      const bucket = new TokenBucket(rate.perSecond, rate.burst, nowMs);
+      state = {bucket, leftOut: 0};
+      this.states.set(event, state);
+    }
+    return state;
+  }
+}
--- /dev/null
+++ b/packages/sidecar/src/observe/sidecar-metrics.ts
@@ -0,0 +1,91 @@
+/** Counters and latency histograms of one node, in the Prometheus format. */
+
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+
+import type {RequestEnd, RoutedRequest} from '../ingress/request-dispatch.js';
+
+/** Upper bounds in seconds of latency buckets: around targets and timeouts. */
+const LATENCY_BUCKETS_S = [
+  0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.8, 1, 1.5, 3,
+];
+const MS_PER_S = 1000;
+
+/** Numbers that are read when somebody asks. */
+export interface MetricSources {
+  configVersion(): number;
+  serverInFlight(): number;
+  logLinesLeftOut(): number;
+  logLinesDropped(): number;
+}
+
+export class SidecarMetrics {
+  private readonly registry = new Registry();
+  private readonly requests = new Counter({
+    name: 'turmericmill_requests_total',
+    help: 'Requests of callers by kind of route, service and how they ended.',
+    labelNames: ['kind', 'service', 'end', 'reason'],
+    registers: [this.registry],
+  });
+  private readonly latency = new Histogram({
+    name: 'turmericmill_request_duration_seconds',
+    help: 'Time from the arrival of a request to the end of its answer.',
+    labelNames: ['kind', 'service'],
+    buckets: LATENCY_BUCKETS_S,
+    registers: [this.registry],
+  });
+  private readonly tries = new Counter({
+    name: 'turmericmill_request_tries_total',
+    help: 'Nodes that were asked to run requests.',
+    labelNames: ['service'],
+    registers: [this.registry],
+  });
+
+  constructor(sources: MetricSources) {
+    this.gauge('config_version', 'Version in force.', sources.configVersion);
+    this.gauge(
+      'server_calls_in_flight',
+      'Calls that hold a slot of the server beside this node.',
+      sources.serverInFlight,
+    );
+    this.gauge(
+      'log_lines_left_out',
+      'Lines that their budget did not allow.',
+      sources.logLinesLeftOut,
+    );
+    this.gauge(
+      'log_lines_dropped',
+      'Lines that the reader of the output held up.',
+      sources.logLinesDropped,
+    );
+  }
+
+  ended(request: RoutedRequest, end: RequestEnd, latencyMs: number): void {
+    const {route, service} = request;
+    const {kind} = route;
+    const reason = end.kind === 'failed' ? end.failure.reason : '';
+    this.requests.inc({kind, service, end: end.kind, reason});
+    this.tries.inc({service}, end.tries);
+    if (end.kind !== 'answered') return;
+    this.latency.observe({kind, service}, latencyMs / MS_PER_S);
+  }
+
+  /** The page as text. */
+  page(): Promise<string> {
+    return this.registry.metrics();
+  }
+
+  get contentType(): string {
+    return this.registry.contentType;
+  }
+
+  private gauge(name: string, help: string, read: () => number): void {
+    new Gauge({
+      name: `turmericmill_${name}`,
+      help,
+      registers: [this.registry],
+      collect() {
+        this.set(read());
+      },
+    });
+  }
+}
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -20,6 +20,10 @@
 import {AnswerSizes} from './ingress/answer-sizes.js';
 import {IngressServer} from './ingress/ingress-server.js';
 import {RequestDispatch} from './ingress/request-dispatch.js';
+import type {LogDestination} from './observe/log-destination.js';
+import {MetricsServer} from './observe/metrics-server.js';
+import {RequestLog} from './observe/request-log.js';
+import {SidecarMetrics} from './observe/sidecar-metrics.js';
 import {ServerRunner} from './server/server-runner.js';
 import {ReadinessServer} from './tasks/readiness-server.js';
 import {StoreSeeds} from './tasks/store-seeds.js';
@@ -58,6 +62,9 @@
   private readonly ingress: IngressServer;
   private readonly reports: ReportServer;
   private readonly readiness: ReadinessServer;
+  private readonly requestLog: RequestLog;
+  private readonly metrics: SidecarMetrics;
+  private readonly metricsServer: MetricsServer;
   private candidates = new CandidateIndex();
   private hasPeers = false;
   private leaving = false;
@@ -66,6 +73,7 @@
   constructor(
     private settings: HostSettings,
     private readonly logger: Logger,
+    destination: LogDestination,
   ) {
     const {bus, clock, random} = this;
     const {nodeId, dataCentre} = settings;
@@ -92,6 +100,14 @@
       port,
     });
     this.incoming = new IncomingCalls(bus, this.server, clock);
+    this.requestLog = new RequestLog(clock, logger);
+    this.metrics = new SidecarMetrics({
+      configVersion: () => this.config.version,
+      serverInFlight: () => this.server.inFlight,
+      logLinesLeftOut: () => this.requestLog.budget.leftOutTotal,
+      logLinesDropped: () => destination.dropped,
+    });
+    this.metricsServer = new MetricsServer(settings.ip, this.metrics);
     this.ingress = this.makeIngress();
     const {listen} = settings;
     this.reports = new ReportServer(listen.reports, clock, logger, server =>
@@ -111,6 +127,16 @@
     this.config.start();
     await this.ingress.start();
     await this.readiness.start();
+    await this.startMetrics();
+  }
+
+  /** Requests are served whether or not anybody can watch. */
+  private async startMetrics(): Promise<void> {
+    try {
+      await this.metricsServer.start();
+    } catch (err) {
+      this.logger.error({err}, 'metrics not served');
+    }
   }
 
   /** Takes over settings that may change while the process runs. */
@@ -207,6 +233,10 @@
       clock,
       random,
       logger,
+      onEnded: (request, end, context, status) => {
+        this.requestLog.ended(request, end, context, status);
+        this.metrics.ended(request, end, context.latencyMs);
+      },
     });
   }
 }
