Stand-ins of the platform's store and application server, and whole paths over them

Ten cases run three nodes with a store and servers in one process: two hops, changes, a damaged version, a forgotten history, drains, a restart while the store is down, a caller that leaves. A node that restarts while no seeds can be read now finds its way back through those who still probe its address.

--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -243,6 +243,7 @@
   ): MembershipEffect[] {
     if (this.own.status === 'left') return [];
     this.health.heard(nowMs);
+    if (this.updates.isAlone && from.port > 0) this.seeds.learn(from);
     switch (message.type) {
       case 'probe':
         this.applyAll(message.body.from, message.body.updates, nowMs);
--- a/packages/membership/src/seed-contacts.ts
+++ b/packages/membership/src/seed-contacts.ts
@@ -44,6 +44,18 @@
     );
   }
 
+  /**
+   * A node that has restarted while no seeds can be read hears from those who
+   * still probe its address: they know the others.
+   */
+  learn(endpoint: Endpoint): void {
+    const known = this.endpoints.some(
+      ({address, port}) =>
+        address === endpoint.address && port === endpoint.port,
+    );
+    if (!known) this.endpoints.push(endpoint);
+  }
+
   /** True when another try to join is due; each waits longer at most. */
   isJoinDue(nowMs: number, random: RandomSource): boolean {
     if (nowMs < this.nextJoinAtMs) return false;
--- a/packages/node/src/tasks/membership-task.ts
+++ b/packages/node/src/tasks/membership-task.ts
@@ -97,14 +97,19 @@
   }
 
   override stop(): void {
-    clearInterval(this.tickTimer);
-    clearTimeout(this.viewTimer);
+    this.abandon();
     this.viewTimer = undefined;
-    this.parts.seedDirectory.stop();
     this.handle({type: 'leave'});
     clearTimeout(this.viewTimer);
   }
 
+  /** Falls silent without a word to the others, as a crash would. */
+  abandon(): void {
+    clearInterval(this.tickTimer);
+    clearTimeout(this.viewTimer);
+    this.parts.seedDirectory.stop();
+  }
+
   private setSeeds(endpoints: readonly Endpoint[]): void {
     this.handle({
       type: 'seeds',
--- a/packages/sidecar/src/index.ts
+++ b/packages/sidecar/src/index.ts
@@ -1,3 +1,4 @@
 /** The node on the platform's hosts. */
+export {LogDestination} from './observe/log-destination.js';
 export {Sidecar} from './sidecar.js';
 export {readSettingsFile, SettingsFile} from './settings-file.js';
--- a/packages/sidecar/src/ingress/ingress-server.ts
+++ b/packages/sidecar/src/ingress/ingress-server.ts
@@ -121,6 +121,13 @@
     clearInterval(timer);
   }
 
+  /** Closes every connection at once. */
+  async abandon(): Promise<void> {
+    const closed = new Promise(resolve => this.server.close(resolve));
+    this.server.closeAllConnections();
+    await closed;
+  }
+
   private applyLimits(limits: CallerLimits): void {
     this.limits = limits;
     this.server.headersTimeout = limits.headerTimeoutMs;
--- a/packages/sidecar/src/ingress/request-dispatch.ts
+++ b/packages/sidecar/src/ingress/request-dispatch.ts
@@ -217,7 +217,7 @@
       let status = 0;
       let load: ServerLoad = NO_LOAD;
       // The local node may settle the try before `start` returns.
-      let timer: NodeJS.Timeout | undefined;
+      let timer: NodeJS.Timeout | undefined = undefined;
       const settle = (end: TryEnd) => {
         if (ended) return;
         ended = true;
--- a/packages/sidecar/src/observe/log-destination.ts
+++ b/packages/sidecar/src/observe/log-destination.ts
@@ -2,7 +2,8 @@
 
 import type {Writable} from 'node:stream';
 
-import {SonicBoom} from 'sonic-boom';
+import sonicBoom from 'sonic-boom';
+import type {SonicBoom} from 'sonic-boom';
 
 const STDOUT_FD = 1;
 /** Bytes of lines that wait for a slow reader; what comes on top is dropped. */
@@ -15,7 +16,11 @@
   private readonly boom: SonicBoom;
 
   constructor(fd = STDOUT_FD, maxWaitingBytes = MAX_WAITING_BYTES) {
-    this.boom = new SonicBoom({fd, sync: false, maxLength: maxWaitingBytes});
+    this.boom = new sonicBoom.SonicBoom({
+      fd,
+      sync: false,
+      maxLength: maxWaitingBytes,
+    });
     this.boom.on('drop', () => {
       this.dropped += 1;
     });
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -150,7 +150,22 @@
     return this.stopped;
   }
 
-  private get isReady(): boolean {
+  /** Closes all sockets at once, as a crash would. */
+  async abandon(): Promise<void> {
+    this.leaving = true;
+    this.membership.abandon();
+    this.config.stop();
+    this.store.close();
+    this.server.close();
+    await this.ingress.abandon();
+    await this.transport.stop();
+    await this.reports.stop();
+    await this.readiness.stop();
+    await this.metricsServer.stop();
+  }
+
+  /** True while the platform may send new work. */
+  get isReady(): boolean {
     if (this.leaving || this.config.version === 0) return false;
     const ageMs = this.clock.now() - this.startedMs;
     return this.hasPeers || ageMs > JOIN_PATIENCE_MS;
--- /dev/null
+++ b/packages/sidecar/tests/observe/log-budget.test.ts
@@ -0,0 +1,24 @@
+import {expect} from 'chai';
+
+import {LogBudget} from '../../src/observe/log-budget.js';
+
+const RATE = {perSecond: 2, burst: 3};
+
+describe('LogBudget', () => {
+  it('writes a burst, leaves out the rest and tells how many', () => {
+    const budget = new LogBudget();
+    const burst = [1, 2, 3, 4, 5].map(() => budget.take('a', RATE, 0).write);
+    expect(burst).to.deep.equal([true, true, true, false, false]);
+    expect(budget.take('a', RATE, 500)).to.deep.equal({
+      write: true,
+      leftOut: 2,
+    });
+    expect(budget.leftOutTotal).to.equal(2);
+  });
+
+  it('gives each event a budget of its own', () => {
+    const budget = new LogBudget();
+    for (let i = 0; i < 10; i++) budget.take('common', RATE, 0);
+    expect(budget.take('rare', RATE, 0).write).to.equal(true);
+  });
+});
--- /dev/null
+++ b/packages/sidecar/tests/observe/log-destination.test.ts
@@ -0,0 +1,33 @@
+import {execFileSync} from 'node:child_process';
+import {constants, mkdtempSync, openSync, readSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+
+import {expect} from 'chai';
+
+import {LogDestination} from '../../src/observe/log-destination.js';
+
+const LINE = `${'x'.repeat(1023)}\n`;
+const MAX_WAITING_BYTES = 64 * 1024;
+
+describe('LogDestination', () => {
+  it('drops lines and goes on when its reader has stopped', async () => {
+    const folder = mkdtempSync(join(tmpdir(), 'turmericmill-'));
+    const path = join(folder, 'pipe');
+    execFileSync('mkfifo', [path]);
+    // Open for both ends: nobody reads, and the pipe takes 64 KiB at most.
+    const flags = constants.O_RDWR | constants.O_NONBLOCK;
+    const fd = openSync(path, flags);
+    const destination = new LogDestination(fd, MAX_WAITING_BYTES);
+    const startedMs = performance.now();
+    for (let i = 0; i < 1000; i++) {
+      destination.stream.write(LINE);
+      if (i % 100 === 0) await new Promise(resolve => setImmediate(resolve));
+    }
+    expect(performance.now() - startedMs).to.be.below(500);
+    expect(destination.dropped).to.be.above(500);
+    const read = readSync(fd, Buffer.alloc(LINE.length));
+    expect(read).to.be.above(0);
+    rmSync(folder, {recursive: true});
+  });
+});
--- /dev/null
+++ b/packages/testkit/tests/platform/sidecar-path.test.ts
@@ -0,0 +1,256 @@
+import {request} from 'node:http';
+
+import {expect} from 'chai';
+
+import {
+  SidecarMesh,
+  type SidecarHost,
+} from '../../src/platform/sidecar-mesh.js';
+import {waitUntil} from '../../src/mesh/wait-until.js';
+
+const ROUTE_COLUMNS = [
+  'name',
+  'host',
+  'path_prefix',
+  'kind',
+  'timeout',
+  'target_latency',
+  'priority',
+  'service',
+  'max_attempts',
+  'traffic_split',
+];
+
+/** A configuration with one route for each service given. */
+function config(version: number, routes: Record<string, string>): string {
+  const rows = Object.entries(routes).map(([prefix, service]) => [
+    `r-${prefix}`,
+    'shop.example',
+    `/${prefix}/`,
+    'safe',
+    '800ms',
+    '400ms',
+    1,
+    service,
+    2,
+    null,
+  ]);
+  return JSON.stringify({
+    version: `r${version}`,
+    routes: {columns: ROUTE_COLUMNS, rows},
+    services: {
+      columns: ['name', 'health_check_path', 'max_connections'],
+      rows: [...new Set(Object.values(routes))].map(name => [
+        name,
+        '/health',
+        100,
+      ]),
+    },
+    limits: {
+      max_header_bytes: 16_384,
+      max_body_bytes: 100_000,
+      header_timeout: '3000ms',
+      idle_timeout: '15000ms',
+    },
+  });
+}
+
+interface Answer {
+  status: number;
+  seal: string;
+  body: string;
+}
+
+let nextRequest = 0;
+
+function call(
+  {settings}: SidecarHost,
+  path: string,
+  options: {body?: string; leaveAfterMs?: number} = {},
+): Promise<Answer> {
+  nextRequest += 1;
+  const {address, port} = settings.listen.callers;
+  return new Promise((resolve, reject) => {
+    const req = request(
+      {
+        host: address,
+        port,
+        path,
+        agent: false,
+        method: options.body === undefined ? 'GET' : 'POST',
+        headers: {
+          host: 'shop.example',
+          'x-turmericmill-request-id': `q-${nextRequest}`,
+          'x-turmericmill-request-deadline': '900',
+          'x-turmericmill-caller-service': 'forged',
+        },
+      },
+      res => {
+        let body = '';
+        res.on('data', (chunk: Buffer) => (body += chunk.toString()));
+        res.on('end', () => {
+          const seal = String(res.headers['x-turmericmill-response-seal']);
+          resolve({status: res.statusCode ?? 0, seal, body});
+        });
+      },
+    );
+    req.once('error', reject);
+    req.end(options.body);
+    if (options.leaveAfterMs === undefined) return;
+    setTimeout(() => req.destroy(), options.leaveAfterMs);
+  });
+}
+
+/** Fails unless the condition holds within `timeoutMs`. */
+async function eventually(
+  holds: () => Promise<boolean>,
+  timeoutMs: number,
+  what: string,
+): Promise<void> {
+  const elapsedMs = await waitUntil(holds, timeoutMs);
+  expect(elapsedMs, `${what} within ${timeoutMs} ms`).to.not.equal(undefined);
+}
+
+const PLANS = [
+  {dataCentre: 'a', service: 'desk'},
+  {dataCentre: 'a', service: 'vault'},
+  {dataCentre: 'b', service: 'desk'},
+];
+
+describe('sidecar on the platform', function () {
+  this.timeout(20_000);
+  let mesh: SidecarMesh;
+
+  async function start(workMs?: number): Promise<SidecarHost[]> {
+    mesh = new SidecarMesh(workMs);
+    await mesh.start(PLANS);
+    mesh.store.put('keyed.op', 'config', config(7, {d: 'desk', v: 'vault'}));
+    for (const {app} of mesh.hosts) {
+      expect(await app.report('ready')).to.equal(200);
+    }
+    await served(mesh.hosts);
+    return mesh.hosts;
+  }
+
+  /** Waits until every host serves every route. */
+  async function served(hosts: SidecarHost[]): Promise<void> {
+    for (const host of hosts) {
+      for (const path of ['/d/x', '/v/x']) {
+        await eventually(
+          async () => (await call(host, path)).status === 200,
+          10_000,
+          'served',
+        );
+      }
+    }
+  }
+
+  afterEach(() => mesh.stop());
+
+  it('serves a request beside another host, whole and with its proof', async () => {
+    const [entry, vault] = await start();
+    const answer = await call(entry!, '/v/x?y=1');
+    const requestId = `q-${nextRequest}`;
+    expect(answer).to.deep.equal({
+      status: 200,
+      seal: `seal-${requestId}`,
+      body: `i-2 ${requestId}`,
+    });
+    const run = vault!.app.runs.at(-1);
+    expect(run).to.deep.include({path: '/v/x?y=1', callerService: 'desk'});
+    expect(run?.remainingMs).to.be.within(1, 800);
+  });
+
+  it('answers 404 for a path without a route', async () => {
+    const [entry] = await start();
+    expect((await call(entry!, '/none/')).status).to.equal(404);
+  });
+
+  it('enforces a change everywhere and never goes back', async () => {
+    const hosts = await start();
+    mesh.store.put('keyed.op', 'config', config(9, {v: 'vault'}));
+    for (const host of hosts) {
+      await eventually(
+        async () => (await call(host, '/d/x')).status === 404,
+        2_000,
+        'the route dropped',
+      );
+    }
+    mesh.store.put('keyed.op', 'config', config(8, {d: 'desk'}));
+    mesh.store.forget('keyed.op');
+    await new Promise(resolve => setTimeout(resolve, 300));
+    for (const host of hosts) {
+      expect((await call(host, '/d/x')).status).to.equal(404);
+    }
+  });
+
+  it('keeps the version in force when a damaged one appears', async () => {
+    const [entry] = await start();
+    mesh.store.put('keyed.op', 'config', '{"version":"r99"');
+    await new Promise(resolve => setTimeout(resolve, 200));
+    expect((await call(entry!, '/d/x')).status).to.equal(200);
+  });
+
+  it('reads on after the store has forgotten its history', async () => {
+    const hosts = await start();
+    mesh.store.forget('keyed.op');
+    mesh.store.put('keyed.op', 'config', config(12, {v: 'vault'}));
+    for (const host of hosts) {
+      await eventually(
+        async () => (await call(host, '/d/x')).status === 404,
+        3_000,
+        'the newest version',
+      );
+    }
+  });
+
+  it('sends a draining server nothing once that is acknowledged', async () => {
+    const hosts = await start();
+    const [first, , third] = hosts;
+    expect(await third!.app.report('draining')).to.equal(200);
+    const before = third!.app.runs.length;
+    for (let i = 0; i < 20; i++) {
+      expect((await call(first!, '/d/x')).status).to.equal(200);
+    }
+    expect(third!.app.runs.length).to.equal(before);
+  });
+
+  it('refuses at once when the service has no server left', async () => {
+    const hosts = await start();
+    await hosts[1]!.app.leave();
+    const startedMs = performance.now();
+    const answer = await call(hosts[0]!, '/v/x');
+    expect(answer.status).to.equal(503);
+    expect(performance.now() - startedMs).to.be.below(200);
+  });
+
+  it('comes back through its peers while the store is down', async () => {
+    const hosts = await start();
+    const third = hosts[2]!;
+    mesh.store.faults.down = true;
+    await mesh.restartNode(third);
+    expect((await call(third, '/v/x')).status).to.equal(503);
+    expect(third.node.isReady).to.equal(false);
+    expect(await third.app.report('ready')).to.equal(200);
+    // Its peers still probe its address: through them it finds its way back.
+    await served([third]);
+  });
+
+  it('stops the work of a caller that has left', async () => {
+    const [entry, vault] = await start(200);
+    const before = vault!.app.cancelled;
+    const left = call(entry!, '/v/x', {leaveAfterMs: 50});
+    await left.catch((err: unknown) => err);
+    await eventually(
+      () => Promise.resolve(vault!.app.cancelled === before + 1),
+      500,
+      'the work stopped',
+    );
+  });
+
+  it('refuses a body over the limit', async () => {
+    const [entry] = await start();
+    const answer = await call(entry!, '/d/x', {body: 'x'.repeat(100_001)});
+    expect(answer.status).to.equal(413);
+  });
+});
--- a/packages/utils/src/clock.ts
+++ b/packages/utils/src/clock.ts
@@ -7,11 +7,12 @@
 
 /**
  * The steady clock of the process, counted from the time of day at its start.
- * It does not follow steps of the time of day, so that deadlines hold.
+ * It does not follow steps of the time of day, so that deadlines hold. Whole
+ * milliseconds: start times go into messages that take integers only.
  */
 export class SystemClock implements Clock {
   now(): number {
-    return performance.timeOrigin + performance.now();
+    return Math.floor(performance.timeOrigin + performance.now());
   }
 }
 
