--- a/packages/node/src/calls/incoming-calls.ts
+++ b/packages/node/src/calls/incoming-calls.ts
@@ -18,6 +18,8 @@
   CallRunner,
 } from './call-leg.js';
 
+import {DeferredLeg} from './deferred-leg.js';
+
 /** Answer bodies up to this many bytes go in the frame of the head. */
 const MAX_JOINED_BODY_BYTES = 64 * 1024;
 
@@ -67,13 +69,15 @@
     const {callId, remainingMs, end, body, ...rest} = start;
     const deadlineMs = this.clock.now() + remainingMs;
     const head: CallHead = {...rest, deadlineMs};
-    let ended = false;
+    const leg = new DeferredLeg();
+    this.legsOf(peer).set(callId, leg);
     const events = new AnswerFrames(this.bus, peer, callId, () => {
-      ended = true;
       this.forget(peer, callId);
     });
-    const leg = this.runner.run(head, {chunk: body, end}, events);
-    if (!ended) this.legsOf(peer).set(callId, leg);
+    // By then a cancellation that was read together with the call is known.
+    setImmediate(() => {
+      leg.start(() => this.runner.run(head, {chunk: body, end}, events));
+    });
   }
 
   private legsOf(peer: Peer): Map<number, CallLeg> {
--- /dev/null
+++ b/packages/node/tests/calls/incoming-calls.test.ts
@@ -0,0 +1,89 @@
+import type {CallStart, Message} from '@turmericmill/wire';
+import {ManualClock} from '@turmericmill/utils';
+import {expect} from 'chai';
+
+import {Bus} from '../../src/bus.js';
+import {
+  CallRunner,
+  type CallEvents,
+  type CallHead,
+  type CallLeg,
+  type FirstBody,
+} from '../../src/calls/call-leg.js';
+import {IncomingCalls} from '../../src/calls/incoming-calls.js';
+
+const PEER = {nodeId: 'n-2', incarnation: 1, dataCentre: 'a', region: 'r'};
+
+const START: CallStart = {
+  callId: 7,
+  serverId: 's',
+  serverIncarnation: 1,
+  group: 'desk',
+  method: 'POST',
+  path: '/',
+  headers: [],
+  customer: 'c',
+  class: 'read',
+  priority: 'interactive',
+  hops: 0,
+  fingerprint: '',
+  remainingMs: 500,
+  end: false,
+  body: Buffer.from('a'),
+};
+
+/** Notes what reaches the server. */
+class NotingRunner extends CallRunner {
+  readonly notes: string[] = [];
+
+  override run(
+    head: CallHead,
+    first: FirstBody,
+    unusedEvents: CallEvents,
+  ): CallLeg {
+    this.notes.push(`run ${Buffer.from(first.chunk).toString()}`);
+    return {
+      data: chunk => this.notes.push(`data ${Buffer.from(chunk).toString()}`),
+      end: () => this.notes.push('end'),
+      credit: bytes => this.notes.push(`credit ${bytes}`),
+      cancel: () => this.notes.push('cancel'),
+    };
+  }
+}
+
+/** Each group of messages is read in one turn of the event loop. */
+async function play(turns: Message[][]) {
+  const bus = new Bus();
+  const runner = new NotingRunner();
+  const calls = new IncomingCalls(bus, runner, new ManualClock(1_000));
+  for (const messages of turns) {
+    for (const message of messages) bus.publishPeerMessage(PEER, message);
+    await new Promise(resolve => setImmediate(resolve));
+  }
+  return {notes: runner.notes, left: calls.size};
+}
+
+const CALL: Message = {type: 'callStart', body: START};
+const CANCEL: Message = {type: 'callCancel', body: {callId: 7}};
+const DATA: Message = {
+  type: 'callData',
+  body: {callId: 7, chunk: Buffer.from('b'), end: true, trailers: []},
+};
+
+describe('IncomingCalls', () => {
+  it('starts a call with all that came with it', async () => {
+    const {notes} = await play([[CALL, DATA]]);
+    expect(notes).to.deep.equal(['run a', 'data b', 'end']);
+  });
+
+  it('never starts a call that was cancelled in the same turn', async () => {
+    const {notes, left} = await play([[CALL, DATA, CANCEL]]);
+    expect(notes).to.deep.equal([]);
+    expect(left).to.equal(0);
+  });
+
+  it('cancels a call that runs', async () => {
+    const {notes} = await play([[CALL], [CANCEL]]);
+    expect(notes).to.deep.equal(['run a', 'cancel']);
+  });
+});
