--- a/packages/sidecar/src/config/config-follower.ts
+++ b/packages/sidecar/src/config/config-follower.ts
@@ -10,7 +10,7 @@
   type KeyedPage,
   type Store,
 } from '@turmericmill/platform-adapter';
-import type {Clock, RandomSource} from '@turmericmill/utils';
+import {sleep, type Clock, type RandomSource} from '@turmericmill/utils';
 import type {ConfigNotice, MemberRecord, Message} from '@turmericmill/wire';
 import type Logger from 'bunyan';
 
@@ -219,7 +219,3 @@
     this.others = alive.map(({id}) => id).filter(id => id !== nodeId);
   }
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
--- a/packages/sidecar/src/config/source-choice.ts
+++ b/packages/sidecar/src/config/source-choice.ts
@@ -1,14 +1,14 @@
 /**
- * Who reads the configuration from the store. A few nodes of each data centre
- * wait at the store and hand what they read to the others there, so that store
- * calls and bytes between data centres do not grow with the fleet. A node that
- * hears no fresh word reads the store itself.
+ * Who reads the configuration from the store. One node of each data centre waits
+ * at the store and hands what it reads to the others there, so that store calls
+ * and bytes between data centres do not grow with the fleet. A node that hears
+ * no fresh word reads the store itself.
  */
 
 import {rendezvousTop} from '@turmericmill/utils';
 
-/** Nodes of each data centre that wait at the store; one may be down. */
-export const READERS_PER_DATA_CENTRE = 2;
+/** Nodes of each data centre that wait at the store; calls are priced. */
+export const READERS_PER_DATA_CENTRE = 1;
 /** Time in ms between the words of a reader that nothing has changed. */
 export const BEACON_INTERVAL_MS = 500;
 /**
--- a/packages/sidecar/src/control/report-server.ts
+++ b/packages/sidecar/src/control/report-server.ts
@@ -1,13 +1,8 @@
 /** Owns the HTTP socket at which the backend server reports. */
 
-import {
-  createServer,
-  type IncomingMessage,
-  type ServerResponse,
-} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 
 import {ReportedServer, type CurrentServer} from '@turmericmill/membership';
-import {Task} from '@turmericmill/node';
 import {
   formatFindings,
   MAX_REPORT_BYTES,
@@ -20,6 +15,8 @@
 import type {Clock} from '@turmericmill/utils';
 import type Logger from 'bunyan';
 
+import {HttpTask} from '../tasks/http-task.js';
+
 /** Time in ms within which a report has to be complete. */
 const REQUEST_TIMEOUT_MS = 2_000;
 
@@ -29,37 +26,21 @@
 }
 
 /** Acknowledges reports once their effect is in force on this node. */
-export class ReportServer extends Task {
+export class ReportServer extends HttpTask {
   private readonly reported = new ReportedServer();
-  private readonly server = createServer((req, res) => {
-    void this.serve(req, res);
-  });
 
   constructor(
-    private readonly listen: HostAddress,
+    listen: HostAddress,
     private readonly clock: Clock,
     private readonly logger: Logger,
     private readonly onServer: (server: CurrentServer) => void,
   ) {
-    super();
+    super(listen);
     this.server.requestTimeout = REQUEST_TIMEOUT_MS;
     this.server.headersTimeout = REQUEST_TIMEOUT_MS;
   }
 
-  override async start(): Promise<void> {
-    const {address, port} = this.listen;
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, address, resolve);
-    });
-  }
-
-  override async stop(): Promise<void> {
-    this.server.closeAllConnections();
-    await new Promise(resolve => this.server.close(resolve));
-  }
-
-  private async serve(
+  protected override async serve(
     req: IncomingMessage,
     res: ServerResponse,
   ): Promise<void> {
--- a/packages/sidecar/src/ingress/ingress-server.ts
+++ b/packages/sidecar/src/ingress/ingress-server.ts
@@ -1,14 +1,9 @@
 /** Owns the HTTP socket at which this host's callers send their requests. */
 
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 
 import type {CallerLimits, MeshConfig, PrefixRoute} from '@turmericmill/config';
-import {Task, type Bus} from '@turmericmill/node';
+import type {Bus} from '@turmericmill/node';
 import {
   REMAINING_TIME_HEADER,
   type HostAddress,
@@ -22,6 +17,7 @@
 import type {Clock, RandomSource} from '@turmericmill/utils';
 import type Logger from 'bunyan';
 
+import {HttpTask} from '../tasks/http-task.js';
 import type {RequestContext} from '../observe/request-log.js';
 import {CallerRequest, type OwnAnswer} from './caller-request.js';
 import type {
@@ -69,8 +65,7 @@
   routes: PrefixRoutes;
 }
 
-export class IngressServer extends Task {
-  private readonly server: Server;
+export class IngressServer extends HttpTask {
   private readonly split = new SplitRotation();
   private table: RouteTable | undefined;
   private limits = FIRST_LIMITS;
@@ -78,14 +73,12 @@
   private inFlight = 0;
 
   constructor(private readonly parts: IngressServerParts) {
-    super();
-    this.server = createServer({
+    super(parts.listen, {
       maxHeaderSize: MAX_HEADER_BYTES,
       connectionsCheckingInterval: CONNECTION_CHECK_MS,
     });
     this.server.requestTimeout = 0;
     this.applyLimits(FIRST_LIMITS);
-    this.server.on('request', (req, res) => void this.serve(req, res));
     parts.bus.subscribe('mesh-config', ({config}) => {
       this.table = {config, routes: new PrefixRoutes(config.routes)};
       this.applyLimits(config.limits);
@@ -97,21 +90,13 @@
     return this.inFlight;
   }
 
-  override async start(): Promise<void> {
-    const {address, port} = this.parts.listen;
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, address, resolve);
-    });
-  }
-
   /** From now on each connection ends with its answer. */
   drain(): void {
     this.draining = true;
   }
 
   /** Takes no new connections; each one closes once it carries no request. */
-  override async stop(): Promise<void> {
+  async finish(): Promise<void> {
     const closed = new Promise(resolve => this.server.close(resolve));
     this.server.closeIdleConnections();
     const timer = setInterval(() => {
@@ -121,20 +106,13 @@
     clearInterval(timer);
   }
 
-  /** Closes every connection at once. */
-  async abandon(): Promise<void> {
-    const closed = new Promise(resolve => this.server.close(resolve));
-    this.server.closeAllConnections();
-    await closed;
-  }
-
   private applyLimits(limits: CallerLimits): void {
     this.limits = limits;
     this.server.headersTimeout = limits.headerTimeoutMs;
     this.server.keepAliveTimeout = limits.idleTimeoutMs;
   }
 
-  private async serve(
+  protected override async serve(
     req: IncomingMessage,
     res: ServerResponse,
   ): Promise<void> {
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -11,7 +11,7 @@
 } from '@turmericmill/node';
 import {HttpStore, type HostSettings} from '@turmericmill/platform-adapter';
 import {LeastExpectedCostBalancer} from '@turmericmill/routing';
-import {SystemClock, SystemRandom} from '@turmericmill/utils';
+import {sleep, SystemClock, SystemRandom} from '@turmericmill/utils';
 import {MAX_PROTOCOL_VERSION, MIN_PROTOCOL_VERSION} from '@turmericmill/wire';
 import type Logger from 'bunyan';
 
@@ -157,7 +157,7 @@
     this.config.stop();
     this.store.close();
     this.server.close();
-    await this.ingress.abandon();
+    await this.ingress.stop();
     await this.transport.stop();
     await this.reports.stop();
     await this.readiness.stop();
@@ -178,7 +178,7 @@
     this.ingress.drain();
     await sleep(LEAVE_SERVING_MS);
     this.server.stopTaking();
-    const closed = this.ingress.stop();
+    const closed = this.ingress.finish();
     const isBusy = () => this.ingress.requestsInFlight + this.incoming.size > 0;
     while (isBusy() && this.clock.now() < deadlineMs) {
       await sleep(IDLE_CHECK_MS);
@@ -255,7 +255,3 @@
     });
   }
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
--- /dev/null
+++ b/packages/sidecar/src/tasks/http-task.ts
@@ -0,0 +1,47 @@
+/** A task that owns one HTTP socket. */
+
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerOptions,
+  type ServerResponse,
+} from 'node:http';
+
+import {Task} from '@turmericmill/node';
+import type {HostAddress} from '@turmericmill/platform-adapter';
+
+export abstract class HttpTask extends Task {
+  protected readonly server: Server;
+
+  constructor(
+    private readonly listen: HostAddress,
+    options: ServerOptions = {},
+  ) {
+    super();
+    this.server = createServer(options, (req, res) => {
+      void this.serve(req, res);
+    });
+  }
+
+  override async start(): Promise<void> {
+    const {address, port} = this.listen;
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, address, resolve);
+    });
+  }
+
+  /** Closes every connection at once. */
+  override async stop(): Promise<void> {
+    const closed = new Promise(resolve => this.server.close(resolve));
+    this.server.closeAllConnections();
+    await closed;
+  }
+
+  /** Answers one request; must not reject. */
+  protected abstract serve(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> | void;
+}
--- a/packages/sidecar/src/tasks/store-seeds.ts
+++ b/packages/sidecar/src/tasks/store-seeds.ts
@@ -3,7 +3,7 @@
 import type {Endpoint} from '@turmericmill/membership';
 import {SeedDirectory} from '@turmericmill/node';
 import type {KeyedRecord, Store} from '@turmericmill/platform-adapter';
-import type {RandomSource} from '@turmericmill/utils';
+import {sleep, type RandomSource} from '@turmericmill/utils';
 import type Logger from 'bunyan';
 
 const NODES_TOPIC = 'keyed.nodes';
@@ -93,7 +93,3 @@
   if (typeof address !== 'string' || !Number.isInteger(port)) return undefined;
   return {address, port: port as number};
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms));
-}
