--- a/packages/sidecar/src/ingress/ingress-server.ts
+++ b/packages/sidecar/src/ingress/ingress-server.ts
@@ -58,6 +58,8 @@
     context: RequestContext,
     status?: number,
   ): void;
+  /** Called for each request that no route takes or the limits forbid. */
+  onRejected(caller: CallerRequest, answer: OwnAnswer, version: number): void;
 }
 
 interface RouteTable {
@@ -138,21 +140,21 @@
     const {table, limits} = this;
     if (!table) {
       const answer = {status: 503, reason: 'no configuration yet'};
-      caller.refuse({...answer, returnAfterMs: NO_CONFIG_RETURN_MS});
+      this.reject(caller, {...answer, returnAfterMs: NO_CONFIG_RETURN_MS});
       return;
     }
     const route = table.routes.match(req.headers.host ?? '', req.url ?? '/');
     if (!route) {
-      caller.refuse({status: 404, reason: 'no route'});
+      this.reject(caller, {status: 404, reason: 'no route'});
       return;
     }
     if (headerBytes(req) > limits.maxHeaderBytes) {
-      caller.refuse({status: 431, reason: 'headers too large'});
+      this.reject(caller, {status: 431, reason: 'headers too large'});
       return;
     }
     const body = await caller.readBody(limits.maxBodyBytes);
     if (!body) {
-      caller.refuse({status: 413, reason: 'body too large'});
+      this.reject(caller, {status: 413, reason: 'body too large'});
       return;
     }
     const request = this.routed(caller, route, body, arrivedMs);
@@ -164,6 +166,12 @@
     this.parts.onEnded(request, end, context, own?.status);
   }
 
+  private reject(caller: CallerRequest, answer: OwnAnswer): void {
+    caller.refuse(answer);
+    const version = this.table?.config.version ?? 0;
+    this.parts.onRejected(caller, answer, version);
+  }
+
   private routed(
     caller: CallerRequest,
     route: PrefixRoute,
--- a/packages/sidecar/src/observe/request-log.ts
+++ b/packages/sidecar/src/observe/request-log.ts
@@ -4,6 +4,7 @@
 import type {Clock} from '@turmericmill/utils';
 import type Logger from 'bunyan';
 
+import type {CallerRequest, OwnAnswer} from '../ingress/caller-request.js';
 import type {RequestEnd, RoutedRequest} from '../ingress/request-dispatch.js';
 import {LogBudget, type LineRate} from './log-budget.js';
 
@@ -39,7 +40,7 @@
     if (!line.write) return;
     const {caller, route, service} = request;
     const entry = {
-      requestId: caller.req.headers[REQUEST_ID_HEADER],
+      requestId: requestIdOf(caller),
       version,
       route: route.name,
       service,
@@ -58,6 +59,34 @@
       event,
     );
   }
+
+  /** A request that was answered before a route or its limits allowed it. */
+  rejected(
+    caller: CallerRequest,
+    {status, reason}: OwnAnswer,
+    version: number,
+  ): void {
+    const event = 'request rejected';
+    const now = this.clock.now();
+    const line = this.budget.take(event, FAILURE_RATE, now);
+    if (!line.write) return;
+    const {url, headers} = caller.req;
+    const entry = {
+      requestId: requestIdOf(caller),
+      version,
+      host: headers.host,
+      path: url,
+      status,
+      reason,
+      ...(line.leftOut > 0 && {leftOut: line.leftOut}),
+    };
+    this.logger.info(entry, event);
+  }
+}
+
+function requestIdOf({req}: CallerRequest): string | undefined {
+  const value = req.headers[REQUEST_ID_HEADER];
+  return typeof value === 'string' ? value : undefined;
 }
 
 function eventOf(end: RequestEnd): string {
--- a/packages/sidecar/src/observe/sidecar-metrics.ts
+++ b/packages/sidecar/src/observe/sidecar-metrics.ts
@@ -40,6 +40,13 @@
     registers: [this.registry],
   });
 
+  private readonly rejections = new Counter({
+    name: 'turmericmill_requests_rejected_total',
+    help: 'Requests without a route or beyond the limits, by reason.',
+    labelNames: ['reason'],
+    registers: [this.registry],
+  });
+
   constructor(sources: MetricSources) {
     this.gauge('config_version', 'Version in force.', sources.configVersion);
     this.gauge(
@@ -69,6 +76,10 @@
     this.latency.observe({kind, service}, latencyMs / MS_PER_S);
   }
 
+  rejected(reason: string): void {
+    this.rejections.inc({reason});
+  }
+
   /** The page as text. */
   page(): Promise<string> {
     return this.registry.metrics();
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -252,6 +252,10 @@
         this.requestLog.ended(request, end, context, status);
         this.metrics.ended(request, end, context.latencyMs);
       },
+      onRejected: (caller, answer, version) => {
+        this.requestLog.rejected(caller, answer, version);
+        this.metrics.rejected(answer.reason);
+      },
     });
   }
 }
