A server that is too slow for the time left is no reason to give up

A node refused a request within 5 ms because its first and only sample of the class was one of the rare long calls (1,105 ms on an idle server), and the entry node did not ask another one.

--- a/packages/sidecar/src/ingress/try-decision.ts
+++ b/packages/sidecar/src/ingress/try-decision.ts
@@ -33,10 +33,10 @@
  */
 export function nextStep(state: TryState, failure: CallFailure): NextStep {
   const {outcome, reason, reachedServer = false} = failure;
-  if (reason === 'quarantined' || reason === 'deadline') return 'stop';
+  if (reason === 'quarantined') return 'stop';
   if (state.remainingMs < LEAST_TIME_LEFT_MS) return 'stop';
   const hasRun = outcome === 'unknown';
-  if (hasRun && !state.repeatable) return 'stop';
+  if (hasRun && (reason === 'deadline' || !state.repeatable)) return 'stop';
   if (hasRun || reachedServer) {
     return state.reached < state.maxAttempts ? 'repeat' : 'stop';
   }
--- a/packages/sidecar/tests/ingress/request-dispatch.test.ts
+++ b/packages/sidecar/tests/ingress/request-dispatch.test.ts
@@ -184,6 +184,12 @@
     expect(late).to.deep.equal([false, false, true]);
   });
 
+  it('asks a faster server when one is too slow for the time left', async () => {
+    const tooSlow: Answer = {reason: 'deadline'};
+    const {end} = await play([tooSlow, {status: 200}]);
+    expect(end).to.deep.include({kind: 'answered', tries: 2});
+  });
+
   it('tells the wait when nobody has a slot', async () => {
     const {end, caller} = await play([NO_SLOT, NO_SLOT, NO_SLOT, NO_SLOT]);
     expect(end).to.deep.include({kind: 'failed', mayHaveRun: false});
