Answers with headers that cannot be passed on are no answers

Writing such a header threw within a socket's callback and would have ended the process; the case in server-pool.test.ts was taken for whole before.

--- a/packages/sidecar/src/server/answer-parser.ts
+++ b/packages/sidecar/src/server/answer-parser.ts
@@ -1,5 +1,7 @@
 /** Parses the answers of a backend server from the bytes of one connection. */
 
+import {validateHeaderName, validateHeaderValue} from 'node:http';
+
 import {HTTPParser} from 'http-parser-js';
 
 /** An answer that has arrived whole. */
@@ -72,7 +74,7 @@
       this.status = info.statusCode;
       this.headers = info.headers;
       this.keepAlive = info.shouldKeepAlive;
-      this.checkLength();
+      this.checkHeaders();
       return this.bodyless ? SKIP_BODY : undefined;
     };
     parser[HTTPParser.kOnBody] = (chunk: Buffer) => {
@@ -121,10 +123,15 @@
     return this.parser as unknown as ParserInternals;
   }
 
-  private checkLength(): void {
+  /** Throws on headers that could not be passed on, or that frame nothing. */
+  private checkHeaders(): void {
     for (let i = 0; i + 1 < this.headers.length; i += 2) {
-      if (this.headers[i]?.toLowerCase() !== 'content-length') continue;
-      if (!CONTENT_LENGTH.test(this.headers[i + 1] ?? '')) {
+      const name = this.headers[i] ?? '';
+      const value = this.headers[i + 1] ?? '';
+      validateHeaderName(name);
+      validateHeaderValue(name, value);
+      if (name.toLowerCase() !== 'content-length') continue;
+      if (!CONTENT_LENGTH.test(value)) {
         throw new Error('malformed content length');
       }
     }
--- a/packages/sidecar/tests/server/server-pool.test.ts
+++ b/packages/sidecar/tests/server/server-pool.test.ts
@@ -156,6 +156,11 @@
     ends: ['lost', '200 two'],
     connections: 2,
   },
+  'a header that cannot be passed on is no answer': {
+    scripts: [[answer('id-1', 'one', 'X-Odd: a\u0001b\r\n')], OK_2],
+    ends: ['lost', '200 two'],
+    connections: 2,
+  },
   'bytes that are no answer are lost': {
     scripts: [['hello\r\n\r\n'], OK_2],
     ends: ['lost', '200 two'],
