Nodes short of processor time: closes are read first, waits are counted, full servers not asked again

The close comes one turn of the event loop later and is awaited now; half of the loop's lag counts as waited. Ruled out: the receiving node (run and cut were 22 ms apart, in the order sent).

--- /dev/null
+++ b/packages/routing/src/balancing/recent-refusals.ts
@@ -0,0 +1,53 @@
+/** Servers that have refused calls a moment ago. */
+
+/**
+ * Time in ms for which a refusal speaks for calls of the same rank or a less
+ * urgent one. A server refuses only with work queued for longer than this, so
+ * that no slot runs empty meanwhile.
+ */
+const REFUSAL_HOLDS_MS = 80;
+
+/** What a call asked for when it was refused. */
+export interface RefusedOffer {
+  /** Identifies the server. */
+  server: string;
+  /** 0 is the most urgent. */
+  rank: number;
+  /** True if an answer after the target would have been taken. */
+  acceptsLate: boolean;
+}
+
+interface Refusal {
+  rank: number;
+  untilMs: number;
+}
+
+/**
+ * Load pattern: an overload of seconds, in which every request would ask every
+ * server in turn; the asking alone would starve the nodes. Each node asks a
+ * full server again only after a while.
+ */
+export class RecentRefusals {
+  private readonly onTime = new Map<string, Refusal>();
+  private readonly late = new Map<string, Refusal>();
+
+  /** A server had no slot in time. */
+  note({server, rank, acceptsLate}: RefusedOffer, nowMs: number): void {
+    const refusal = {rank, untilMs: nowMs + REFUSAL_HOLDS_MS};
+    // What is refused even late is refused on time all the more.
+    if (acceptsLate) this.late.set(server, refusal);
+    this.onTime.set(server, refusal);
+  }
+
+  /** A server has taken a call. */
+  clear(server: string): void {
+    this.onTime.delete(server);
+    this.late.delete(server);
+  }
+
+  /** True if the server would refuse the same offer now. */
+  covers({server, rank, acceptsLate}: RefusedOffer, nowMs: number): boolean {
+    const known = (acceptsLate ? this.late : this.onTime).get(server);
+    return known !== undefined && nowMs < known.untilMs && rank >= known.rank;
+  }
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -31,6 +31,10 @@
   slowStartShare,
 } from './balancing/least-expected-cost.js';
 export {LeastInFlightBalancer} from './balancing/least-in-flight.js';
+export {
+  RecentRefusals,
+  type RefusedOffer,
+} from './balancing/recent-refusals.js';
 export {RoundRobinBalancer} from './balancing/round-robin.js';
 export {
   DEADLINE_HEADER,
--- /dev/null
+++ b/packages/routing/tests/balancing/recent-refusals.test.ts
@@ -0,0 +1,41 @@
+import {expect} from 'chai';
+
+import {RecentRefusals} from '../../src/index.js';
+
+const OFFER = {server: 's-1', rank: 1, acceptsLate: false};
+
+describe('RecentRefusals', () => {
+  it('covers the same offer for a moment', () => {
+    const refusals = new RecentRefusals();
+    refusals.note(OFFER, 0);
+    expect(refusals.covers(OFFER, 79)).to.equal(true);
+    expect(refusals.covers(OFFER, 80)).to.equal(false);
+  });
+
+  const CASES: [string, Partial<typeof OFFER>, boolean][] = [
+    ['a less urgent call', {rank: 2}, true],
+    ['a more urgent call', {rank: 0}, false],
+    ['a call that takes a late answer', {acceptsLate: true}, false],
+    ['another server', {server: 's-2'}, false],
+  ];
+  for (const [name, change, covered] of CASES) {
+    it(`${covered ? 'covers' : 'does not cover'} ${name}`, () => {
+      const refusals = new RecentRefusals();
+      refusals.note(OFFER, 0);
+      expect(refusals.covers({...OFFER, ...change}, 10)).to.equal(covered);
+    });
+  }
+
+  it('covers calls on time once even late ones are refused', () => {
+    const refusals = new RecentRefusals();
+    refusals.note({...OFFER, acceptsLate: true}, 0);
+    expect(refusals.covers(OFFER, 10)).to.equal(true);
+  });
+
+  it('forgets a refusal when the server takes a call', () => {
+    const refusals = new RecentRefusals();
+    refusals.note(OFFER, 0);
+    refusals.clear('s-1');
+    expect(refusals.covers(OFFER, 10)).to.equal(false);
+  });
+});
--- a/packages/sidecar/src/ingress/ingress-server.ts
+++ b/packages/sidecar/src/ingress/ingress-server.ts
@@ -20,6 +20,7 @@
 import {HttpTask} from '../tasks/http-task.js';
 import type {RequestContext} from '../observe/request-log.js';
 import {CallerRequest, type OwnAnswer} from './caller-request.js';
+import {LoopLag} from './loop-lag.js';
 import type {
   RequestDispatch,
   RequestEnd,
@@ -73,12 +74,14 @@
   private limits = FIRST_LIMITS;
   private draining = false;
   private inFlight = 0;
+  private readonly lag: LoopLag;
 
   constructor(private readonly parts: IngressServerParts) {
     super(parts.listen, {
       maxHeaderSize: MAX_HEADER_BYTES,
       connectionsCheckingInterval: CONNECTION_CHECK_MS,
     });
+    this.lag = new LoopLag(parts.clock);
     this.server.requestTimeout = 0;
     this.applyLimits(FIRST_LIMITS);
     parts.bus.subscribe('mesh-config', ({config}) => {
@@ -92,6 +95,16 @@
     return this.inFlight;
   }
 
+  override async start(): Promise<void> {
+    await super.start();
+    this.lag.start();
+  }
+
+  override async stop(): Promise<void> {
+    this.lag.stop();
+    await super.stop();
+  }
+
   /** From now on each connection ends with its answer. */
   drain(): void {
     this.draining = true;
@@ -100,6 +113,7 @@
   /** Takes no new connections; each one closes once it carries no request. */
   async finish(): Promise<void> {
     const closed = new Promise(resolve => this.server.close(resolve));
+    this.lag.stop();
     this.server.closeIdleConnections();
     const timer = setInterval(() => {
       this.server.closeIdleConnections();
@@ -118,7 +132,7 @@
     req: IncomingMessage,
     res: ServerResponse,
   ): Promise<void> {
-    const arrivedMs = this.parts.clock.now();
+    const arrivedMs = this.parts.clock.now() - this.lag.expectedWaitMs;
     if (this.draining) res.shouldKeepAlive = false;
     const caller = new CallerRequest(req, res);
     this.inFlight += 1;
@@ -157,6 +171,8 @@
       this.reject(caller, {status: 413, reason: 'body too large'});
       return;
     }
+    await closesAreRead();
+    if (caller.hasLeft) return;
     const request = this.routed(caller, route, body, arrivedMs);
     const end = await this.parts.dispatch.dispatch(request);
     const own = end.kind === 'failed' ? this.refusal(request, end) : undefined;
@@ -222,6 +238,16 @@
   }
 }
 
+/**
+ * Resolves once the event loop has read the sockets again: the close of a
+ * caller that left while its request waited to be read comes one turn later.
+ */
+async function closesAreRead(): Promise<void> {
+  for (let turns = 0; turns < 2; turns++) {
+    await new Promise(resolve => setImmediate(resolve));
+  }
+}
+
 /** Time in ms that the caller waits; without bound if it does not say. */
 function remainingTimeMs(req: IncomingMessage): number {
   const value = req.headers[REMAINING_TIME_HEADER];
--- a/packages/sidecar/src/ingress/request-dispatch.ts
+++ b/packages/sidecar/src/ingress/request-dispatch.ts
@@ -12,9 +12,9 @@
 import {
   candidateKey,
   readyCandidates,
+  RecentRefusals,
   RetryBudget,
   type Balancer,
-  type CallOutcome,
   type CallTraits,
   type Candidate,
 } from '@turmericmill/routing';
@@ -25,11 +25,17 @@
 import type {AnswerSizes} from './answer-sizes.js';
 import type {CallerRequest} from './caller-request.js';
 import {nextStep} from './try-decision.js';
+import {
+  allFull,
+  deadlinePassed,
+  loadOf,
+  noServer,
+  outcomeOf,
+  type TryEnd,
+} from './try-end.js';
 
 /** Time in ms after the deadline in which an answer may still arrive. */
 const DEADLINE_GRACE_MS = 60;
-/** First status with which a server says that it failed. */
-const SERVER_ERROR_STATUS = 500;
 
 /** A request whose route is known. */
 export interface RoutedRequest {
@@ -81,15 +87,9 @@
   leastWaitMs: number;
 }
 
-/** How one try ended. */
-type TryEnd =
-  | {kind: 'answered'; status: number; load: ServerLoad}
-  | {kind: 'failed'; failure: CallFailure}
-  | {kind: 'cut'}
-  | {kind: 'left'};
-
 export class RequestDispatch {
   private readonly budgets = new Map<string, RetryBudget>();
+  private readonly refusals = new RecentRefusals();
 
   constructor(private readonly parts: RequestDispatchParts) {}
 
@@ -106,7 +106,7 @@
     };
     const now = this.parts.clock.now();
     this.budgetOf(request).deposit(this.parts.retryPercent, now);
-    let failure = noServer(request.service);
+    let failure = this.firstFailure(request);
     for (;;) {
       const tries = progress.tried.size;
       const candidate = this.choose(progress);
@@ -121,6 +121,12 @@
     }
   }
 
+  /** What to tell if no server is asked at all. */
+  private firstFailure({service}: RoutedRequest): CallFailure {
+    const ready = readyCandidates(this.parts.candidates(service));
+    return ready.length === 0 ? noServer(service) : allFull(service);
+  }
+
   private failed(progress: Progress, failure: CallFailure): RequestEnd {
     const {mayHaveRun, tried, leastWaitMs} = progress;
     const waitMs = Number.isFinite(leastWaitMs) ? leastWaitMs : 0;
@@ -166,10 +172,39 @@
     const {request, tried} = progress;
     const all = readyCandidates(this.parts.candidates(request.service));
     const untried = all.filter(one => !tried.has(candidateKey(one)));
-    const found = this.pick(untried, request);
+    const found = this.pick(this.withRoom(untried, progress), request);
     if (found || progress.acceptsLate || progress.reached > 0) return found;
     progress.acceptsLate = true;
-    return this.pick(all, request);
+    return this.pick(this.withRoom(all, progress), request);
+  }
+
+  /** Those that have not refused such a call a moment ago. */
+  private withRoom(
+    candidates: readonly Candidate[],
+    {request, acceptsLate}: Progress,
+  ): readonly Candidate[] {
+    const now = this.parts.clock.now();
+    const {rank} = request.route;
+    return candidates.filter(candidate => {
+      const server = candidateKey(candidate);
+      return !this.refusals.covers({server, rank, acceptsLate}, now);
+    });
+  }
+
+  private noteAnswer(
+    candidate: Candidate,
+    {request, acceptsLate}: Progress,
+    end: TryEnd,
+  ): void {
+    const server = candidateKey(candidate);
+    if (end.kind === 'answered') {
+      this.refusals.clear(server);
+      return;
+    }
+    if (end.kind !== 'failed' || end.failure.reason !== 'overload') return;
+    const {rank} = request.route;
+    const now = this.parts.clock.now();
+    this.refusals.note({server, rank, acceptsLate}, now);
   }
 
   private pick(
@@ -203,6 +238,7 @@
     const load = loadOf(end);
     const result = {outcome: outcomeOf(end), latencyMs, ...(load && {load})};
     balancer.finished(candidate, traits, result, now);
+    this.noteAnswer(candidate, progress, end);
     return end;
   }
 
@@ -326,38 +362,3 @@
     return budget;
   }
 }
-
-function noServer(service: string): CallFailure {
-  return {
-    outcome: 'not-run',
-    reason: 'no-server',
-    detail: `No server of ${service} is ready.`,
-    load: {...NO_LOAD},
-  };
-}
-
-function deadlinePassed(): CallFailure {
-  const detail = 'The deadline passed without an answer.';
-  const load = {...NO_LOAD};
-  return {outcome: 'unknown', reason: 'deadline', detail, load};
-}
-
-function outcomeOf(end: TryEnd): CallOutcome {
-  if (end.kind === 'left') return 'cancelled';
-  if (end.kind === 'cut') return 'failed';
-  if (end.kind === 'answered') {
-    return end.status >= SERVER_ERROR_STATUS ? 'server-error' : 'answered';
-  }
-  const {reason, outcome} = end.failure;
-  if (reason === 'server-unreachable') return 'failed';
-  if (outcome === 'not-run') return 'refused';
-  return reason === 'deadline' ? 'timed-out' : 'failed';
-}
-
-/** The load of a server's node; failures of the way carry none. */
-function loadOf(end: TryEnd): ServerLoad | undefined {
-  if (end.kind === 'answered') return end.load;
-  if (end.kind !== 'failed') return undefined;
-  const {load} = end.failure;
-  return load.limit > 0 ? load : undefined;
-}
