--- a/packages/node/src/calls/admitted-server.ts
+++ b/packages/node/src/calls/admitted-server.ts
@@ -24,13 +24,16 @@
 /** Time in ms in which the losses of a crash become known. */
 const CRASH_SETTLE_MS = 50;
 
+/** One start of a server. */
+export type ServerStart = Pick<LocalServer, 'id' | 'incarnation'>;
+
 /** What is known of requests that crash servers. */
 export interface CrashKnowledge {
   standing(fingerprint: string): Standing;
   /** A server has answered the request. */
   answered(fingerprint: string): void;
   /** A server has crashed while these requests ran. */
-  crashed(server: LocalServer, fingerprints: string[]): void;
+  crashed(server: ServerStart, fingerprints: string[]): void;
 }
 
 /** Where a call goes and what it weighs, apart from the call itself. */
--- a/packages/node/src/tasks/quarantine-task.ts
+++ b/packages/node/src/tasks/quarantine-task.ts
@@ -10,8 +10,8 @@
 } from '@turmericmill/wire';
 import type Logger from 'bunyan';
 
-import type {Bus, LocalServer} from '../bus.js';
-import type {CrashKnowledge} from '../calls/admitted-server.js';
+import type {Bus} from '../bus.js';
+import type {CrashKnowledge, ServerStart} from '../calls/admitted-server.js';
 import {Task} from '../task.js';
 
 /** Nodes to which a node passes news on; each passes it on once. */
@@ -55,7 +55,7 @@
     this.spread({type: 'suspectCleared', body: {fingerprint}});
   }
 
-  crashed({id, incarnation}: LocalServer, fingerprints: string[]): void {
+  crashed({id, incarnation}: ServerStart, fingerprints: string[]): void {
     const now = this.clock.now();
     const server = `${this.nodeId}/${id}/${incarnation}`;
     const report: CrashReport = {fingerprints, server, atMs: now};
--- a/packages/sidecar/src/server/server-session.ts
+++ b/packages/sidecar/src/server/server-session.ts
@@ -7,7 +7,6 @@
   CallHead,
   CallLeg,
   FirstBody,
-  LocalServer,
 } from '@turmericmill/node';
 import {CrashWatch, SlotQueue, type SlotEffect} from '@turmericmill/routing';
 import type {FailureReason, ServerLoad, ServerState} from '@turmericmill/wire';
@@ -309,7 +308,7 @@
     const fingerprints = this.watch.gone(this.parts.clock.now());
     if (fingerprints.length === 0) return;
     const {serverId, bornMs} = this.current;
-    const server = {id: serverId, incarnation: bornMs} as LocalServer;
+    const server = {id: serverId, incarnation: bornMs};
     this.parts.quarantine.crashed(server, fingerprints);
   }
 }
