--- a/packages/sidecar/src/observe/log-destination.ts
+++ b/packages/sidecar/src/observe/log-destination.ts
@@ -35,6 +35,11 @@
     return this.boom as unknown as Writable;
   }
 
+  /** Gives up what waits and closes the output. */
+  close(): void {
+    this.boom.destroy();
+  }
+
   /** Writes what waits, at the end of the process. */
   flush(): void {
     try {
--- a/packages/sidecar/tests/observe/log-destination.test.ts
+++ b/packages/sidecar/tests/observe/log-destination.test.ts
@@ -41,6 +41,7 @@
     expect(performance.now() - startedMs).to.be.below(500);
     expect(destination.dropped).to.be.above(500);
     expect(await firstRead(fd)).to.equal(LINE);
+    destination.close();
     rmSync(folder, {recursive: true});
   });
 });
