One copy of a try's end, of reading a report and of the ended leg

The platform's node had its own copies of what balancing learns from a try, of the failures without a server and at the deadline (beside dispatcher.ts and caller-exchange.ts), of the reading of a short body (beside announce-task.ts) and of the leg that ended before it began (beside local-runner.ts); each stands in packages/node once now. The log line without a server takes the product's wording.

Also taken out: a getter that nothing called, a minimum whose other side can never be less, readiness filtered twice and the traits of a request worked out anew for each try.

--- a/packages/node/src/calls/call-leg.ts
+++ b/packages/node/src/calls/call-leg.ts
@@ -53,6 +53,14 @@
   cancel(): void;
 }
 
+/** The leg of a try that has ended before it began. */
+export const ENDED_LEG: CallLeg = {
+  data: () => undefined,
+  end: () => undefined,
+  credit: () => undefined,
+  cancel: () => undefined,
+};
+
 /** The body as far as it is known when a call starts. */
 export interface FirstBody {
   chunk: Uint8Array;
--- a/packages/node/src/calls/caller-exchange.ts
+++ b/packages/node/src/calls/caller-exchange.ts
@@ -6,16 +6,11 @@
 import type {FlatHeaders, KeptAnswer, ServerLoad} from '@turmericmill/wire';
 
 import type {AnswerCopy} from './answer-copy.js';
-import {
-  NO_LOAD,
-  type CallEvents,
-  type CallFailure,
-  type CallLeg,
-  type FirstBody,
-} from './call-leg.js';
+import type {CallEvents, CallFailure, CallLeg, FirstBody} from './call-leg.js';
 import {endToEndHeaders} from './headers.js';
 import {refusalStatus} from './refusal.js';
 import {RequestBody} from './request-body.js';
+import {deadlinePassed, type TryEnd} from './try-end.js';
 
 /** Header that tells why a call was refused. */
 export const REASON_HEADER = 'x-turmericmill-reason';
@@ -30,13 +25,6 @@
  */
 const DEADLINE_GRACE_MS = 20;
 
-/** How a try ended for the caller's side. */
-export type TryEnd =
-  | {kind: 'answered'; status: number; load: ServerLoad}
-  | {kind: 'failed'; failure: CallFailure}
-  | {kind: 'cut'; failure: CallFailure}
-  | {kind: 'left'};
-
 /** Joins the caller's request and response to one try after the other. */
 export class CallerExchange {
   private readonly body: RequestBody;
@@ -218,9 +206,3 @@
     this.res.end();
   }
 }
-
-function deadlinePassed(): CallFailure {
-  const detail = 'The deadline passed without an answer.';
-  const load = {...NO_LOAD};
-  return {outcome: 'unknown', reason: 'deadline', detail, load};
-}
--- a/packages/node/src/calls/dispatcher.ts
+++ b/packages/node/src/calls/dispatcher.ts
@@ -2,7 +2,6 @@
 
 import type {
   Balancer,
-  CallOutcome,
   Candidate,
   MatchedRoute,
   RetryDecision,
@@ -24,10 +23,10 @@
   CallRunner,
   FirstBody,
 } from './call-leg.js';
-import {NO_LOAD} from './call-leg.js';
 import {headerOf} from './headers.js';
-import type {CallerExchange, TryEnd} from './caller-exchange.js';
+import type {CallerExchange} from './caller-exchange.js';
 import type {RemoteRunner} from './remote-runner.js';
+import {loadOf, noServer, outcomeOf, type TryEnd} from './try-end.js';
 
 /** What the caller asks for, before a server is chosen. */
 export type CallDemand = Omit<CallHead, 'serverId' | 'serverIncarnation'>;
@@ -180,37 +179,9 @@
   }
 }
 
-function noServer(group: string): CallFailure {
-  return {
-    outcome: 'not-run',
-    reason: 'no-server',
-    detail: `No backend server of ${group} is ready.`,
-    load: {...NO_LOAD},
-  };
-}
-
 /** Keeps later hops from repeating what this one repeats already. */
 function markRepeated(call: CallProgress): void {
   const {demand} = call;
   const headers = [...demand.headers, RETRY_HEADER, 'no'];
   call.demand = {...demand, headers};
 }
-
-function outcomeOf(end: TryEnd): CallOutcome {
-  if (end.kind === 'left') return 'cancelled';
-  if (end.kind === 'answered') {
-    return end.status >= 500 ? 'server-error' : 'answered';
-  }
-  const {reason, outcome} = end.failure;
-  if (reason === 'server-unreachable') return 'failed';
-  if (outcome === 'not-run') return 'refused';
-  return reason === 'deadline' ? 'timed-out' : 'failed';
-}
-
-/** The load of a server's node; failures of the way carry none. */
-function loadOf(end: TryEnd) {
-  if (end.kind === 'answered') return end.load;
-  if (end.kind === 'left') return undefined;
-  const {load} = end.failure;
-  return load.limit > 0 ? load : undefined;
-}
--- a/packages/node/src/calls/local-runner.ts
+++ b/packages/node/src/calls/local-runner.ts
@@ -12,6 +12,7 @@
 } from './admitted-server.js';
 import {
   CallRunner,
+  ENDED_LEG,
   NO_LOAD,
   type CallEvents,
   type CallHead,
@@ -19,13 +20,6 @@
   type FirstBody,
 } from './call-leg.js';
 
-const ENDED_LEG: CallLeg = {
-  data: () => undefined,
-  end: () => undefined,
-  credit: () => undefined,
-  cancel: () => undefined,
-};
-
 /** Looks up resources of the configuration in force. */
 interface ResourceLookup {
   get(key: ResourceKey): Resource | undefined;
--- a/packages/node/src/calls/metered-dispatcher.ts
+++ b/packages/node/src/calls/metered-dispatcher.ts
@@ -4,7 +4,8 @@
 
 import type {UsageTask} from '../tasks/usage-task.js';
 import {NO_LOAD, type CallFailure, type FirstBody} from './call-leg.js';
-import type {CallerExchange, TryEnd} from './caller-exchange.js';
+import type {CallerExchange} from './caller-exchange.js';
+import type {TryEnd} from './try-end.js';
 import {CallDispatcher, type CallDemand} from './dispatcher.js';
 
 export class MeteredDispatcher extends CallDispatcher {
--- a/packages/sidecar/src/ingress/try-end.ts
+++ b/packages/node/src/calls/try-end.ts
@@ -1,40 +1,31 @@
-/** How one try of a request ended, and what is learned from it. */
+/** How one try of a call ended for the caller's side, and what it teaches. */
 
-import {NO_LOAD, type CallFailure} from '@turmericmill/node';
 import type {CallOutcome} from '@turmericmill/routing';
 import type {ServerLoad} from '@turmericmill/wire';
 
+import {NO_LOAD, type CallFailure} from './call-leg.js';
+
 /** First status with which a server says that it failed. */
 const SERVER_ERROR_STATUS = 500;
 
-/** How one try ended. */
+/** How a try ended for the caller's side. */
 export type TryEnd =
   | {kind: 'answered'; status: number; load: ServerLoad}
   | {kind: 'failed'; failure: CallFailure}
-  | {kind: 'cut'}
+  | {kind: 'cut'; failure: CallFailure}
   | {kind: 'left'};
 
-/** No server of the service takes calls. */
-export function noServer(service: string): CallFailure {
+/** No backend server of the group takes calls. */
+export function noServer(group: string): CallFailure {
   return {
     outcome: 'not-run',
     reason: 'no-server',
-    detail: `No server of ${service} is ready.`,
-    load: {...NO_LOAD},
-  };
-}
-
-/** Nobody was asked, as all have refused such calls a moment ago. */
-export function allFull(service: string): CallFailure {
-  return {
-    outcome: 'not-run',
-    reason: 'overload',
-    detail: `All servers of ${service} have just refused calls.`,
+    detail: `No backend server of ${group} is ready.`,
     load: {...NO_LOAD},
   };
 }
 
-/** The call was cancelled; whether it ran is not known. */
+/** The call was cancelled at its deadline; whether it ran is not known. */
 export function deadlinePassed(): CallFailure {
   const detail = 'The deadline passed without an answer.';
   const load = {...NO_LOAD};
@@ -44,7 +35,6 @@
 /** What balancing learns from the end of a try. */
 export function outcomeOf(end: TryEnd): CallOutcome {
   if (end.kind === 'left') return 'cancelled';
-  if (end.kind === 'cut') return 'failed';
   if (end.kind === 'answered') {
     return end.status >= SERVER_ERROR_STATUS ? 'server-error' : 'answered';
   }
@@ -57,7 +47,7 @@
 /** The load of a server's node; failures of the way carry none. */
 export function loadOf(end: TryEnd): ServerLoad | undefined {
   if (end.kind === 'answered') return end.load;
-  if (end.kind !== 'failed') return undefined;
+  if (end.kind === 'left') return undefined;
   const {load} = end.failure;
   return load.limit > 0 ? load : undefined;
 }
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -20,6 +20,8 @@
 } from './calls/headers.js';
 export {IncomingCalls} from './calls/incoming-calls.js';
 export {RemoteRunner} from './calls/remote-runner.js';
+export * from './calls/try-end.js';
+export {readText} from './read-text.js';
 export {Task} from './task.js';
 export {MembershipTask} from './tasks/membership-task.js';
 export {QuarantineTask} from './tasks/quarantine-task.js';
--- a/packages/node/src/tasks/announce-task.ts
+++ b/packages/node/src/tasks/announce-task.ts
@@ -18,6 +18,7 @@
 import type Logger from 'bunyan';
 
 import type {Bus, LocalServer} from '../bus.js';
+import {readText} from '../read-text.js';
 import type {ListenAddress} from '../settings/index.js';
 import {Task} from '../task.js';
 
@@ -111,7 +112,7 @@
       return;
     }
     try {
-      this.take(await readText(req), res);
+      this.take(await readText(req, MAX_ANNOUNCEMENT_BYTES), res);
     } catch (err) {
       this.logger.debug({err}, 'announcement cut off');
       res.destroy();
@@ -152,17 +153,6 @@
   }
 }
 
-/** Reads a body to its end; of one that is too long it keeps the beginning. */
-async function readText(req: IncomingMessage): Promise<string> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of req) {
-    if (bytes <= MAX_ANNOUNCEMENT_BYTES) chunks.push(chunk as Buffer);
-    bytes += (chunk as Buffer).length;
-  }
-  return Buffer.concat(chunks).toString();
-}
-
 function refuse(res: ServerResponse, status: number, body: RefusalBody): void {
   sendJson(res, status, body);
 }
--- a/packages/node/src/tasks/ingress-task.ts
+++ b/packages/node/src/tasks/ingress-task.ts
@@ -26,13 +26,14 @@
 
 import type {Bus} from '../bus.js';
 import {NO_LOAD, type CallFailure} from '../calls/call-leg.js';
-import {CallerExchange, type TryEnd} from '../calls/caller-exchange.js';
+import {CallerExchange} from '../calls/caller-exchange.js';
 import {
   CallStatisticsRecorder,
   type CallEnd,
 } from '../calls/call-statistics.js';
 import type {CallDemand, CallDispatcher} from '../calls/dispatcher.js';
 import {headerOf} from '../calls/headers.js';
+import type {TryEnd} from '../calls/try-end.js';
 import type {ListenAddress, NodeLimits} from '../settings/index.js';
 import {Task} from '../task.js';
 
--- a/packages/sidecar/src/control/report-server.ts
+++ b/packages/sidecar/src/control/report-server.ts
@@ -3,6 +3,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
 import {ReportedServer, type CurrentServer} from '@turmericmill/membership';
+import {readText} from '@turmericmill/node';
 import {
   formatFindings,
   MAX_REPORT_BYTES,
@@ -54,7 +55,7 @@
       return;
     }
     try {
-      const text = await readText(req);
+      const text = await readText(req, MAX_REPORT_BYTES);
       send(res, this.take(path, text));
     } catch (err) {
       this.logger.debug({err}, 'report cut off');
@@ -87,16 +88,6 @@
   }
 }
 
-async function readText(req: IncomingMessage): Promise<string> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of req) {
-    bytes += (chunk as Buffer).length;
-    if (bytes <= MAX_REPORT_BYTES) chunks.push(chunk as Buffer);
-  }
-  return Buffer.concat(chunks).toString();
-}
-
 function send(res: ServerResponse, {status, body}: Reply): void {
   const text = JSON.stringify(body);
   res.writeHead(status, {
--- a/packages/sidecar/src/ingress/caller-request.ts
+++ b/packages/sidecar/src/ingress/caller-request.ts
@@ -38,10 +38,6 @@
     return this.left;
   }
 
-  get isAnswered(): boolean {
-    return this.res.headersSent;
-  }
-
   /** The whole body; undefined if it is longer than `maxBytes`. */
   async readBody(maxBytes: number): Promise<Buffer | undefined> {
     const chunks: Buffer[] = [];
--- a/packages/sidecar/src/ingress/ingress-server.ts
+++ b/packages/sidecar/src/ingress/ingress-server.ts
@@ -230,8 +230,7 @@
       return {status: reason === 'deadline' ? 504 : 502, reason};
     }
     const {clock, random} = this.parts;
-    const remainingMs = remainingTimeMs(request.caller.req);
-    const leftMs = Math.min(remainingMs, request.deadlineMs - clock.now());
+    const leftMs = request.deadlineMs - clock.now();
     const waitMs = failure.load.waitMs ?? 0;
     const awayMs = returnAfterMs(waitMs, leftMs, random);
     return {status: 503, reason, returnAfterMs: awayMs};
--- a/packages/sidecar/src/ingress/request-dispatch.ts
+++ b/packages/sidecar/src/ingress/request-dispatch.ts
@@ -2,12 +2,17 @@
 
 import type {PrefixRoute} from '@turmericmill/config';
 import {
+  deadlinePassed,
+  loadOf,
   NO_LOAD,
+  noServer,
+  outcomeOf,
   type CallFailure,
   type CallHead,
   type CallRunner,
   type FirstBody,
   type RemoteRunner,
+  type TryEnd,
 } from '@turmericmill/node';
 import {
   candidateKey,
@@ -25,14 +30,6 @@
 import type {AnswerSizes} from './answer-sizes.js';
 import type {CallerRequest} from './caller-request.js';
 import {nextStep} from './try-decision.js';
-import {
-  allFull,
-  deadlinePassed,
-  loadOf,
-  noServer,
-  outcomeOf,
-  type TryEnd,
-} from './try-end.js';
 
 /** Time in ms after the deadline in which an answer may still arrive. */
 const DEADLINE_GRACE_MS = 60;
@@ -78,6 +75,7 @@
 
 interface Progress {
   request: RoutedRequest;
+  traits: CallTraits;
   tried: Set<string>;
   reached: number;
   offers: number;
@@ -97,6 +95,7 @@
   async dispatch(request: RoutedRequest): Promise<RequestEnd> {
     const progress: Progress = {
       request,
+      traits: this.traitsOf(request),
       tried: new Set(),
       reached: 0,
       offers: 0,
@@ -106,11 +105,13 @@
     };
     const now = this.parts.clock.now();
     this.budgetOf(request).deposit(this.parts.retryPercent, now);
-    let failure = this.firstFailure(request);
+    let failure: CallFailure | undefined;
     for (;;) {
       const tries = progress.tried.size;
       const candidate = this.choose(progress);
-      if (!candidate) return this.failed(progress, failure);
+      if (!candidate) {
+        return this.failed(progress, failure ?? this.notAsked(request));
+      }
       const end = await this.tryOnce(progress, candidate);
       if (end.kind === 'answered') return {...end, tries: tries + 1};
       if (end.kind !== 'failed') return {kind: end.kind, tries: tries + 1};
@@ -122,7 +123,7 @@
   }
 
   /** What to tell if no server is asked at all. */
-  private firstFailure({service}: RoutedRequest): CallFailure {
+  private notAsked({service}: RoutedRequest): CallFailure {
     const ready = readyCandidates(this.parts.candidates(service));
     return ready.length === 0 ? noServer(service) : allFull(service);
   }
@@ -170,12 +171,12 @@
   /** Once all nodes have refused, the fastest of them may answer late. */
   private choose(progress: Progress): Candidate | undefined {
     const {request, tried} = progress;
-    const all = readyCandidates(this.parts.candidates(request.service));
+    const all = this.parts.candidates(request.service);
     const untried = all.filter(one => !tried.has(candidateKey(one)));
-    const found = this.pick(this.withRoom(untried, progress), request);
+    const found = this.pick(this.withRoom(untried, progress), progress);
     if (found || progress.acceptsLate || progress.reached > 0) return found;
     progress.acceptsLate = true;
-    return this.pick(this.withRoom(all, progress), request);
+    return this.pick(this.withRoom(all, progress), progress);
   }
 
   /** Those that have not refused such a call a moment ago. */
@@ -209,10 +210,9 @@
 
   private pick(
     candidates: readonly Candidate[],
-    request: RoutedRequest,
+    {traits}: Progress,
   ): Candidate | undefined {
     const {balancer, clock, random} = this.parts;
-    const traits = this.traitsOf(request);
     return balancer.choose(candidates, traits, clock.now(), random);
   }
 
@@ -226,10 +226,9 @@
     candidate: Candidate,
   ): Promise<TryEnd> {
     const {balancer, clock} = this.parts;
-    const {request, tried} = progress;
+    const {traits, tried} = progress;
     tried.add(candidateKey(candidate));
     progress.offers += 1;
-    const traits = this.traitsOf(request);
     const startedMs = clock.now();
     balancer.started(candidate, traits, startedMs);
     const end = await this.run(progress, candidate);
@@ -284,7 +283,7 @@
             return;
           }
           caller.cut();
-          settle({kind: 'cut'});
+          settle({kind: 'cut', failure});
         },
       });
       if (ended) return;
@@ -362,3 +361,13 @@
     return budget;
   }
 }
+
+/** Nobody was asked, as all have refused such calls a moment ago. */
+function allFull(service: string): CallFailure {
+  return {
+    outcome: 'not-run',
+    reason: 'overload',
+    detail: `All servers of ${service} have just refused calls.`,
+    load: {...NO_LOAD},
+  };
+}
--- a/packages/sidecar/src/server/server-runner.ts
+++ b/packages/sidecar/src/server/server-runner.ts
@@ -3,6 +3,7 @@
 import type {CurrentServer} from '@turmericmill/membership';
 import {
   CallRunner,
+  ENDED_LEG,
   NO_LOAD,
   type Bus,
   type CallEvents,
@@ -17,12 +18,6 @@
 
 import {ServerSession} from './server-session.js';
 
-const ENDED_LEG: CallLeg = {
-  data: () => undefined,
-  end: () => undefined,
-  credit: () => undefined,
-  cancel: () => undefined,
-};
 /** Connections to a server while its service's limit is not known. */
 const DEFAULT_CONNECTIONS = 64;
 
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -52,6 +52,7 @@
   private readonly bus = new Bus();
   private readonly clock = new SystemClock();
   private readonly random = new SystemRandom();
+  /** Grows with each start, and so serves as the incarnation. */
   private readonly startedMs = this.clock.now();
   private readonly store: HttpStore;
   private readonly transport: TransportTask;
@@ -197,7 +198,7 @@
       minVersion: MIN_PROTOCOL_VERSION,
       maxVersion: MAX_PROTOCOL_VERSION,
       nodeId,
-      incarnation: this.incarnation,
+      incarnation: this.startedMs,
       dataCentre,
       region,
     };
@@ -205,18 +206,13 @@
     return new TransportTask(options, this.bus, this.clock, this.logger);
   }
 
-  /** Grows with each start; the clock is that of the process's start. */
-  private get incarnation(): number {
-    return Math.floor(this.startedMs);
-  }
-
   private makeMembership(): MembershipTask {
     const {bus, clock, random, logger, store} = this;
     const {nodeId, dataCentre, region, ip, meshPorts} = this.settings;
     const own = {address: ip, port: meshPorts[0]};
     const identity = {
       id: nodeId,
-      incarnation: this.incarnation,
+      incarnation: this.startedMs,
       ...own,
       dataCentre,
       region,
