--- a/packages/sidecar/src/ingress/caller-request.ts
+++ b/packages/sidecar/src/ingress/caller-request.ts
@@ -26,13 +26,23 @@
     readonly req: IncomingMessage,
     private readonly res: ServerResponse,
   ) {
+    // The end of the connection is read some turns of the event loop before
+    // the response closes; on a starved node these may last a second.
+    const {socket} = req;
+    const leave = () => this.leave();
+    socket.once('end', leave);
     res.once('close', () => {
-      if (res.writableFinished) return;
-      this.left = true;
-      this.onLeft?.();
+      socket.off('end', leave);
+      if (!res.writableFinished) this.leave();
     });
   }
 
+  private leave(): void {
+    if (this.left) return;
+    this.left = true;
+    this.onLeft?.();
+  }
+
   /** True once the caller is gone. */
   get hasLeft(): boolean {
     return this.left;
--- a/packages/sidecar/src/tasks/http-task.ts
+++ b/packages/sidecar/src/tasks/http-task.ts
@@ -8,6 +8,8 @@
   type ServerResponse,
 } from 'node:http';
 
+import type {AddressInfo} from 'node:net';
+
 import {Task} from '@turmericmill/node';
 import type {HostAddress} from '@turmericmill/platform-adapter';
 
@@ -24,6 +26,11 @@
     });
   }
 
+  /** The port in use, once started. */
+  get port(): number {
+    return (this.server.address() as AddressInfo).port;
+  }
+
   override async start(): Promise<void> {
     const {address, port} = this.listen;
     await new Promise<void>((resolve, reject) => {
