--- a/packages/routing/src/admission/slot-queue.ts
+++ b/packages/routing/src/admission/slot-queue.ts
@@ -1,8 +1,9 @@
 /**
- * The queue in front of one backend server. Load pattern: bursts above the
- * capacity of the slots, with deadlines of a few service times. A call waits
- * only while it can still be answered by its target; what cannot is refused at
- * once, so that its caller may go elsewhere or come back.
+ * The queue in front of one backend server. Load pattern: more calls than the
+ * slots can carry, for seconds, with deadlines of a few service times. A call
+ * waits only while the plan of the slots lets it end in time; what cannot is
+ * refused at once, so that its caller may go elsewhere or come back. Calls that
+ * are late already take slots that no other call could use.
  */
 
 import {ServiceTimes} from './service-times.js';
@@ -11,8 +12,18 @@
 const LEAST_REMAINING_SHARE = 0.2;
 /** Time in ms that an answer needs on its way back to the caller. */
 const RETURN_MS = 10;
-/** Part of the time left by which a late call has to be expected back. */
-const LATE_SHARE = 0.7;
+/**
+ * Part of the time left in which a late call has to end: longer waits bring no
+ * more answers in an overload, only later refusals.
+ */
+const LATE_SHARE = 0.4;
+/** Time in ms for which a late call waits at least for a slot to be free. */
+const LEAST_LATE_WAIT_MS = 100;
+/**
+ * Factor on the planned wait of a new call: more urgent ones arrive meanwhile
+ * and go before it.
+ */
+const WAIT_ALLOWANCE = 2;
 
 /** A call that asks for a slot. */
 export interface QueuedCall {
@@ -43,11 +54,18 @@
   startedMs: number;
 }
 
+interface WaitingCall {
+  call: QueuedCall;
+  /** Time in ms by which the call has to end for its wait to be of use. */
+  latestEndMs: number;
+}
+
 /** Slots and waiting calls of one start of a server. */
 export class SlotQueue {
   readonly times = new ServiceTimes();
   private readonly running = new Map<number, RunningCall>();
-  private waiting: QueuedCall[] = [];
+  /** In the order in which they get slots. */
+  private waiting: WaitingCall[] = [];
   private closedBy: SlotRefusal | undefined;
 
   constructor(private slots: number) {}
@@ -60,17 +78,12 @@
 
   offer(call: QueuedCall, nowMs: number): SlotEffect[] {
     if (this.closedBy) return [refuse(call, this.closedBy)];
-    const meanMs = this.times.meanMs(call.class);
     if (this.isExpired(call, nowMs)) return [refuse(call, 'deadline')];
     if (this.hasSlot(call) && this.waiting.length === 0) {
       return [this.start(call, nowMs)];
     }
-    const finishMs = nowMs + this.waitMs(call.rank, nowMs) + meanMs;
-    if (finishMs > this.latestFinishMs(call, nowMs)) {
-      return [refuse(call, 'overload')];
-    }
-    this.waiting.push(call);
-    return this.dispatch(nowMs);
+    this.insert({call, latestEndMs: this.latestEndMs(call, nowMs)});
+    return [...this.dispatch(nowMs), ...this.refuseBeyondPlan(call, nowMs)];
   }
 
   /** A call that ran has ended; `answered` if its time is worth learning. */
@@ -84,7 +97,7 @@
 
   /** The caller of a waiting call has left; false if it does not wait. */
   withdraw(id: number): boolean {
-    const left = this.waiting.filter(call => call.id !== id);
+    const left = this.waiting.filter(({call}) => call.id !== id);
     const found = left.length < this.waiting.length;
     this.waiting = left;
     return found;
@@ -93,7 +106,7 @@
   /** Refuses all that wait and all that follow; running calls go on. */
   close(reason: SlotRefusal): SlotEffect[] {
     this.closedBy = reason;
-    const effects = this.waiting.map(call => refuse(call, reason));
+    const effects = this.waiting.map(({call}) => refuse(call, reason));
     this.waiting = [];
     return effects;
   }
@@ -105,12 +118,8 @@
 
   /** Refuses waiting calls that can no longer be answered in time. */
   expire(nowMs: number): SlotEffect[] {
-    const late = this.waiting.filter(call => this.isHopeless(call, nowMs));
-    if (late.length === 0) return [];
-    this.waiting = this.waiting.filter(call => !late.includes(call));
-    return late.map(call =>
-      refuse(call, call.acceptsLate ? 'deadline' : 'overload'),
-    );
+    const hopeless = this.waiting.filter(one => this.isHopeless(one, nowMs));
+    return this.refuseAll(hopeless, nowMs);
   }
 
   get inFlight(): number {
@@ -126,18 +135,53 @@
     return this.closedBy ? 0 : this.slots;
   }
 
-  /** Time in ms that a new call of the rank would wait for its slot. */
+  /** Time in ms that a new call of the rank, not late yet, would wait. */
   waitMs(rank: number, nowMs: number): number {
-    const ahead = this.waiting.filter(call => call.rank <= rank);
+    const ahead = this.waiting.filter(
+      ({call}) => call.rank < rank || (call.rank === rank && !call.acceptsLate),
+    );
     if (ahead.length === 0 && this.running.size < this.slots) return 0;
     const free = this.freeTimes(nowMs);
-    for (const call of ahead) {
-      const at = free.shift() ?? nowMs;
-      insertSorted(free, at + this.times.meanMs(call.class));
-    }
+    for (const {call} of ahead) this.plan(call, free, nowMs);
     return Math.max(0, (free[0] ?? nowMs) - nowMs);
   }
 
+  /** Takes the first free slot of `free`; returns when the call would end. */
+  private plan(call: QueuedCall, free: number[], nowMs: number): number {
+    const endMs = (free.shift() ?? nowMs) + this.times.meanMs(call.class);
+    insertSorted(free, endMs);
+    return endMs;
+  }
+
+  /**
+   * Refuses what would end too late by the plan of the slots: the new call, or
+   * those behind it that it has displaced.
+   */
+  private refuseBeyondPlan(added: QueuedCall, nowMs: number): SlotEffect[] {
+    if (this.waiting.length === 0) return [];
+    const free = this.freeTimes(nowMs);
+    const beyond = this.waiting.filter(({call, latestEndMs}) => {
+      const waitMs = Math.max(0, (free[0] ?? nowMs) - nowMs);
+      const allowedMs = call === added ? waitMs * WAIT_ALLOWANCE : waitMs;
+      const endMs = nowMs + allowedMs + this.times.meanMs(call.class);
+      if (endMs > latestEndMs) return true;
+      this.plan(call, free, nowMs);
+      return false;
+    });
+    return this.refuseAll(beyond, nowMs);
+  }
+
+  private refuseAll(
+    refused: readonly WaitingCall[],
+    nowMs: number,
+  ): SlotEffect[] {
+    if (refused.length === 0) return [];
+    this.waiting = this.waiting.filter(one => !refused.includes(one));
+    return refused.map(({call}) =>
+      refuse(call, this.isExpired(call, nowMs) ? 'deadline' : 'overload'),
+    );
+  }
+
   /** When each slot is expected to be free, in order. */
   private freeTimes(nowMs: number): number[] {
     const times = [...this.running.values()].map(({call, startedMs}) => {
@@ -149,9 +193,12 @@
     return times.sort((a, b) => a - b);
   }
 
-  private latestFinishMs(call: QueuedCall, nowMs: number): number {
+  private latestEndMs(call: QueuedCall, nowMs: number): number {
     if (!call.acceptsLate) return call.targetMs - RETURN_MS;
-    return nowMs + (call.deadlineMs - nowMs) * LATE_SHARE;
+    const leastMs = LEAST_LATE_WAIT_MS + this.times.meanMs(call.class);
+    const shareMs = (call.deadlineMs - nowMs) * LATE_SHARE;
+    const latestMs = nowMs + Math.max(leastMs, shareMs);
+    return Math.min(latestMs, call.deadlineMs - RETURN_MS);
   }
 
   private isExpired(call: QueuedCall, nowMs: number): boolean {
@@ -159,14 +206,9 @@
     return nowMs + Math.max(RETURN_MS, leastMs) >= call.deadlineMs;
   }
 
-  private isHopeless(call: QueuedCall, nowMs: number): boolean {
+  private isHopeless({call, latestEndMs}: WaitingCall, nowMs: number): boolean {
     if (this.isExpired(call, nowMs)) return true;
-    return !call.acceptsLate && !this.isOnTime(call, nowMs);
-  }
-
-  private isOnTime(call: QueuedCall, nowMs: number): boolean {
-    const finishMs = nowMs + this.times.meanMs(call.class);
-    return finishMs <= call.targetMs - RETURN_MS;
+    return nowMs + this.times.meanMs(call.class) > latestEndMs;
   }
 
   private hasSlot({suspect}: QueuedCall): boolean {
@@ -178,26 +220,25 @@
   private dispatch(nowMs: number): SlotEffect[] {
     const effects = this.expire(nowMs);
     for (;;) {
-      const call = this.takeNext(nowMs);
+      const call = this.takeNext();
       if (!call) return effects;
       effects.push(this.start(call, nowMs));
     }
   }
 
-  /** The most urgent first, then those that can be on time, then the oldest. */
-  private takeNext(nowMs: number): QueuedCall | undefined {
-    let best: QueuedCall | undefined;
-    for (const call of this.waiting) {
-      if (!this.hasSlot(call)) continue;
-      if (!best || this.goesBefore(call, best, nowMs)) best = call;
-    }
-    if (best) this.waiting.splice(this.waiting.indexOf(best), 1);
-    return best;
+  /** The first that waits and may run: a suspect may have to wait longer. */
+  private takeNext(): QueuedCall | undefined {
+    const index = this.waiting.findIndex(({call}) => this.hasSlot(call));
+    return index < 0 ? undefined : this.waiting.splice(index, 1)[0]?.call;
   }
 
-  private goesBefore(a: QueuedCall, b: QueuedCall, nowMs: number): boolean {
-    if (a.rank !== b.rank) return a.rank < b.rank;
-    return this.isOnTime(a, nowMs) && !this.isOnTime(b, nowMs);
+  /** Keeps the order: urgent ones, those on time, the nearest target, age. */
+  private insert(added: WaitingCall): void {
+    const behind = this.waiting.findIndex(({call}) =>
+      goesBefore(added.call, call),
+    );
+    const index = behind < 0 ? this.waiting.length : behind;
+    this.waiting.splice(index, 0, added);
   }
 
   private start(call: QueuedCall, nowMs: number): SlotEffect {
@@ -210,6 +251,12 @@
   return {type: 'refuse', id, reason};
 }
 
+function goesBefore(a: QueuedCall, b: QueuedCall): boolean {
+  if (a.rank !== b.rank) return a.rank < b.rank;
+  if (a.acceptsLate !== b.acceptsLate) return !a.acceptsLate;
+  return a.targetMs < b.targetMs;
+}
+
 function insertSorted(times: number[], time: number): void {
   let index = times.length;
   while (index > 0 && (times[index - 1] ?? 0) > time) index--;
--- a/packages/routing/src/balancing/least-expected-cost.ts
+++ b/packages/routing/src/balancing/least-expected-cost.ts
@@ -141,6 +141,11 @@
     evidence.finish(call, result, nowMs);
   }
 
+  /** Delay in ms that the answer's way to another data centre is worth. */
+  crossingMs({answerBytes = 0}: CallTraits): number {
+    return CROSSING_MS + (answerBytes / BYTES_PER_KIB) * this.crossingMsPerKib;
+  }
+
   private evidenceOf(candidate: Candidate): ServerEvidence {
     const key = candidateKey(candidate);
     let evidence = this.servers.get(key);
@@ -211,10 +216,6 @@
     return candidate.dataCentre === this.dataCentre;
   }
 
-  private crossingMs({answerBytes = 0}: CallTraits): number {
-    return CROSSING_MS + (answerBytes / BYTES_PER_KIB) * this.crossingMsPerKib;
-  }
-
   private costMs(option: Option, call: CallTraits, nowMs: number): number {
     const {evidence, slots, serviceMs} = option;
     const use = evidence.occupied(call.priority, nowMs) / slots;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -36,6 +36,7 @@
   type RefusedOffer,
 } from './balancing/recent-refusals.js';
 export {RoundRobinBalancer} from './balancing/round-robin.js';
+export {CallerPatience} from './calls/caller-patience.js';
 export {
   DEADLINE_HEADER,
   formatLimits,
@@ -47,7 +48,14 @@
   type DeadlineErrorKind,
   type LimitHeaders,
 } from './calls/deadline.js';
+export {
+  offerStages,
+  type OfferStage,
+  type OfferStages,
+  type OfferTerms,
+} from './calls/offer-stages.js';
 export {RetryBudget} from './calls/retry-budget.js';
+export {RetryWindow, type RetryAllowance} from './calls/retry-window.js';
 export {returnAfterMs} from './calls/return-time.js';
 export {
   decideRetry,
--- /dev/null
+++ b/packages/routing/tests/calls/retry-window.test.ts
@@ -0,0 +1,50 @@
+import {expect} from 'chai';
+
+import {RetryWindow} from '../../src/index.js';
+
+const ALLOWANCE = {share: 0.2, extra: 1, windowMs: 10_000};
+
+describe('RetryWindow', () => {
+  it('allows a share of the requests and the extra ones', () => {
+    const retries = new RetryWindow(ALLOWANCE);
+    for (let i = 0; i < 10; i++) retries.request(0);
+    const taken = [1, 2, 3, 4].map(() => retries.take(10));
+    expect(taken).to.deep.equal([true, true, true, false]);
+  });
+
+  it('forgets what has left the window', () => {
+    const retries = new RetryWindow(ALLOWANCE);
+    retries.take(0);
+    expect(retries.take(9_000)).to.equal(false);
+    expect(retries.take(11_000)).to.equal(true);
+  });
+
+  it('keeps the share in every span when all fail after a calm time', () => {
+    const retries = new RetryWindow(ALLOWANCE);
+    const takenMs: number[] = [];
+    const requestedMs: number[] = [];
+    for (let nowMs = 0; nowMs < 60_000; nowMs += 10) {
+      if (nowMs % 20 === 0) {
+        retries.request(nowMs);
+        requestedMs.push(nowMs);
+      }
+      const allFail = nowMs > 20_000;
+      if (allFail && retries.take(nowMs)) takenMs.push(nowMs);
+    }
+    const countIn = (times: number[], fromMs: number) =>
+      times.filter(ms => ms >= fromMs && ms < fromMs + 10_000).length;
+    for (let fromMs = 0; fromMs <= 50_000; fromMs += 250) {
+      // As the operators count: those of this window, or of one before it.
+      const asked = Math.max(
+        countIn(requestedMs, fromMs),
+        countIn(requestedMs, fromMs - 5_000),
+        countIn(requestedMs, fromMs - 10_000),
+      );
+      const allowed = ALLOWANCE.share * asked + ALLOWANCE.extra;
+      expect(countIn(takenMs, fromMs), `from ${fromMs} ms`).to.be.at.most(
+        allowed,
+      );
+    }
+    expect(takenMs.length).to.be.above(0.15 * requestedMs.length * (2 / 3));
+  });
+});
--- a/packages/sidecar/src/ingress/ingress-server.ts
+++ b/packages/sidecar/src/ingress/ingress-server.ts
@@ -9,6 +9,7 @@
   type HostAddress,
 } from '@turmericmill/platform-adapter';
 import {
+  CallerPatience,
   fingerprint,
   PrefixRoutes,
   returnAfterMs,
@@ -21,11 +22,8 @@
 import type {RequestContext} from '../observe/request-log.js';
 import {CallerRequest, type OwnAnswer} from './caller-request.js';
 import {LoopLag} from './loop-lag.js';
-import type {
-  RequestDispatch,
-  RequestEnd,
-  RoutedRequest,
-} from './request-dispatch.js';
+import type {RequestDispatch} from './request-dispatch.js';
+import type {RequestEnd, RoutedRequest} from './routed-request.js';
 
 /** Limits until a configuration is in force; the platform's usual ones. */
 const FIRST_LIMITS: CallerLimits = {
@@ -70,6 +68,7 @@
 
 export class IngressServer extends HttpTask {
   private readonly split = new SplitRotation();
+  private readonly patience = new CallerPatience();
   private table: RouteTable | undefined;
   private limits = FIRST_LIMITS;
   private draining = false;
@@ -198,7 +197,11 @@
     const {callerService} = this.parts;
     const method = req.method ?? 'GET';
     const path = req.url ?? '/';
-    const waitMs = Math.min(route.timeoutMs, remainingTimeMs(req));
+    const {name, timeoutMs, targetLatencyMs} = route;
+    const remainingMs = remainingTimeMs(req);
+    const waitMs = Math.min(timeoutMs, remainingMs);
+    const firstAskedMs =
+      arrivedMs - this.patience.elapsedMs(name, remainingMs, arrivedMs);
     return {
       caller,
       route,
@@ -214,7 +217,7 @@
         customer: callerService,
         bodyStart: body,
       }),
-      targetMs: arrivedMs + Math.min(route.targetLatencyMs, waitMs),
+      targetMs: Math.min(firstAskedMs + targetLatencyMs, arrivedMs + waitMs),
       deadlineMs: arrivedMs + waitMs,
     };
   }
--- a/packages/sidecar/src/ingress/request-dispatch.ts
+++ b/packages/sidecar/src/ingress/request-dispatch.ts
@@ -1,6 +1,5 @@
 /** Takes one request to a backend server, with offers and repetitions. */
 
-import type {PrefixRoute} from '@turmericmill/config';
 import {
   deadlinePassed,
   loadOf,
@@ -16,59 +15,40 @@
 } from '@turmericmill/node';
 import {
   candidateKey,
+  offerStages,
   readyCandidates,
   RecentRefusals,
-  RetryBudget,
-  type Balancer,
+  RetryWindow,
   type CallTraits,
   type Candidate,
+  type LeastExpectedCostBalancer,
+  type OfferStage,
+  type OfferStages,
+  type RetryAllowance,
 } from '@turmericmill/routing';
 import type {Clock, RandomSource} from '@turmericmill/utils';
-import type {FlatHeaders, ServerLoad} from '@turmericmill/wire';
+import type {ServerLoad} from '@turmericmill/wire';
 
 import {MAX_BODY_FRAME_BYTES} from '../server/server-call.js';
 import type {AnswerSizes} from './answer-sizes.js';
-import type {CallerRequest} from './caller-request.js';
+import type {RequestEnd, RoutedRequest} from './routed-request.js';
 import {nextStep} from './try-decision.js';
 
 /** Time in ms after the deadline in which an answer may still arrive. */
 const DEADLINE_GRACE_MS = 60;
 
-/** A request whose route is known. */
-export interface RoutedRequest {
-  caller: CallerRequest;
-  route: PrefixRoute;
-  service: string;
-  method: string;
-  path: string;
-  headers: FlatHeaders;
-  body: Uint8Array;
-  /** Service beside which the request began. */
-  callerService: string;
-  fingerprint: string;
-  /** Time in ms by which the caller wants the answer. */
-  targetMs: number;
-  /** Time in ms at which the request is given up. */
-  deadlineMs: number;
-}
-
-/** How a request ended for its caller. */
-export type RequestEnd =
-  | {kind: 'answered'; status: number; tries: number}
-  | {kind: 'failed'; failure: CallFailure; tries: number; mayHaveRun: boolean}
-  | {kind: 'cut'; tries: number}
-  | {kind: 'left'; tries: number};
-
 export interface RequestDispatchParts {
   nodeId: string;
   local: CallRunner;
   remote: RemoteRunner;
-  balancer: Balancer;
+  balancer: LeastExpectedCostBalancer;
   clock: Clock;
   random: RandomSource;
   sizes: AnswerSizes;
-  /** Percent of a service's requests that may be sent again. */
-  retryPercent: number;
+  /** How many of a service's requests may be sent again. */
+  retries: RetryAllowance;
+  /** Data centre of this node. */
+  dataCentre: string;
   /** The servers of a service, by the newest view. */
   candidates(service: string): readonly Candidate[];
 }
@@ -76,35 +56,40 @@
 interface Progress {
   request: RoutedRequest;
   traits: CallTraits;
+  stage: OfferStage;
+  /** Stages that follow the current one. */
+  laterStages: readonly OfferStage[];
   tried: Set<string>;
   reached: number;
   offers: number;
-  acceptsLate: boolean;
   mayHaveRun: boolean;
   /** Least wait in ms that a node without a slot has told. */
   leastWaitMs: number;
 }
 
 export class RequestDispatch {
-  private readonly budgets = new Map<string, RetryBudget>();
+  private readonly budgets = new Map<string, RetryWindow>();
   private readonly refusals = new RecentRefusals();
 
   constructor(private readonly parts: RequestDispatchParts) {}
 
   /** Resolves when the request has ended; a failure is not answered yet. */
   async dispatch(request: RoutedRequest): Promise<RequestEnd> {
+    const now = this.parts.clock.now();
+    const traits = this.traitsOf(request);
+    const [stage, ...laterStages] = this.stagesOf(request, traits, now);
     const progress: Progress = {
       request,
-      traits: this.traitsOf(request),
+      traits,
+      stage,
+      laterStages,
       tried: new Set(),
       reached: 0,
       offers: 0,
-      acceptsLate: false,
       mayHaveRun: false,
       leastWaitMs: Infinity,
     };
-    const now = this.parts.clock.now();
-    this.budgetOf(request).deposit(this.parts.retryPercent, now);
+    this.budgetOf(request).request(now);
     let failure: CallFailure | undefined;
     for (;;) {
       const tries = progress.tried.size;
@@ -164,37 +149,57 @@
       failure,
     );
     if (step === 'stop') return false;
-    if (step === 'repeat') return this.budgetOf(request).withdraw(1, now);
+    if (step === 'repeat') return this.budgetOf(request).take(now);
     return true;
   }
 
-  /** Once all nodes have refused, the fastest of them may answer late. */
+  private stagesOf(
+    {route, targetMs, deadlineMs}: RoutedRequest,
+    traits: CallTraits,
+    nowMs: number,
+  ): OfferStages {
+    return offerStages({
+      crossingMs: this.parts.balancer.crossingMs(traits),
+      slackMs: Math.max(0, route.timeoutMs - route.targetLatencyMs),
+      isLate: targetMs <= nowMs && deadlineMs > nowMs,
+    });
+  }
+
+  /** Goes on to the next stage when nobody is left to ask in this one. */
   private choose(progress: Progress): Candidate | undefined {
-    const {request, tried} = progress;
-    const all = this.parts.candidates(request.service);
-    const untried = all.filter(one => !tried.has(candidateKey(one)));
-    const found = this.pick(this.withRoom(untried, progress), progress);
-    if (found || progress.acceptsLate || progress.reached > 0) return found;
-    progress.acceptsLate = true;
-    return this.pick(this.withRoom(all, progress), progress);
+    for (;;) {
+      const found = this.pick(this.open(progress), progress);
+      const [next, ...laterStages] = progress.laterStages;
+      if (found || !next) return found;
+      progress.stage = next;
+      progress.laterStages = laterStages;
+    }
   }
 
-  /** Those that have not refused such a call a moment ago. */
-  private withRoom(
-    candidates: readonly Candidate[],
-    {request, acceptsLate}: Progress,
-  ): readonly Candidate[] {
-    const now = this.parts.clock.now();
+  /** Those of the stage that have not refused such a call a moment ago. */
+  private open({
+    request,
+    stage,
+    tried,
+    reached,
+  }: Progress): readonly Candidate[] {
+    const {clock, dataCentre, candidates} = this.parts;
+    const {nearOnly, acceptsLate} = stage;
+    // What has refused to answer in time may take the call late.
+    const mayAskAgain = acceptsLate && reached === 0;
+    const now = clock.now();
     const {rank} = request.route;
-    return candidates.filter(candidate => {
+    return candidates(request.service).filter(candidate => {
+      if (nearOnly && candidate.dataCentre !== dataCentre) return false;
       const server = candidateKey(candidate);
+      if (!mayAskAgain && tried.has(server)) return false;
       return !this.refusals.covers({server, rank, acceptsLate}, now);
     });
   }
 
   private noteAnswer(
     candidate: Candidate,
-    {request, acceptsLate}: Progress,
+    {request, stage}: Progress,
     end: TryEnd,
   ): void {
     const server = candidateKey(candidate);
@@ -204,6 +209,9 @@
     }
     if (end.kind !== 'failed' || end.failure.reason !== 'overload') return;
     const {rank} = request.route;
+    const {acceptsLate, mayWait} = stage;
+    // Whoever has no slot free at once may still have one in time.
+    if (!mayWait) return;
     const now = this.parts.clock.now();
     this.refusals.note({server, rank, acceptsLate}, now);
   }
@@ -230,7 +238,7 @@
     tried.add(candidateKey(candidate));
     progress.offers += 1;
     const startedMs = clock.now();
-    balancer.started(candidate, traits, startedMs);
+    balancer.started(candidate, traits);
     const end = await this.run(progress, candidate);
     const now = clock.now();
     const latencyMs = now - startedMs;
@@ -325,11 +333,10 @@
     return leg;
   }
 
-  private headOf(
-    {request, acceptsLate}: Progress,
-    candidate: Candidate,
-  ): CallHead {
+  private headOf({request, stage}: Progress, candidate: Candidate): CallHead {
     const {route} = request;
+    const {acceptsLate, mayWait} = stage;
+    const now = this.parts.clock.now();
     return {
       serverId: candidate.serverId,
       serverIncarnation: candidate.incarnation,
@@ -345,17 +352,17 @@
       deadlineMs: request.deadlineMs,
       urgency: {
         rank: route.rank,
-        targetRemainingMs: request.targetMs - this.parts.clock.now(),
-        acceptsLate,
+        targetRemainingMs: mayWait ? request.targetMs - now : 0,
+        acceptsLate: acceptsLate && mayWait,
         repeatable: route.kind !== 'unsafe',
       },
     };
   }
 
-  private budgetOf({service}: RoutedRequest): RetryBudget {
+  private budgetOf({service}: RoutedRequest): RetryWindow {
     let budget = this.budgets.get(service);
     if (!budget) {
-      budget = new RetryBudget(this.parts.clock.now());
+      budget = new RetryWindow(this.parts.retries);
       this.budgets.set(service, budget);
     }
     return budget;
--- a/packages/sidecar/src/observe/request-log.ts
+++ b/packages/sidecar/src/observe/request-log.ts
@@ -5,7 +5,7 @@
 import type Logger from 'bunyan';
 
 import type {CallerRequest, OwnAnswer} from '../ingress/caller-request.js';
-import type {RequestEnd, RoutedRequest} from '../ingress/request-dispatch.js';
+import type {RequestEnd, RoutedRequest} from '../ingress/routed-request.js';
 import {LogBudget, type LineRate} from './log-budget.js';
 
 /** Failures are written before answers: complaints are about failures. */
--- a/packages/sidecar/src/observe/sidecar-metrics.ts
+++ b/packages/sidecar/src/observe/sidecar-metrics.ts
@@ -2,7 +2,7 @@
 
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
-import type {RequestEnd, RoutedRequest} from '../ingress/request-dispatch.js';
+import type {RequestEnd, RoutedRequest} from '../ingress/routed-request.js';
 
 /** Upper bounds in seconds of latency buckets: around targets and timeouts. */
 const LATENCY_BUCKETS_S = [
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -28,14 +28,18 @@
 import {ReadinessServer} from './tasks/readiness-server.js';
 import {StoreSeeds} from './tasks/store-seeds.js';
 
-/** Delay in ms that a KiB between data centres is worth; transfer is dear. */
-const CROSSING_MS_PER_KIB = 20;
+/**
+ * Delay in ms that a KiB between data centres is worth: transfer is dear, and a
+ * short answer crosses only when no server nearby can give it on time.
+ */
+const CROSSING_MS_PER_KIB = 50;
 /**
  * Part of the fleet's share of repetitions that a node spends: the rest is left
  * for calls that repeated requests make and for windows that do not align.
  */
-const RETRY_SHARE_USED = 0.7;
-const PERCENT = 100;
+const RETRY_SHARE_USED = 0.85;
+/** Repetitions in a window for services that are seldom asked for here. */
+const EXTRA_RETRIES = 1;
 /** Time in ms after which a node that knows no other one serves by itself. */
 const JOIN_PATIENCE_MS = 3_000;
 /**
@@ -233,7 +237,12 @@
       clock,
       random,
       sizes: new AnswerSizes(),
-      retryPercent: retries.share * RETRY_SHARE_USED * PERCENT,
+      dataCentre,
+      retries: {
+        share: retries.share * RETRY_SHARE_USED,
+        extra: Math.min(EXTRA_RETRIES, retries.extra),
+        windowMs: retries.windowMs,
+      },
       candidates: name => this.candidates.ofGroup(name),
     });
     return new IngressServer({
--- a/packages/utils/src/state-chart.ts
+++ b/packages/utils/src/state-chart.ts
@@ -26,9 +26,12 @@
 export class StateChart<S extends string, E extends ChartEvent, T = undefined> {
   private readonly machine: AnyStateMachine;
   private readonly snapshots = new Map<S, AnyMachineSnapshot>();
+  /** Following states of a chart without guards, which depend on names alone. */
+  private readonly known: Map<string, S> | undefined;
   readonly initial: S;
 
   constructor(chart: object, guards: Record<string, ChartGuard<T>> = {}) {
+    this.known = Object.keys(guards).length === 0 ? new Map() : undefined;
     const wrapped = Object.entries(guards).map(
       ([name, guard]) =>
         [name, ({event}: {event: {input: T}}) => guard(event.input)] as const,
@@ -41,6 +44,16 @@
 
   /** The state that follows `state` on `event`; the same state if none does. */
   next(state: S, event: E, input?: T): S {
+    const key = `${state} ${event.type}`;
+    let following = this.known?.get(key);
+    if (following === undefined) {
+      following = this.interpret(state, event, input);
+      this.known?.set(key, following);
+    }
+    return following;
+  }
+
+  private interpret(state: S, event: E, input?: T): S {
     const snapshot = this.snapshotOf(state);
     const following = getNextSnapshot(this.machine, snapshot, {
       ...event,
--- a/packages/utils/tests/state-chart.test.ts
+++ b/packages/utils/tests/state-chart.test.ts
@@ -33,4 +33,20 @@
   it('starts in the initial state of the chart', () => {
     expect(CHART.initial).to.equal('closed');
   });
+
+  it('follows a chart without guards in the same way each time', () => {
+    const chart = new StateChart<State, Event>({
+      id: 'gate',
+      initial: 'closed',
+      states: {
+        closed: {on: {push: 'open'}},
+        open: {on: {pull: 'closed'}},
+      },
+    });
+    for (let i = 0; i < 2; i++) {
+      expect(chart.next('closed', {type: 'push'})).to.equal('open');
+      expect(chart.next('closed', {type: 'pull'})).to.equal('closed');
+      expect(chart.next('open', {type: 'pull'})).to.equal('closed');
+    }
+  });
 });
