--- a/packages/sidecar/src/config/config-follower.ts
+++ b/packages/sidecar/src/config/config-follower.ts
@@ -14,6 +14,12 @@
 import type {ConfigNotice, MemberRecord, Message} from '@turmericmill/wire';
 import type Logger from 'bunyan';
 
+import {
+  applyChange,
+  changeFrom,
+  compress,
+  decompress,
+} from './document-transfer.js';
 import {
   BEACON_INTERVAL_MS,
   isReader,
@@ -71,7 +77,7 @@
     });
     bus.onPeerMessage('configAsk', ({body, peer}) => {
       if (this.version <= body.version) return;
-      this.send(peer.nodeId, this.notice(true));
+      this.send(peer.nodeId, this.wholeNotice());
     });
   }
 
@@ -137,11 +143,19 @@
     this.offset = endOffset;
     const newest = records.filter(({key}) => key === CONFIG_KEY).at(-1);
     if (!newest || newest.value.length === 0) return;
+    const before = this.inForce;
     if (!this.adopt(newest.value)) return;
-    const notice = this.notice(true);
-    if (!isReader(this.source)) return;
+    if (isReader(this.source)) this.handOn(before);
+  }
+
+  /** Neighbours hold the version before, as they heard it from here. */
+  private handOn(before: InForce | undefined): void {
+    const message =
+      before && this.inForce
+        ? this.changeNotice(before, this.inForce)
+        : this.wholeNotice();
     for (const nodeId of this.neighbours) {
-      if (nodeId !== this.parts.nodeId) this.send(nodeId, notice);
+      if (nodeId !== this.parts.nodeId) this.send(nodeId, message);
     }
   }
 
@@ -164,18 +178,35 @@
   }
 
   private onNotice(notice: ConfigNotice, peer: Peer): void {
-    const {version, ageMs, document} = notice;
+    const {version, ageMs} = notice;
     if (version > this.version) {
+      const document = this.documentOf(notice);
       if (document) this.adopt(document);
       else this.send(peer.nodeId, this.ask());
     }
-    if (version < this.version) return;
+    // What could not be adopted is no sign of a source that works.
+    if (version !== this.version) return;
     this.heardMs = Math.max(this.heardMs, this.parts.clock.now() - ageMs);
   }
 
+  /** Undefined if the notice does not hold a document that can be read. */
+  private documentOf({document, change}: ConfigNotice): Uint8Array | undefined {
+    const {inForce} = this;
+    const isBase = change?.baseVersion === this.version;
+    const result =
+      change && inForce && isBase
+        ? applyChange(inForce.document, change)
+        : document && decompress(document);
+    if (result?.isErr()) {
+      const {error} = result;
+      this.parts.logger.warn({error}, 'configuration notice not readable');
+    }
+    return result?.isOk() ? result.value : undefined;
+  }
+
   private beacon(): void {
     if (!this.inForce || !isReader(this.source)) return;
-    const notice = this.notice(false);
+    const notice = this.notice();
     for (const nodeId of this.neighbours) {
       if (nodeId !== this.parts.nodeId) this.send(nodeId, notice);
     }
@@ -193,13 +224,23 @@
     return {type: 'configAsk', body: {version: this.version}};
   }
 
-  private notice(whole: boolean): Message {
+  private notice(content: Partial<ConfigNotice> = {}): Message {
     const ageMs = this.parts.clock.now() - this.heardMs;
-    const body: ConfigNotice = {version: this.version, ageMs};
-    if (whole && this.inForce) body.document = this.inForce.document;
+    const body: ConfigNotice = {version: this.version, ageMs, ...content};
     return {type: 'configNotice', body};
   }
 
+  private wholeNotice(): Message {
+    const {inForce} = this;
+    return this.notice(inForce && {document: compress(inForce.document)});
+  }
+
+  private changeNotice(before: InForce, after: InForce): Message {
+    const {version} = before.config;
+    const change = changeFrom(version, before.document, after.document);
+    return this.notice({change});
+  }
+
   private send(nodeId: string, message: Message): void {
     this.parts.bus.publish('send-peer', {nodeId, message});
   }
--- /dev/null
+++ b/packages/sidecar/tests/config/config-follower.test.ts
@@ -0,0 +1,212 @@
+import {Bus} from '@turmericmill/node';
+import {
+  CONFIG_KEY,
+  Store,
+  type KeyedPage,
+  type StoreError,
+} from '@turmericmill/platform-adapter';
+import {ManualClock, Ok, SeededRandom, type Result} from '@turmericmill/utils';
+import type {MemberRecord, Message} from '@turmericmill/wire';
+import bunyan from 'bunyan';
+import {expect} from 'chai';
+
+import {ConfigFollower} from '../../src/config/config-follower.js';
+import {isReader} from '../../src/config/source-choice.js';
+
+const NODES = ['n-0', 'n-1', 'n-2', 'n-3'];
+/** Turns of the event loop in which a read and its notices have settled. */
+const TURNS = 10;
+
+function document(version: number): Buffer {
+  const routes = Array.from({length: 300}, (unused, index) => [
+    `r-${index}`,
+    'shop.example',
+    `/p${(index * 104_729) % 9973}/`,
+    'safe',
+    '800ms',
+    '400ms',
+    1,
+    'desk',
+    2,
+    null,
+  ]);
+  return Buffer.from(
+    JSON.stringify({
+      version: `r${version}`,
+      routes: {
+        columns: [
+          'name',
+          'host',
+          'path_prefix',
+          'kind',
+          'timeout',
+          'target_latency',
+          'priority',
+          'service',
+          'max_attempts',
+          'traffic_split',
+        ],
+        rows: routes,
+      },
+      services: {
+        columns: ['name', 'health_check_path', 'max_connections'],
+        rows: [['desk', '/health', 100]],
+      },
+      limits: {
+        max_header_bytes: 16_384,
+        max_body_bytes: 100_000,
+        header_timeout: '3000ms',
+        idle_timeout: '15000ms',
+      },
+    }),
+  );
+}
+
+/** Answers each read when the test publishes. */
+class ScriptedStore extends Store {
+  private waiting: ((page: KeyedPage) => void) | undefined;
+  private endOffset = 0;
+
+  publish(value: Uint8Array): void {
+    const offset = this.endOffset;
+    this.endOffset += 1;
+    const records = [{key: CONFIG_KEY, value, offset}];
+    const {waiting} = this;
+    this.waiting = undefined;
+    waiting?.({records, endOffset: this.endOffset});
+  }
+
+  override newest(): Promise<Result<KeyedPage, StoreError>> {
+    return Promise.resolve(Ok({records: [], endOffset: 0}));
+  }
+
+  override read(): Promise<Result<KeyedPage, StoreError>> {
+    return new Promise(resolve => {
+      this.waiting = page => resolve(Ok(page));
+    });
+  }
+
+  override put(): Promise<Result<void, StoreError>> {
+    return Promise.resolve(Ok(undefined));
+  }
+
+  override close(): void {
+    this.waiting = undefined;
+  }
+}
+
+interface Sent {
+  nodeId: string;
+  message: Message;
+}
+
+/** One node whose messages the test carries. */
+class FollowerNode {
+  readonly bus = new Bus();
+  readonly store = new ScriptedStore();
+  readonly sent: Sent[] = [];
+  readonly follower: ConfigFollower;
+
+  constructor(readonly nodeId: string) {
+    this.bus.subscribe('send-peer', ({nodeId: to, message}) => {
+      this.sent.push({nodeId: to, message});
+    });
+    this.follower = new ConfigFollower({
+      nodeId,
+      dataCentre: 'a',
+      store: this.store,
+      bus: this.bus,
+      clock: new ManualClock(1_000),
+      random: new SeededRandom(1),
+      logger: bunyan.createLogger({name: 'test', level: bunyan.FATAL + 1}),
+    });
+    const members = NODES.map(id => ({id, dataCentre: 'a', status: 'alive'}));
+    this.bus.publish('view-changed', {
+      members: members as unknown as MemberRecord[],
+    });
+  }
+
+  /** Takes a message as from the node with the id `from`. */
+  take(message: Message, from: string): void {
+    const peer = {nodeId: from, incarnation: 1} as never;
+    this.bus.publishPeerMessage(peer, message);
+  }
+
+  /** What was sent to a node since the last call. */
+  sentTo(nodeId: string): Message[] {
+    const found = this.sent.filter(one => one.nodeId === nodeId);
+    this.sent.length = 0;
+    return found.map(({message}) => message);
+  }
+}
+
+async function settled(): Promise<void> {
+  for (let i = 0; i < TURNS; i++) {
+    await new Promise(resolve => setImmediate(resolve));
+  }
+}
+
+function bytesOf(message: Message | undefined): number {
+  return message ? JSON.stringify(message).length : 0;
+}
+
+describe('ConfigFollower', () => {
+  const readerId = NODES.find(nodeId =>
+    isReader({nodeId, neighbours: NODES, heardMs: 0}),
+  )!;
+  const otherId = NODES.find(nodeId => nodeId !== readerId)!;
+  let reader: FollowerNode;
+  let other: FollowerNode;
+
+  beforeEach(async () => {
+    reader = new FollowerNode(readerId);
+    other = new FollowerNode(otherId);
+    reader.follower.start();
+    await settled();
+    await publish(2);
+  });
+
+  afterEach(() => reader.follower.stop());
+
+  /** Publishes a version and returns what the reader tells the other node. */
+  async function publish(version: number): Promise<Message[]> {
+    reader.store.publish(document(version));
+    await settled();
+    const messages = reader.sentTo(otherId);
+    for (const message of messages) other.take(message, readerId);
+    return messages;
+  }
+
+  it('hands the first version on whole', () => {
+    expect(other.follower.version).to.equal(2);
+  });
+
+  it('hands a change on in a small part of the document', async () => {
+    const [notice] = await publish(5);
+    expect(other.follower.version).to.equal(5);
+    expect(bytesOf(notice)).to.be.below(document(5).length / 20);
+  });
+
+  it('asks for the whole document when it lacks the version before', async () => {
+    reader.store.publish(document(5));
+    await settled();
+    reader.sentTo(otherId);
+    await publish(6);
+    expect(other.follower.version).to.equal(2);
+    const [ask] = other.sentTo(readerId);
+    expect(ask?.type).to.equal('configAsk');
+    reader.take(ask!, otherId);
+    for (const message of reader.sentTo(otherId)) {
+      other.take(message, readerId);
+    }
+    expect(other.follower.version).to.equal(6);
+  });
+
+  it('keeps its version and asks when a change is damaged', () => {
+    const change = {baseVersion: 2, delta: Buffer.from('damaged')};
+    const body = {version: 9, ageMs: 0, change};
+    other.take({type: 'configNotice', body}, readerId);
+    expect(other.follower.version).to.equal(2);
+    expect(other.sentTo(readerId)[0]?.type).to.equal('configAsk');
+  });
+});
--- a/packages/wire/src/messages/configuration.ts
+++ b/packages/wire/src/messages/configuration.ts
@@ -62,13 +62,22 @@
   atMs: number;
 }
 
-/** A configuration that the sender has read or been given, whole. */
+/** What leads from the document of one version to that of a later one. */
+export interface DocumentChange {
+  baseVersion: number;
+  /** In the form of the Fossil delta encoding, with its checksum. */
+  delta: Uint8Array;
+}
+
+/** A configuration that the sender has read or been given. */
 export interface ConfigNotice {
   version: number;
   /** Time in ms since the sender has last heard of it from its source. */
   ageMs: number;
-  /** The document as published; absent where only the version is told. */
+  /** The document as published, deflated. */
   document?: Uint8Array;
+  /** In place of the document, for nodes that hold an earlier version. */
+  change?: DocumentChange;
 }
 
 /** Asks for the receiver's configuration if it is newer than `version`. */
