--- a/packages/node/src/calls/incoming-calls.ts
+++ b/packages/node/src/calls/incoming-calls.ts
@@ -1,5 +1,6 @@
 /** Runs the calls that other nodes send for the servers beside this node. */
 
+import {TransitDelay} from '@turmericmill/routing';
 import type {Clock} from '@turmericmill/utils';
 import type {
   CallStart,
@@ -19,6 +20,7 @@
 } from './call-leg.js';
 
 import {DeferredLeg} from './deferred-leg.js';
+import {withoutTime} from './time-left.js';
 
 /** Answer bodies up to this many bytes go in the frame of the head. */
 const MAX_JOINED_BODY_BYTES = 64 * 1024;
@@ -29,6 +31,7 @@
 /** Calls in progress by the peer's id, its incarnation and the call's id. */
 export class IncomingCalls {
   private readonly legs = new Map<string, Map<number, CallLeg>>();
+  private readonly delays = new Map<string, TransitDelay>();
 
   constructor(
     private readonly bus: Bus,
@@ -66,9 +69,14 @@
   }
 
   private start(peer: Peer, start: CallStart): void {
-    const {callId, remainingMs, end, body, ...rest} = start;
-    const deadlineMs = this.clock.now() + remainingMs;
-    const head: CallHead = {...rest, deadlineMs};
+    const now = this.clock.now();
+    const {sentMs, ...call} = start;
+    const delayMs = this.delayOf(peer).excessMs(sentMs, now);
+    const {callId, remainingMs, end, body, ...rest} = withoutTime(
+      call,
+      delayMs,
+    );
+    const head: CallHead = {...rest, deadlineMs: now + remainingMs};
     const leg = new DeferredLeg();
     this.legsOf(peer).set(callId, leg);
     const events = new AnswerFrames(this.bus, peer, callId, () => {
@@ -80,6 +88,16 @@
     });
   }
 
+  private delayOf(peer: Peer): TransitDelay {
+    const key = peerKey(peer);
+    let delay = this.delays.get(key);
+    if (!delay) {
+      delay = new TransitDelay();
+      this.delays.set(key, delay);
+    }
+    return delay;
+  }
+
   private legsOf(peer: Peer): Map<number, CallLeg> {
     const key = peerKey(peer);
     let legs = this.legs.get(key);
@@ -101,6 +119,9 @@
   }
 
   private cancelAll(nodeId: string): void {
+    for (const key of [...this.delays.keys()]) {
+      if (key.startsWith(`${nodeId}#`)) this.delays.delete(key);
+    }
     for (const [key, legs] of [...this.legs]) {
       if (!key.startsWith(`${nodeId}#`)) continue;
       this.legs.delete(key);
--- a/packages/node/src/calls/remote-runner.ts
+++ b/packages/node/src/calls/remote-runner.ts
@@ -61,10 +61,12 @@
     this.nextCallId += 1;
     this.pending.set(callId, {nodeId, events});
     const {deadlineMs, ...rest} = head;
-    const remainingMs = deadlineMs - this.clock.now();
+    const sentMs = this.clock.now();
+    const remainingMs = deadlineMs - sentMs;
+    const {end, chunk} = body;
     this.send(nodeId, {
       type: 'callStart',
-      body: {...rest, callId, remainingMs, end: body.end, body: body.chunk},
+      body: {...rest, callId, remainingMs, sentMs, end, body: chunk},
     });
     return this.legOf(nodeId, callId);
   }
--- a/packages/node/src/transport/peer-connection.ts
+++ b/packages/node/src/transport/peer-connection.ts
@@ -16,6 +16,7 @@
 } from '@turmericmill/wire';
 
 import type {Peer} from '../bus.js';
+import {withoutTime} from '../calls/time-left.js';
 
 /** Interval in ms at which heartbeats look whether they are due. */
 export const HEARTBEAT_INTERVAL_MS = 100;
@@ -216,7 +217,7 @@
     const {unsent} = this;
     this.unsent = [];
     for (const {message, atMs} of unsent) {
-      this.transmit(shortened(message, now - atMs));
+      this.transmit(shortened(message, atMs, now));
     }
     this.events.opened(this);
   }
@@ -249,13 +250,9 @@
   }
 }
 
-/** The message with the time that it has waited taken off its time left. */
-function shortened(message: Message, waitedMs: number): Message {
+/** A call that has waited since `atMs` is sent with the time left by now. */
+function shortened(message: Message, atMs: number, nowMs: number): Message {
   if (message.type !== 'callStart') return message;
-  const {body} = message;
-  const remainingMs = body.remainingMs - waitedMs;
-  if (!body.urgency) return {...message, body: {...body, remainingMs}};
-  const targetRemainingMs = body.urgency.targetRemainingMs - waitedMs;
-  const urgency = {...body.urgency, targetRemainingMs};
-  return {...message, body: {...body, remainingMs, urgency}};
+  const body = {...withoutTime(message.body, nowMs - atMs), sentMs: nowMs};
+  return {...message, body};
 }
--- a/packages/node/tests/calls/incoming-calls.test.ts
+++ b/packages/node/tests/calls/incoming-calls.test.ts
@@ -28,6 +28,7 @@
   hops: 0,
   fingerprint: '',
   remainingMs: 500,
+  sentMs: 0,
   end: false,
   body: Buffer.from('a'),
 };
@@ -35,12 +36,14 @@
 /** Notes what reaches the server. */
 class NotingRunner extends CallRunner {
   readonly notes: string[] = [];
+  readonly deadlinesMs: number[] = [];
 
   override run(
     head: CallHead,
     first: FirstBody,
     unusedEvents: CallEvents,
   ): CallLeg {
+    this.deadlinesMs.push(head.deadlineMs);
     this.notes.push(`run ${Buffer.from(first.chunk).toString()}`);
     return {
       data: chunk => this.notes.push(`data ${Buffer.from(chunk).toString()}`),
@@ -70,7 +73,31 @@
   body: {callId: 7, chunk: Buffer.from('b'), end: true, trailers: []},
 };
 
+/** Starts calls that were sent and are read at the times given, in ms. */
+async function deadlinesOf(times: [sentMs: number, readMs: number][]) {
+  const bus = new Bus();
+  const runner = new NotingRunner();
+  const clock = new ManualClock(0);
+  new IncomingCalls(bus, runner, clock);
+  for (const [index, [sentMs, readMs]] of times.entries()) {
+    clock.advance(readMs - clock.now());
+    const body = {...START, callId: index, sentMs};
+    bus.publishPeerMessage(PEER, {type: 'callStart', body});
+    await new Promise(resolve => setImmediate(resolve));
+  }
+  return runner.deadlinesMs;
+}
+
 describe('IncomingCalls', () => {
+  it('takes the time that a call was held up off its time left', async () => {
+    const deadlines = await deadlinesOf([
+      [0, 9_000],
+      [100, 9_100],
+      [200, 9_600],
+    ]);
+    expect(deadlines).to.deep.equal([9_500, 9_600, 9_700]);
+  });
+
   it('starts a call with all that came with it', async () => {
     const {notes} = await play([[CALL, DATA]]);
     expect(notes).to.deep.equal(['run a', 'data b', 'end']);
--- a/packages/node/tests/transport/peer-connection.test.ts
+++ b/packages/node/tests/transport/peer-connection.test.ts
@@ -71,6 +71,7 @@
     class: 'city/class/desk',
     priority: 'interactive',
     remainingMs: 500,
+    sentMs: 0,
     hops: 0,
     fingerprint: '',
     end: true,
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -72,6 +72,7 @@
   type HeartbeatState,
   type HeartbeatTimes,
 } from './connections/heartbeat.js';
+export {TransitDelay} from './connections/transit-delay.js';
 export {
   CrashLedger,
   MAX_REPORTED,
--- a/packages/wire/src/messages/calls.ts
+++ b/packages/wire/src/messages/calls.ts
@@ -41,6 +41,8 @@
   callId: number;
   /** Time left in ms until the deadline; clocks of hosts differ. */
   remainingMs: number;
+  /** Time in ms at which it was sent, by the sender's steady clock. */
+  sentMs: number;
   /** True when this message carries the whole body. */
   end: boolean;
   body: Uint8Array;
