--- a/packages/routing/src/admission/slot-queue.ts
+++ b/packages/routing/src/admission/slot-queue.ts
@@ -23,7 +23,7 @@
  * Factor on the planned wait of a new call: more urgent ones arrive meanwhile
  * and go before it.
  */
-const WAIT_ALLOWANCE = 2;
+const WAIT_ALLOWANCE = 2.5;
 
 /** A call that asks for a slot. */
 export interface QueuedCall {
--- a/packages/routing/src/balancing/recent-refusals.ts
+++ b/packages/routing/src/balancing/recent-refusals.ts
@@ -2,7 +2,7 @@
 
 /**
  * Time in ms for which a refusal speaks for calls of the same rank or a less
- * urgent one. A server refuses only with work queued for longer than this, so
+ * urgent one that have no more time. A server refuses only with work queued for longer than this, so
  * that no slot runs empty meanwhile.
  */
 const REFUSAL_HOLDS_MS = 80;
@@ -15,10 +15,13 @@
   rank: number;
   /** True if an answer after the target would have been taken. */
   acceptsLate: boolean;
+  /** Time in ms within which the call wanted its answer. */
+  slackMs: number;
 }
 
 interface Refusal {
   rank: number;
+  slackMs: number;
   untilMs: number;
 }
 
@@ -32,11 +35,13 @@
   private readonly late = new Map<string, Refusal>();
 
   /** A server had no slot in time. */
-  note({server, rank, acceptsLate}: RefusedOffer, nowMs: number): void {
-    const refusal = {rank, untilMs: nowMs + REFUSAL_HOLDS_MS};
-    // What is refused even late is refused on time all the more.
-    if (acceptsLate) this.late.set(server, refusal);
-    this.onTime.set(server, refusal);
+  note(offer: RefusedOffer, nowMs: number): void {
+    // What is covered already adds nothing and must not narrow what is known.
+    if (this.covers(offer, nowMs)) return;
+    const {server, rank, acceptsLate, slackMs} = offer;
+    const refusal = {rank, slackMs, untilMs: nowMs + REFUSAL_HOLDS_MS};
+    // Calls on time go before late ones: each kind speaks for itself.
+    (acceptsLate ? this.late : this.onTime).set(server, refusal);
   }
 
   /** A server has taken a call. */
@@ -46,8 +51,10 @@
   }
 
   /** True if the server would refuse the same offer now. */
-  covers({server, rank, acceptsLate}: RefusedOffer, nowMs: number): boolean {
+  covers(offer: RefusedOffer, nowMs: number): boolean {
+    const {server, rank, acceptsLate, slackMs} = offer;
     const known = (acceptsLate ? this.late : this.onTime).get(server);
-    return known !== undefined && nowMs < known.untilMs && rank >= known.rank;
+    if (!known || nowMs >= known.untilMs) return false;
+    return rank >= known.rank && slackMs <= known.slackMs;
   }
 }
--- a/packages/sidecar/src/ingress/request-dispatch.ts
+++ b/packages/sidecar/src/ingress/request-dispatch.ts
@@ -24,6 +24,7 @@
   type LeastExpectedCostBalancer,
   type OfferStage,
   type OfferStages,
+  type RefusedOffer,
   type RetryAllowance,
 } from '@turmericmill/routing';
 import type {Clock, RandomSource} from '@turmericmill/utils';
@@ -177,43 +178,34 @@
   }
 
   /** Those of the stage that have not refused such a call a moment ago. */
-  private open({
-    request,
-    stage,
-    tried,
-    reached,
-  }: Progress): readonly Candidate[] {
+  private open(progress: Progress): readonly Candidate[] {
+    const {request, stage, tried, reached} = progress;
     const {clock, dataCentre, candidates} = this.parts;
     const {nearOnly, acceptsLate} = stage;
     // What has refused to answer in time may take the call late.
     const mayAskAgain = acceptsLate && reached === 0;
     const now = clock.now();
-    const {rank} = request.route;
     return candidates(request.service).filter(candidate => {
       if (nearOnly && candidate.dataCentre !== dataCentre) return false;
-      const server = candidateKey(candidate);
-      if (!mayAskAgain && tried.has(server)) return false;
-      return !this.refusals.covers({server, rank, acceptsLate}, now);
+      if (!mayAskAgain && tried.has(candidateKey(candidate))) return false;
+      return !this.refusals.covers(offerOf(candidate, progress, now), now);
     });
   }
 
   private noteAnswer(
     candidate: Candidate,
-    {request, stage}: Progress,
+    progress: Progress,
     end: TryEnd,
   ): void {
-    const server = candidateKey(candidate);
     if (end.kind === 'answered') {
-      this.refusals.clear(server);
+      this.refusals.clear(candidateKey(candidate));
       return;
     }
     if (end.kind !== 'failed' || end.failure.reason !== 'overload') return;
-    const {rank} = request.route;
-    const {acceptsLate, mayWait} = stage;
     // Whoever has no slot free at once may still have one in time.
-    if (!mayWait) return;
+    if (!progress.stage.mayWait) return;
     const now = this.parts.clock.now();
-    this.refusals.note({server, rank, acceptsLate}, now);
+    this.refusals.note(offerOf(candidate, progress, now), now);
   }
 
   private pick(
@@ -369,6 +361,21 @@
   }
 }
 
+function offerOf(
+  candidate: Candidate,
+  {request, stage}: Progress,
+  nowMs: number,
+): RefusedOffer {
+  const {acceptsLate} = stage;
+  const wantedMs = acceptsLate ? request.deadlineMs : request.targetMs;
+  return {
+    server: candidateKey(candidate),
+    rank: request.route.rank,
+    acceptsLate,
+    slackMs: wantedMs - nowMs,
+  };
+}
+
 /** Nobody was asked, as all have refused such calls a moment ago. */
 function allFull(service: string): CallFailure {
   return {
