--- a/packages/routing/src/balancing/least-expected-cost.ts
+++ b/packages/routing/src/balancing/least-expected-cost.ts
@@ -1,7 +1,6 @@
 /** Least expected cost among a few servers drawn by their capacity. */
 
-import type {RandomSource} from '@turmericmill/utils';
-import {LRUCache} from 'lru-cache';
+import {boundedCache, type RandomSource} from '@turmericmill/utils';
 
 import {Balancer, candidateKey, readyCandidates} from './balancer.js';
 import type {CallResult, CallTraits, Candidate} from './balancer.js';
@@ -90,9 +89,7 @@
  */
 export class LeastExpectedCostBalancer extends Balancer {
   override readonly name = 'least-expected-cost';
-  private readonly servers = new LRUCache<string, ServerEvidence>({
-    max: MAX_SERVERS,
-  });
+  private readonly servers = boundedCache<string, ServerEvidence>(MAX_SERVERS);
 
   /**
    * `crossingMsPerKib`: what each KiB of an answer that crosses to another data
--- a/packages/routing/src/calls/caller-patience.ts
+++ b/packages/routing/src/calls/caller-patience.ts
@@ -5,7 +5,7 @@
  * for them only if that is counted.
  */
 
-import {LRUCache} from 'lru-cache';
+import {boundedCache} from '@turmericmill/utils';
 
 /** Routes whose callers are known. */
 const MAX_ROUTES = 4_096;
@@ -23,7 +23,7 @@
 
 /** One instance for each entry node; patience is learned by route. */
 export class CallerPatience {
-  private readonly longest = new LRUCache<string, Longest>({max: MAX_ROUTES});
+  private readonly longest = boundedCache<string, Longest>(MAX_ROUTES);
 
   /**
    * Takes in the time in ms that a caller of a route has left, and returns the
--- a/packages/routing/src/quarantine/crash-ledger.ts
+++ b/packages/routing/src/quarantine/crash-ledger.ts
@@ -1,7 +1,7 @@
 /** Finds the request that crashes server after server. */
 
 import type {CrashReport, Quarantine} from '@turmericmill/wire';
-import {LRUCache} from 'lru-cache';
+import {boundedCache} from '@turmericmill/utils';
 
 /** Fingerprints and crashes that are remembered. */
 const MAX_SUSPECTS = 10_000;
@@ -36,13 +36,9 @@
  * concludes on it, so that few nodes announce the same quarantine.
  */
 export class CrashLedger {
-  private readonly suspects = new LRUCache<string, Suspect>({
-    max: MAX_SUSPECTS,
-  });
-  private readonly quarantined = new LRUCache<string, number>({
-    max: MAX_SUSPECTS,
-  });
-  private readonly crashes = new LRUCache<string, true>({max: MAX_CRASHES});
+  private readonly suspects = boundedCache<string, Suspect>(MAX_SUSPECTS);
+  private readonly quarantined = boundedCache<string, number>(MAX_SUSPECTS);
+  private readonly crashes = boundedCache<string, true>(MAX_CRASHES);
 
   /**
    * A server beside this node has crashed. Returns the quarantines that
--- a/packages/sidecar/src/ingress/answer-sizes.ts
+++ b/packages/sidecar/src/ingress/answer-sizes.ts
@@ -1,7 +1,7 @@
 /** How large the answers on each route are expected to be. */
 
 import type {PrefixRoute, RequestKind} from '@turmericmill/config';
-import {LRUCache} from 'lru-cache';
+import {boundedCache} from '@turmericmill/utils';
 
 /** Weight of a new sample in the moving averages. */
 const SAMPLE_WEIGHT = 0.1;
@@ -15,7 +15,7 @@
 const MAX_ROUTES = 4_096;
 
 export class AnswerSizes {
-  private readonly means = new LRUCache<string, number>({max: MAX_ROUTES});
+  private readonly means = boundedCache<string, number>(MAX_ROUTES);
 
   /** Takes in the size of a successful answer. */
   record({name, kind}: PrefixRoute, bytes: number): void {
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -1,4 +1,5 @@
 /** Results, clocks, randomness, findings, checked JSON, state charts. */
+export {boundedCache, type BoundedCache} from './bounded-cache.js';
 export {ManualClock, SystemClock, type Clock} from './clock.js';
 export {
   compareFindings,
