--- a/packages/sidecar/src/config/config-follower.ts
+++ b/packages/sidecar/src/config/config-follower.ts
@@ -28,10 +28,11 @@
 } from './source-choice.js';
 
 /**
- * Time in ms that the store holds a read while there is no news. A connection
- * that went silent is found within this time and one call's time-out.
+ * Time in ms that the store holds a read while there is no news. With the
+ * interval of the beacon it stays below the age at which neighbours read the
+ * store themselves: their reads would cost more calls than shorter waits do.
  */
-const READ_WAIT_MS = 1_500;
+export const READ_WAIT_MS = 500;
 /** Base and cap in ms of the jittered time between failed reads. */
 const RETRY_BASE_MS = 100;
 const RETRY_CAP_MS = 800;
--- a/packages/sidecar/src/config/source-choice.ts
+++ b/packages/sidecar/src/config/source-choice.ts
@@ -10,12 +10,12 @@
 /** Nodes of each data centre that wait at the store; calls are priced. */
 export const READERS_PER_DATA_CENTRE = 1;
 /** Time in ms between the words of a reader that nothing has changed. */
-export const BEACON_INTERVAL_MS = 500;
+export const BEACON_INTERVAL_MS = 300;
 /**
  * Time in ms without fresh word after which a node reads for itself; with the
  * beacon and one read it stays within the two seconds that a change may take.
  */
-export const STALE_AFTER_MS = 1_200;
+export const STALE_AFTER_MS = 1_100;
 
 const READER_KEY = 'config-readers';
 
--- a/packages/sidecar/tests/config/source-choice.test.ts
+++ b/packages/sidecar/tests/config/source-choice.test.ts
@@ -1,6 +1,8 @@
 import {expect} from 'chai';
 
+import {READ_WAIT_MS} from '../../src/config/config-follower.js';
 import {
+  BEACON_INTERVAL_MS,
   isReader,
   READERS_PER_DATA_CENTRE,
   readsStore,
@@ -15,6 +17,9 @@
   );
 }
 
+/** Time in ms for a read's answer and a word on their way, starved nodes too. */
+const WAY_MS = 250;
+
 describe('choice of the source', () => {
   it('names the same readers for every node', () => {
     expect(readersOf(NEIGHBOURS)).to.have.length(READERS_PER_DATA_CENTRE);
@@ -40,4 +45,10 @@
     expect(readsStore(state, limitMs)).to.equal(false);
     expect(readsStore(state, limitMs + 1)).to.equal(true);
   });
+
+  it('keeps neighbours of a working reader from the store', () => {
+    // A read without news, the time to the next word, and their way.
+    const oldestMs = READ_WAIT_MS + BEACON_INTERVAL_MS + WAY_MS;
+    expect(oldestMs).to.be.below(STALE_AFTER_MS);
+  });
 });
