--- a/packages/cli/src/command.ts
+++ b/packages/cli/src/command.ts
@@ -60,7 +60,10 @@
 export abstract class Command {
   abstract readonly name: string;
   abstract readonly summary: string;
-  /** Names of the positional arguments; optional ones in brackets. */
+  /**
+   * Names of the positional arguments; optional ones in brackets, and with an
+   * ellipsis a last one that may be given several times.
+   */
   readonly args: readonly string[] = [];
   readonly flags: FlagSpecs = {};
   /** Command lines for the help text, without the program's name. */
--- a/packages/cli/src/commands/index.ts
+++ b/packages/cli/src/commands/index.ts
@@ -10,6 +10,7 @@
 import {ServersCommand} from './servers-command.js';
 import {ShowCommand} from './show-command.js';
 import {StatusCommand} from './status-command.js';
+import {TraceCommand} from './trace-command.js';
 import {ValidateCommand} from './validate-command.js';
 
 /** Every command of the program. */
@@ -24,4 +25,5 @@
   new DrainCommand(),
   new ServersCommand(),
   new CallsCommand(),
+  new TraceCommand(),
 ];
--- a/packages/cli/src/parse-command-line.ts
+++ b/packages/cli/src/parse-command-line.ts
@@ -23,6 +23,9 @@
   help: {type: 'boolean', summary: 'show this text'},
 };
 
+/** Ends the name of an argument that may be given several times. */
+const REPEATED = '...';
+
 /** The flag as it is written: `logToken` is `--log-token`. */
 export function flagName(name: string): string {
   return `--${name.replace(/[A-Z]/g, letter => `-${letter.toLowerCase()}`)}`;
@@ -72,6 +75,7 @@
   if (input.length < required.length) {
     return [`Missing argument ${required[input.length] ?? ''}.`];
   }
+  if (command.args.at(-1)?.endsWith(REPEATED)) return [];
   const surplus = input.slice(command.args.length);
   return surplus.map(arg => `Unexpected argument "${arg}".`);
 }
