--- a/packages/routing/src/calls/caller-patience.ts
+++ b/packages/routing/src/calls/caller-patience.ts
@@ -9,45 +9,47 @@
 
 /** Routes whose callers are known. */
 const MAX_ROUTES = 4_096;
-/** Time in ms after which the longest patience seen is learned anew. */
-const RELEARN_MS = 30_000;
+/** Callers of a route that are remembered. */
+const SAMPLES = 32;
+/**
+ * Part of the callers that state less than what counts as the first statement:
+ * some have come back, and a few may wait longer than all others.
+ */
+const FIRST_QUANTILE = 0.75;
 /** Difference in ms that is no sign of an earlier attempt. */
 const TOLERANCE_MS = 20;
 
-interface Longest {
-  /** Longest time in ms that a caller stated, before and since `sinceMs`. */
-  beforeMs: number;
-  currentMs: number;
-  sinceMs: number;
+/** Times in ms that the last callers of a route stated, in a ring. */
+interface Stated {
+  timesMs: number[];
+  next: number;
 }
 
 /** One instance for each entry node; patience is learned by route. */
 export class CallerPatience {
-  private readonly longest = boundedCache<string, Longest>(MAX_ROUTES);
+  private readonly stated = boundedCache<string, Stated>(MAX_ROUTES);
 
   /**
    * Takes in the time in ms that a caller of a route has left, and returns the
-   * time in ms since it first asked.
+   * time in ms since it probably first asked.
    */
-  elapsedMs(route: string, remainingMs: number, nowMs: number): number {
+  elapsedMs(route: string, remainingMs: number): number {
     if (!Number.isFinite(remainingMs)) return 0;
-    const known = this.noted(route, remainingMs, nowMs);
-    const elapsedMs = Math.max(known.beforeMs, known.currentMs) - remainingMs;
+    const {timesMs} = this.noted(route, remainingMs);
+    const sorted = [...timesMs].sort((a, b) => a - b);
+    const index = Math.floor(FIRST_QUANTILE * (sorted.length - 1));
+    const elapsedMs = (sorted[index] ?? 0) - remainingMs;
     return elapsedMs > TOLERANCE_MS ? elapsedMs : 0;
   }
 
-  private noted(route: string, remainingMs: number, nowMs: number): Longest {
-    let known = this.longest.get(route);
+  private noted(route: string, remainingMs: number): Stated {
+    let known = this.stated.get(route);
     if (!known) {
-      known = {beforeMs: 0, currentMs: 0, sinceMs: nowMs};
-      this.longest.set(route, known);
-    }
-    if (nowMs - known.sinceMs > RELEARN_MS) {
-      known.beforeMs = known.currentMs;
-      known.currentMs = 0;
-      known.sinceMs = nowMs;
+      known = {timesMs: [], next: 0};
+      this.stated.set(route, known);
     }
-    known.currentMs = Math.max(known.currentMs, remainingMs);
+    known.timesMs[known.next] = remainingMs;
+    known.next = (known.next + 1) % SAMPLES;
     return known;
   }
 }
--- a/packages/routing/src/calls/offer-stages.ts
+++ b/packages/routing/src/calls/offer-stages.ts
@@ -30,19 +30,11 @@
   crossingMs: number;
   /** Time between the target and the deadline: how late an answer may be. */
   slackMs: number;
-  /** The target has passed before the first offer. */
-  isLate: boolean;
 }
 
 /** In which order a request is offered. */
-export function offerStages({
-  crossingMs,
-  slackMs,
-  isLate,
-}: OfferTerms): OfferStages {
-  if (crossingMs > slackMs) {
-    const rest = [NEAR_LATE, ANY_AT_ONCE] as const;
-    return isLate ? rest : [NEAR_ON_TIME, ...rest];
-  }
-  return isLate ? [ANY_LATE] : [ANY_ON_TIME, ANY_LATE];
+export function offerStages({crossingMs, slackMs}: OfferTerms): OfferStages {
+  return crossingMs > slackMs
+    ? [NEAR_ON_TIME, NEAR_LATE, ANY_AT_ONCE]
+    : [ANY_ON_TIME, ANY_LATE];
 }
--- a/packages/sidecar/src/ingress/ingress-server.ts
+++ b/packages/sidecar/src/ingress/ingress-server.ts
@@ -38,6 +38,11 @@
 const IDLE_CLOSE_INTERVAL_MS = 50;
 /** Largest header section in bytes that the parser takes; limits may be less. */
 const MAX_HEADER_BYTES = 64 * 1024;
+/**
+ * Part of a route's target that a caller gets at least, however long ago it
+ * seems to have asked first: what it stated may mean something else.
+ */
+const LEAST_TARGET_SHARE = 0.25;
 /** Time in ms after which a caller may come back to a node without config. */
 const NO_CONFIG_RETURN_MS = 200;
 
@@ -200,8 +205,9 @@
     const {name, timeoutMs, targetLatencyMs} = route;
     const remainingMs = remainingTimeMs(req);
     const waitMs = Math.min(timeoutMs, remainingMs);
-    const firstAskedMs =
-      arrivedMs - this.patience.elapsedMs(name, remainingMs, arrivedMs);
+    const elapsedMs = this.patience.elapsedMs(name, remainingMs);
+    const leastMs = targetLatencyMs * LEAST_TARGET_SHARE;
+    const targetMs = arrivedMs + Math.max(targetLatencyMs - elapsedMs, leastMs);
     return {
       caller,
       route,
@@ -217,7 +223,7 @@
         customer: callerService,
         bodyStart: body,
       }),
-      targetMs: Math.min(firstAskedMs + targetLatencyMs, arrivedMs + waitMs),
+      targetMs: Math.min(targetMs, arrivedMs + waitMs),
       deadlineMs: arrivedMs + waitMs,
     };
   }
--- a/packages/sidecar/src/ingress/request-dispatch.ts
+++ b/packages/sidecar/src/ingress/request-dispatch.ts
@@ -78,7 +78,7 @@
   async dispatch(request: RoutedRequest): Promise<RequestEnd> {
     const now = this.parts.clock.now();
     const traits = this.traitsOf(request);
-    const [stage, ...laterStages] = this.stagesOf(request, traits, now);
+    const [stage, ...laterStages] = this.stagesOf(request, traits);
     const progress: Progress = {
       request,
       traits,
@@ -154,15 +154,10 @@
     return true;
   }
 
-  private stagesOf(
-    {route, targetMs, deadlineMs}: RoutedRequest,
-    traits: CallTraits,
-    nowMs: number,
-  ): OfferStages {
+  private stagesOf({route}: RoutedRequest, traits: CallTraits): OfferStages {
     return offerStages({
       crossingMs: this.parts.balancer.crossingMs(traits),
       slackMs: Math.max(0, route.timeoutMs - route.targetLatencyMs),
-      isLate: targetMs <= nowMs && deadlineMs > nowMs,
     });
   }
 
--- a/packages/sidecar/src/ingress/routed-request.ts
+++ b/packages/sidecar/src/ingress/routed-request.ts
@@ -18,7 +18,7 @@
   /** Service beside which the request began. */
   callerService: string;
   fingerprint: string;
-  /** Time in ms by which the caller wants the answer; may have passed. */
+  /** Time in ms by which the caller wants the answer. */
   targetMs: number;
   /** Time in ms at which the request is given up. */
   deadlineMs: number;
--- a/packages/testkit/src/bench/load/load-model.ts
+++ b/packages/testkit/src/bench/load/load-model.ts
@@ -40,6 +40,8 @@
 const MAX_ATTEMPTS = 2;
 /** Repetitions that an entry node allows, as the node takes them. */
 const RETRIES = {share: 0.17, extra: 1, windowMs: 10_000};
+/** Part of its target that a caller gets at least; as in the node. */
+const LEAST_TARGET_SHARE = 0.25;
 /** Times that a client tries. */
 const CLIENT_ATTEMPTS = 2;
 /** Part of the time left for which a client stays away. */
@@ -169,11 +171,12 @@
     const leftMs = firstMs + cls.patienceMs - nowMs;
     const waitMs = Math.min(cls.timeoutMs, leftMs);
     entry.budget.request(nowMs);
-    const targetMs = Math.min(firstMs + cls.targetMs, nowMs + waitMs);
+    const leastMs = cls.targetMs * LEAST_TARGET_SHARE;
+    const countedMs = Math.max(firstMs + cls.targetMs, nowMs + leastMs);
+    const targetMs = Math.min(countedMs, nowMs + waitMs);
     const [stage, ...laterStages] = offerStages({
       crossingMs: entry.balancer.crossingMs(traitsOf(cls)),
       slackMs: cls.timeoutMs - cls.targetMs,
-      isLate: targetMs <= nowMs,
     });
     this.offer({
       request,
