--- a/packages/routing/src/admission/slot-queue.ts
+++ b/packages/routing/src/admission/slot-queue.ts
@@ -146,11 +146,10 @@
     return Math.max(0, (free[0] ?? nowMs) - nowMs);
   }
 
-  /** Takes the first free slot of `free`; returns when the call would end. */
-  private plan(call: QueuedCall, free: number[], nowMs: number): number {
-    const endMs = (free.shift() ?? nowMs) + this.times.meanMs(call.class);
-    insertSorted(free, endMs);
-    return endMs;
+  /** Gives the call the first slot of `free`, until it is expected to end. */
+  private plan(call: QueuedCall, free: number[], nowMs: number): void {
+    const startMs = free.shift() ?? nowMs;
+    insertSorted(free, startMs + this.times.meanMs(call.class));
   }
 
   /**
--- a/packages/routing/src/balancing/recent-refusals.ts
+++ b/packages/routing/src/balancing/recent-refusals.ts
@@ -2,8 +2,8 @@
 
 /**
  * Time in ms for which a refusal speaks for calls of the same rank or a less
- * urgent one that have no more time. A server refuses only with work queued for longer than this, so
- * that no slot runs empty meanwhile.
+ * urgent one that have no more time. A server refuses only with work queued for
+ * longer than this, so that no slot runs empty meanwhile.
  */
 const REFUSAL_HOLDS_MS = 80;
 
--- a/packages/sidecar/src/ingress/request-dispatch.ts
+++ b/packages/sidecar/src/ingress/request-dispatch.ts
@@ -176,9 +176,9 @@
   private open(progress: Progress): readonly Candidate[] {
     const {request, stage, tried, reached} = progress;
     const {clock, dataCentre, candidates} = this.parts;
-    const {nearOnly, acceptsLate} = stage;
+    const {nearOnly, acceptsLate, mayWait} = stage;
     // What has refused to answer in time may take the call late.
-    const mayAskAgain = acceptsLate && reached === 0;
+    const mayAskAgain = acceptsLate && mayWait && reached === 0;
     const now = clock.now();
     return candidates(request.service).filter(candidate => {
       if (nearOnly && candidate.dataCentre !== dataCentre) return false;
--- a/packages/sidecar/tests/ingress/request-dispatch.test.ts
+++ b/packages/sidecar/tests/ingress/request-dispatch.test.ts
@@ -17,6 +17,8 @@
 import type {CallerRequest} from '../../src/ingress/caller-request.js';
 import {RequestDispatch} from '../../src/ingress/request-dispatch.js';
 
+/** Delay in ms that a KiB between data centres is worth, as in the node. */
+const CROSSING_MS_PER_KIB = 50;
 const LOAD = {inFlight: 1, queued: 0, limit: 9, waitMs: 70};
 
 /** What a node answers to one call; `silent` answers nothing. */
@@ -118,9 +120,14 @@
 interface Setting {
   route?: Partial<PrefixRoute>;
   servers?: number;
+  /** Data centre of the entry node; the servers are in `ncr-a`. */
+  dataCentre?: string;
 }
 
-async function play(answers: Answer[], {route, servers = 6}: Setting = {}) {
+async function play(
+  answers: Answer[],
+  {route, servers = 6, dataCentre = 'ncr-a'}: Setting = {},
+) {
   const runner = new ScriptedRunner(answers);
   const caller = new FakeCaller();
   const clock = new ManualClock(1_000);
@@ -135,12 +142,12 @@
     nodeId: 'n-0',
     local: runner,
     remote,
-    balancer: new LeastExpectedCostBalancer('ncr-a'),
+    balancer: new LeastExpectedCostBalancer(dataCentre, CROSSING_MS_PER_KIB),
     clock,
     random: new SeededRandom(1),
     sizes: new AnswerSizes(),
     retries: {share: 0.2, extra: 2, windowMs: 10_000},
-    dataCentre: 'ncr-a',
+    dataCentre,
     candidates: () => candidates,
   });
   const end = await dispatch.dispatch({
@@ -240,4 +247,15 @@
     expect(end).to.deep.include({kind: 'failed', tries: 0, mayHaveRun: false});
     expect(end.kind === 'failed' && end.failure.load).to.deep.include(NO_LOAD);
   });
+
+  it('asks servers afar for a large answer once each, and only at once', async () => {
+    const away = {route: {kind: 'download'}, dataCentre: 'ncr-b'} as const;
+    const refusals = Array.from({length: 8}, () => NO_SLOT);
+    const {runner} = await play(refusals, {...away, servers: 3});
+    const asked = runner.heads.map(({serverId}) => serverId);
+    expect(asked.sort()).to.deep.equal(['s-n-0', 's-n-1', 's-n-2']);
+    for (const {urgency} of runner.heads) {
+      expect(urgency).to.include({acceptsLate: false, targetRemainingMs: 0});
+    }
+  });
 });
--- a/packages/testkit/src/bench/load/load-model.ts
+++ b/packages/testkit/src/bench/load/load-model.ts
@@ -255,8 +255,8 @@
     const {request, stage, tried, reached} = attempt;
     const {entry, cls} = request;
     const {nowMs} = this.events;
-    const {nearOnly, acceptsLate} = stage;
-    const mayAskAgain = acceptsLate && reached === 0;
+    const {nearOnly, acceptsLate, mayWait} = stage;
+    const mayAskAgain = acceptsLate && mayWait && reached === 0;
     const slackMs = slackOf(attempt, nowMs);
     const open = this.servers
       .map(({candidate}) => candidate)
