--- a/packages/sidecar/src/config/config-follower.ts
+++ b/packages/sidecar/src/config/config-follower.ts
@@ -59,7 +59,10 @@
 
 export class ConfigFollower extends Task {
   private inForce: InForce | undefined;
-  /** Offset to read from; undefined before the first look at the newest. */
+  /**
+   * Offset to read on from. Undefined after a time without reading: the newest
+   * document is a fraction of all that were published meanwhile.
+   */
   private offset: number | undefined;
   private heardMs = -Infinity;
   private neighbours: string[] = [];
@@ -107,11 +110,13 @@
     while (!this.stopped) {
       const now = this.parts.clock.now();
       if (this.inForce && !readsStore(this.source, now)) {
+        this.offset = undefined;
         await sleep(LOOK_INTERVAL_MS);
         continue;
       }
       const read = await this.readStore();
       if (!read) {
+        this.offset = undefined;
         this.askPeers();
         await sleep(this.retryDelayMs());
       }
@@ -126,7 +131,6 @@
         ? await store.newest(CONFIG_TOPIC)
         : await store.read(CONFIG_TOPIC, this.offset, READ_WAIT_MS);
     if (page.isErr()) {
-      if (page.error.code === 'expired') this.offset = undefined;
       this.failures += 1;
       if (!this.storeLost) logger.warn({err: page.error}, 'store lost');
       this.storeLost = true;
--- a/packages/sidecar/tests/config/config-follower.test.ts
+++ b/packages/sidecar/tests/config/config-follower.test.ts
@@ -11,9 +11,11 @@
 import {expect} from 'chai';
 
 import {ConfigFollower} from '../../src/config/config-follower.js';
-import {isReader} from '../../src/config/source-choice.js';
+import {isReader, STALE_AFTER_MS} from '../../src/config/source-choice.js';
 
 const NODES = ['n-0', 'n-1', 'n-2', 'n-3'];
+/** Time in ms between looks at what a follower has asked of the store. */
+const LOOK_MS = 20;
 /** Turns of the event loop in which a read and its notices have settled. */
 const TURNS = 10;
 
@@ -66,6 +68,8 @@
 class ScriptedStore extends Store {
   private waiting: ((page: KeyedPage) => void) | undefined;
   private endOffset = 0;
+  /** What was asked of the store, in order. */
+  readonly calls: string[] = [];
 
   publish(value: Uint8Array): void {
     const offset = this.endOffset;
@@ -77,10 +81,12 @@
   }
 
   override newest(): Promise<Result<KeyedPage, StoreError>> {
+    this.calls.push('newest');
     return Promise.resolve(Ok({records: [], endOffset: 0}));
   }
 
   override read(): Promise<Result<KeyedPage, StoreError>> {
+    this.calls.push('read');
     return new Promise(resolve => {
       this.waiting = page => resolve(Ok(page));
     });
@@ -106,6 +112,7 @@
   readonly store = new ScriptedStore();
   readonly sent: Sent[] = [];
   readonly follower: ConfigFollower;
+  readonly clock = new ManualClock(1_000);
 
   constructor(readonly nodeId: string) {
     this.bus.subscribe('send-peer', ({nodeId: to, message}) => {
@@ -116,7 +123,7 @@
       dataCentre: 'a',
       store: this.store,
       bus: this.bus,
-      clock: new ManualClock(1_000),
+      clock: this.clock,
       random: new SeededRandom(1),
       logger: bunyan.createLogger({name: 'test', level: bunyan.FATAL + 1}),
     });
@@ -146,6 +153,13 @@
   }
 }
 
+/** Resolves once the store has been asked `count` times. */
+async function called(store: ScriptedStore, count: number): Promise<void> {
+  while (store.calls.length < count) {
+    await new Promise(resolve => setTimeout(resolve, LOOK_MS));
+  }
+}
+
 function bytesOf(message: Message | undefined): number {
   return message ? JSON.stringify(message).length : 0;
 }
@@ -202,6 +216,19 @@
     expect(other.follower.version).to.equal(6);
   });
 
+  it('reads the newest document after a time without reading', async () => {
+    other.follower.start();
+    await settled();
+    expect(other.store.calls).to.deep.equal([]);
+    for (const count of [1, 2]) {
+      other.clock.advance(STALE_AFTER_MS + 1);
+      await called(other.store, count);
+      await settled();
+    }
+    other.follower.stop();
+    expect(other.store.calls).to.deep.equal(['newest', 'newest']);
+  });
+
   it('keeps its version and asks when a change is damaged', () => {
     const change = {baseVersion: 2, delta: Buffer.from('damaged')};
     const body = {version: 9, ageMs: 0, change};
