--- a/packages/membership/src/reported-server.ts
+++ b/packages/membership/src/reported-server.ts
@@ -38,11 +38,20 @@
 
 /** Starts that have left and are remembered; more than a host sees in hours. */
 const MAX_DEPARTED = 64;
+/**
+ * Time in ms within which a report may still arrive of a start that has left
+ * before this node knew it; reports are seconds late at times.
+ */
+const LATE_REPORT_MS = 10_000;
+/** Greatest number of a start's first report. */
+const FIRST_SEQUENCE = 1;
 
 export class ReportedServer {
   private server: CurrentServer | undefined;
   /** Starts that have left, as id and time of birth. */
   private readonly departed = new Set<string>();
+  /** The last departure of a server of which nothing else was known. */
+  private unknownDeparture: {serverId: string; untilMs: number} | undefined;
 
   /** The newest start that has reported; undefined before the first. */
   get current(): CurrentServer | undefined {
@@ -52,6 +61,7 @@
   /** Takes in a heartbeat. */
   report(report: ServerReport, nowMs: number): ReportChange {
     const {server} = this;
+    if (this.hasDepartedUnknown(report, nowMs)) this.remember(report);
     if (this.departed.has(startKey(report.serverId, report.bornMs))) {
       return 'stale';
     }
@@ -66,13 +76,21 @@
   }
 
   /** A server says that it leaves; `bornMs` undefined: whatever its start. */
-  depart(serverId: string, bornMs: number | undefined): ReportChange {
+  depart(
+    serverId: string,
+    bornMs: number | undefined,
+    nowMs: number,
+  ): ReportChange {
     const {server} = this;
     const isCurrent =
       server?.serverId === serverId &&
       (bornMs === undefined || bornMs === server.bornMs);
     if (!server || !isCurrent) {
       if (bornMs !== undefined) this.remember({serverId, bornMs});
+      else if (server?.serverId !== serverId) {
+        const untilMs = nowMs + LATE_REPORT_MS;
+        this.unknownDeparture = {serverId, untilMs};
+      }
       return 'stale';
     }
     this.remember(server);
@@ -81,6 +99,13 @@
     return 'leaving';
   }
 
+  /** A later start under the same id begins to count its reports anew. */
+  private hasDepartedUnknown(report: ServerReport, nowMs: number): boolean {
+    const departure = this.unknownDeparture;
+    if (departure?.serverId !== report.serverId) return false;
+    return nowMs < departure.untilMs && report.sequence > FIRST_SEQUENCE;
+  }
+
   private update(
     server: CurrentServer,
     report: ServerReport,
--- a/packages/membership/tests/reported-server.test.ts
+++ b/packages/membership/tests/reported-server.test.ts
@@ -13,16 +13,19 @@
   bornMs: 500,
 };
 
-/** A heartbeat with changes, or the departure of a start. */
-type Step = Partial<ServerReport> | {departs: string; bornMs?: number};
+/** A heartbeat with changes, or the departure of a start, some time later. */
+type Step = {laterMs?: number} & (
+  Partial<ServerReport> | {departs: string; bornMs?: number}
+);
 
 function play(steps: Step[]) {
   const reported = new ReportedServer();
-  const changes = steps.map(step =>
-    'departs' in step
-      ? reported.depart(step.departs, step.bornMs)
-      : reported.report({...REPORT, ...step}, NOW_MS),
-  );
+  const changes = steps.map(({laterMs = 0, ...step}) => {
+    const nowMs = NOW_MS + laterMs;
+    return 'departs' in step
+      ? reported.depart(step.departs, step.bornMs, nowMs)
+      : reported.report({...REPORT, ...step}, nowMs);
+  });
   const {serverId, state, bornMs} = reported.current ?? {};
   return {changes, current: [serverId, bornMs, state]};
 }
@@ -44,6 +47,30 @@
     changes: ['started', 'stale', 'stale'],
     current: ['i-1', 500, 'ready'],
   },
+  'a late report of a start that left before it was known starts nothing': {
+    steps: [{departs: 'i-1'}, {sequence: 29, laterMs: 3_000}],
+    changes: ['stale', 'stale'],
+    current: [undefined, undefined, undefined],
+  },
+  'reports of a start that left before it was known stay without effect': {
+    steps: [
+      {departs: 'i-1'},
+      {sequence: 29, laterMs: 3_000},
+      {sequence: 30, laterMs: 30_000},
+    ],
+    changes: ['stale', 'stale', 'stale'],
+    current: [undefined, undefined, undefined],
+  },
+  'a later start under the same id counts its reports anew': {
+    steps: [{departs: 'i-1'}, {bornMs: 900, laterMs: 3_000}],
+    changes: ['stale', 'started'],
+    current: ['i-1', 900, 'ready'],
+  },
+  'a start that reports long after an unknown one has left is another': {
+    steps: [{departs: 'i-1'}, {sequence: 3, bornMs: 900, laterMs: 30_000}],
+    changes: ['stale', 'started'],
+    current: ['i-1', 900, 'ready'],
+  },
   'a server that drains stays so': {
     steps: [{}, {sequence: 2, state: 'draining'}, {sequence: 3}],
     changes: ['started', 'leaving', 'updated'],
