--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -54,6 +54,11 @@
   type OfferStages,
   type OfferTerms,
 } from './calls/offer-stages.js';
+export {
+  offerOf,
+  openCandidates,
+  type OfferState,
+} from './calls/open-candidates.js';
 export {RetryBudget} from './calls/retry-budget.js';
 export {RetryWindow, type RetryAllowance} from './calls/retry-window.js';
 export {returnAfterMs} from './calls/return-time.js';
--- a/packages/sidecar/src/ingress/request-dispatch.ts
+++ b/packages/sidecar/src/ingress/request-dispatch.ts
@@ -15,7 +15,9 @@
 } from '@turmericmill/node';
 import {
   candidateKey,
+  offerOf,
   offerStages,
+  openCandidates,
   readyCandidates,
   RecentRefusals,
   RetryWindow,
@@ -24,7 +26,7 @@
   type LeastExpectedCostBalancer,
   type OfferStage,
   type OfferStages,
-  type RefusedOffer,
+  type OfferState,
   type RetryAllowance,
 } from '@turmericmill/routing';
 import type {Clock, RandomSource} from '@turmericmill/utils';
@@ -172,19 +174,15 @@
     }
   }
 
-  /** Those of the stage that have not refused such a call a moment ago. */
   private open(progress: Progress): readonly Candidate[] {
-    const {request, stage, tried, reached} = progress;
     const {clock, dataCentre, candidates} = this.parts;
-    const {nearOnly, acceptsLate, mayWait} = stage;
-    // What has refused to answer in time may take the call late.
-    const mayAskAgain = acceptsLate && mayWait && reached === 0;
-    const now = clock.now();
-    return candidates(request.service).filter(candidate => {
-      if (nearOnly && candidate.dataCentre !== dataCentre) return false;
-      if (!mayAskAgain && tried.has(candidateKey(candidate))) return false;
-      return !this.refusals.covers(offerOf(candidate, progress, now), now);
-    });
+    return openCandidates(
+      candidates(progress.request.service),
+      offerState(progress),
+      this.refusals,
+      dataCentre,
+      clock.now(),
+    );
   }
 
   private noteAnswer(
@@ -200,7 +198,7 @@
     // Whoever has no slot free at once may still have one in time.
     if (!progress.stage.mayWait) return;
     const now = this.parts.clock.now();
-    this.refusals.note(offerOf(candidate, progress, now), now);
+    this.refusals.note(offerOf(candidate, offerState(progress), now), now);
   }
 
   private pick(
@@ -356,19 +354,9 @@
   }
 }
 
-function offerOf(
-  candidate: Candidate,
-  {request, stage}: Progress,
-  nowMs: number,
-): RefusedOffer {
-  const {acceptsLate} = stage;
-  const wantedMs = acceptsLate ? request.deadlineMs : request.targetMs;
-  return {
-    server: candidateKey(candidate),
-    rank: request.route.rank,
-    acceptsLate,
-    slackMs: wantedMs - nowMs,
-  };
+function offerState({request, stage, tried, reached}: Progress): OfferState {
+  const {route, targetMs, deadlineMs} = request;
+  return {stage, tried, reached, rank: route.rank, targetMs, deadlineMs};
 }
 
 /** Nobody was asked, as all have refused such calls a moment ago. */
--- a/packages/testkit/src/bench/load/load-model.ts
+++ b/packages/testkit/src/bench/load/load-model.ts
@@ -7,13 +7,16 @@
 import {
   candidateKey,
   LeastExpectedCostBalancer,
+  offerOf,
   offerStages,
+  openCandidates,
   RecentRefusals,
   RetryWindow,
   returnAfterMs,
   type CallTraits,
   type Candidate,
   type OfferStage,
+  type OfferState,
   type QueuedCall,
 } from '@turmericmill/routing';
 import {SeededRandom} from '@turmericmill/utils';
@@ -252,21 +255,15 @@
   }
 
   private pick(attempt: Attempt): Candidate | undefined {
-    const {request, stage, tried, reached} = attempt;
-    const {entry, cls} = request;
+    const {entry, cls} = attempt.request;
     const {nowMs} = this.events;
-    const {nearOnly, acceptsLate, mayWait} = stage;
-    const mayAskAgain = acceptsLate && mayWait && reached === 0;
-    const slackMs = slackOf(attempt, nowMs);
-    const open = this.servers
-      .map(({candidate}) => candidate)
-      .filter(one => {
-        if (nearOnly && one.dataCentre !== entry.dataCentre) return false;
-        const server = candidateKey(one);
-        if (!mayAskAgain && tried.has(server)) return false;
-        const offer = {server, rank: cls.rank, acceptsLate, slackMs};
-        return !entry.refusals.covers(offer, nowMs);
-      });
+    const open = openCandidates(
+      this.servers.map(({candidate}) => candidate),
+      offerState(attempt),
+      entry.refusals,
+      entry.dataCentre,
+      nowMs,
+    );
     return entry.balancer.choose(open, traitsOf(cls), nowMs, this.random);
   }
 
@@ -278,7 +275,7 @@
   ): void {
     const {request, stage} = attempt;
     const {entry, cls} = request;
-    const {acceptsLate, mayWait} = stage;
+    const {mayWait} = stage;
     const {nowMs} = this.events;
     const server = candidateKey(candidate);
     if (end === 'answered') {
@@ -290,8 +287,7 @@
       return;
     }
     if (end === 'overload') {
-      const slackMs = slackOf(attempt, nowMs);
-      const offer = {server, rank: cls.rank, acceptsLate, slackMs};
+      const offer = offerOf(candidate, offerState(attempt), nowMs);
       if (mayWait) entry.refusals.note(offer, nowMs);
       attempt.leastWaitMs = Math.min(attempt.leastWaitMs, waitMs);
     }
@@ -329,12 +325,10 @@
   }
 }
 
-/** Time in ms within which the attempt wants its answer at this stage. */
-function slackOf(
-  {stage, targetMs, deadlineMs}: Attempt,
-  nowMs: number,
-): number {
-  return (stage.acceptsLate ? deadlineMs : targetMs) - nowMs;
+function offerState(attempt: Attempt): OfferState {
+  const {request, stage, tried, reached, targetMs, deadlineMs} = attempt;
+  const {rank} = request.cls;
+  return {stage, tried, reached, rank, targetMs, deadlineMs};
 }
 
 function traitsOf({name, answerBytes}: LoadClass): CallTraits {
