Errors in the lines of the platform's node are told, not left empty

The logger of the process had no serializer for errors: every line that carries `err`, among them `request broken off` and `metrics not served`, was written with `"err":{}`.

--- a/packages/sidecar/src/main.ts
+++ b/packages/sidecar/src/main.ts
@@ -29,6 +29,7 @@
     name: 'turmericmill-sidecar',
     nodeId: settings.nodeId,
     stream: destination.stream,
+    serializers: {err: bunyan.stdSerializers.err},
   });
   process.once('exit', () => destination.flush());
   const sidecar = new Sidecar(settings, logger, destination);
