How a request was cut, and what was not delivered, stand in log and metrics

An answer that broke off told its caller nothing, and its line neither: the failure was dropped on its way to the log, and the line had the budget of answered requests (2 a second). `request cut` now has the reason, detail and load of the failure, the server asked last and the bytes passed on, with the budget of failures; turmericmill_requests_total has the reason as well. `request failed` and `request refused` name the server asked last, `request left` the bytes passed on and which side closed the connection.

An answer counted as answered when its end was given to the connection. If the connection closes before the answer has been written to it, the line `answer not delivered` and turmericmill_answers_not_delivered_total say so.

`request broken off` has the id of the request, a budget and a counter.

--- a/packages/sidecar/src/ingress/caller-request.ts
+++ b/packages/sidecar/src/ingress/caller-request.ts
@@ -4,6 +4,7 @@
 
 import {endToEndHeaders} from '@turmericmill/node';
 import {REQUEST_ID_HEADER} from '@turmericmill/platform-adapter';
+import type {Clock} from '@turmericmill/utils';
 import type {FlatHeaders} from '@turmericmill/wire';
 
 const MS_PER_S = 1000;
@@ -17,26 +18,78 @@
   returnAfterMs?: number;
 }
 
+/** Which side closed a caller's connection. */
+export type ClosedBy = 'peer' | 'node';
+
+/** An answer that had ended and did not leave the process as a whole. */
+export interface UndeliveredAnswer {
+  /** Bytes of the answer's body. */
+  bytes: number;
+  /** Time in ms from the end of the answer to the close of the connection. */
+  sinceEndMs: number;
+  closedBy: ClosedBy;
+  /** Code of the error that closed the connection, such as `ECONNRESET`. */
+  code: string | undefined;
+}
+
 export class CallerRequest {
   /** Called when the caller leaves before the answer is complete. */
   onLeft: (() => void) | undefined;
+  /** Called once the response is closed, with what was not delivered of it. */
+  onClosed: ((undelivered: UndeliveredAnswer | undefined) => void) | undefined;
   private left = false;
+  /** The peer has closed its side, or the connection has failed. */
+  private peerEnded = false;
+  private closed = false;
+  private bytes = 0;
+  private endedMs: number | undefined;
 
   constructor(
     readonly req: IncomingMessage,
     private readonly res: ServerResponse,
+    private readonly clock: Clock,
   ) {
     // The end of the connection is read some turns of the event loop before
     // the response closes; on a starved node these may last a second.
     const {socket} = req;
-    const leave = () => this.leave();
-    socket.once('end', leave);
+    const endOfPeer = () => {
+      this.peerEnded = true;
+      this.leave();
+    };
+    socket.once('end', endOfPeer);
     res.once('close', () => {
-      socket.off('end', leave);
-      if (!res.writableFinished) this.leave();
+      socket.off('end', endOfPeer);
+      this.closed = true;
+      const {writableFinished} = res;
+      if (!writableFinished) this.leave();
+      this.onClosed?.(writableFinished ? undefined : this.undelivered());
     });
   }
 
+  /** Which side closed the connection, once it is closed. */
+  get closedBy(): ClosedBy {
+    return this.peerEnded || this.req.socket.errored ? 'peer' : 'node';
+  }
+
+  /** Bytes of the answer's body given to the connection so far. */
+  get bytesPassedOn(): number {
+    return this.bytes;
+  }
+
+  /** True while bytes of an answer that has ended wait in the process. */
+  get isFlushing(): boolean {
+    const {writableEnded, writableFinished} = this.res;
+    return writableEnded && !writableFinished && !this.closed;
+  }
+
+  private undelivered(): UndeliveredAnswer | undefined {
+    if (this.endedMs === undefined) return undefined;
+    const {bytes, closedBy} = this;
+    const sinceEndMs = this.clock.now() - this.endedMs;
+    const error = this.req.socket.errored as NodeJS.ErrnoException | null;
+    return {bytes, sinceEndMs, closedBy, code: error?.code};
+  }
+
   private leave(): void {
     if (this.left) return;
     this.left = true;
@@ -65,11 +118,15 @@
   }
 
   data(chunk: Uint8Array): void {
-    if (!this.left) this.res.write(chunk);
+    if (this.left) return;
+    this.bytes += chunk.length;
+    this.res.write(chunk);
   }
 
   end(): void {
-    if (!this.left) this.res.end();
+    if (this.left) return;
+    this.endedMs = this.clock.now();
+    this.res.end();
   }
 
   /** Ends the connection: part of an answer must not pass for the whole. */
@@ -92,6 +149,8 @@
     }
     if (!this.req.complete) headers['connection'] = 'close';
     this.res.writeHead(status, headers);
+    this.bytes = Buffer.byteLength(body);
+    this.endedMs = this.clock.now();
     this.res.end(body);
   }
 }
--- a/packages/sidecar/src/ingress/ingress-server.ts
+++ b/packages/sidecar/src/ingress/ingress-server.ts
@@ -16,11 +16,14 @@
   SplitRotation,
 } from '@turmericmill/routing';
 import type {Clock, RandomSource} from '@turmericmill/utils';
-import type Logger from 'bunyan';
 
 import {HttpTask} from '../tasks/http-task.js';
 import type {RequestContext} from '../observe/request-log.js';
-import {CallerRequest, type OwnAnswer} from './caller-request.js';
+import {
+  CallerRequest,
+  type OwnAnswer,
+  type UndeliveredAnswer,
+} from './caller-request.js';
 import {LoopLag} from './loop-lag.js';
 import type {RequestDispatch} from './request-dispatch.js';
 import type {RequestEnd, RoutedRequest} from './routed-request.js';
@@ -54,7 +57,6 @@
   bus: Bus;
   clock: Clock;
   random: RandomSource;
-  logger: Logger;
   /** Called once for each routed request, with what its caller was told. */
   onEnded(
     request: RoutedRequest,
@@ -64,6 +66,10 @@
   ): void;
   /** Called for each request that no route takes or the limits forbid. */
   onRejected(caller: CallerRequest, answer: OwnAnswer, version: number): void;
+  /** Called for each request that ended with an exception. */
+  onBrokenOff(caller: CallerRequest, err: unknown): void;
+  /** Called for each answer that ended and was not written as a whole. */
+  onUndelivered(caller: CallerRequest, answer: UndeliveredAnswer): void;
 }
 
 interface RouteTable {
@@ -78,6 +84,8 @@
   private limits = FIRST_LIMITS;
   private draining = false;
   private inFlight = 0;
+  /** Those whose response is not closed. */
+  private readonly open = new Set<CallerRequest>();
   private readonly lag: LoopLag;
 
   constructor(private readonly parts: IngressServerParts) {
@@ -99,6 +107,11 @@
     return this.inFlight;
   }
 
+  /** Answers that have ended and wait to be written to their callers. */
+  get answersUnflushed(): number {
+    return [...this.open].filter(({isFlushing}) => isFlushing).length;
+  }
+
   override async start(): Promise<void> {
     await super.start();
     this.lag.start();
@@ -138,18 +151,28 @@
   ): Promise<void> {
     const arrivedMs = this.parts.clock.now() - this.lag.expectedWaitMs;
     if (this.draining) res.shouldKeepAlive = false;
-    const caller = new CallerRequest(req, res);
+    const caller = this.opened(req, res);
     this.inFlight += 1;
     try {
       await this.answer(caller, arrivedMs);
     } catch (err) {
-      this.parts.logger.info({err, path: req.url}, 'request broken off');
+      this.parts.onBrokenOff(caller, err);
       caller.cut();
     } finally {
       this.inFlight -= 1;
     }
   }
 
+  private opened(req: IncomingMessage, res: ServerResponse): CallerRequest {
+    const caller = new CallerRequest(req, res, this.parts.clock);
+    this.open.add(caller);
+    caller.onClosed = undelivered => {
+      this.open.delete(caller);
+      if (undelivered) this.parts.onUndelivered(caller, undelivered);
+    };
+    return caller;
+  }
+
   private async answer(
     caller: CallerRequest,
     arrivedMs: number,
--- a/packages/sidecar/src/ingress/request-dispatch.ts
+++ b/packages/sidecar/src/ingress/request-dispatch.ts
@@ -34,7 +34,11 @@
 
 import {MAX_BODY_FRAME_BYTES} from '../server/server-call.js';
 import type {AnswerSizes} from './answer-sizes.js';
-import type {RequestEnd, RoutedRequest} from './routed-request.js';
+import {
+  endWith,
+  type RequestEnd,
+  type RoutedRequest,
+} from './routed-request.js';
 import {nextStep} from './try-decision.js';
 
 /** Time in ms after the deadline in which an answer may still arrive. */
@@ -63,6 +67,8 @@
   /** Stages that follow the current one. */
   laterStages: readonly OfferStage[];
   tried: Set<string>;
+  /** Asked last. */
+  asked: Candidate | undefined;
   reached: number;
   offers: number;
   mayHaveRun: boolean;
@@ -87,6 +93,7 @@
       stage,
       laterStages,
       tried: new Set(),
+      asked: undefined,
       reached: 0,
       offers: 0,
       mayHaveRun: false,
@@ -101,8 +108,9 @@
         return this.failed(progress, failure ?? this.notAsked(request));
       }
       const end = await this.tryOnce(progress, candidate);
-      if (end.kind === 'answered') return {...end, tries: tries + 1};
-      if (end.kind !== 'failed') return {kind: end.kind, tries: tries + 1};
+      if (end.kind !== 'failed') {
+        return endWith(end, request.caller, tries + 1, candidate);
+      }
       failure = end.failure;
       if (!this.goesOn(progress, failure)) {
         return this.failed(progress, failure);
@@ -117,7 +125,7 @@
   }
 
   private failed(progress: Progress, failure: CallFailure): RequestEnd {
-    const {mayHaveRun, tried, leastWaitMs} = progress;
+    const {mayHaveRun, tried, leastWaitMs, asked} = progress;
     const waitMs = Number.isFinite(leastWaitMs) ? leastWaitMs : 0;
     const load = {...failure.load, waitMs};
     return {
@@ -125,6 +133,7 @@
       failure: {...failure, load},
       tries: tried.size,
       mayHaveRun,
+      asked,
     };
   }
 
@@ -221,6 +230,7 @@
     const {balancer, clock} = this.parts;
     const {traits, tried} = progress;
     tried.add(candidateKey(candidate));
+    progress.asked = candidate;
     progress.offers += 1;
     const startedMs = clock.now();
     balancer.started(candidate, traits);
--- a/packages/sidecar/src/ingress/routed-request.ts
+++ b/packages/sidecar/src/ingress/routed-request.ts
@@ -1,10 +1,10 @@
 /** One request of a caller on its way, and how it ended. */
 
 import type {PrefixRoute} from '@turmericmill/config';
-import type {CallFailure} from '@turmericmill/node';
+import type {CallFailure, TryEnd} from '@turmericmill/node';
 import type {FlatHeaders} from '@turmericmill/wire';
 
-import type {CallerRequest} from './caller-request.js';
+import type {CallerRequest, ClosedBy} from './caller-request.js';
 
 /** A request whose route is known. */
 export interface RoutedRequest {
@@ -24,9 +24,61 @@
   deadlineMs: number;
 }
 
+/** The server that a request was sent to, and the node beside it. */
+export interface AskedServer {
+  nodeId: string;
+  serverId: string;
+}
+
 /** How a request ended for its caller. */
 export type RequestEnd =
   | {kind: 'answered'; status: number; tries: number}
-  | {kind: 'failed'; failure: CallFailure; tries: number; mayHaveRun: boolean}
-  | {kind: 'cut'; tries: number}
-  | {kind: 'left'; tries: number};
+  | FailedEnd
+  | CutEnd
+  | LeftEnd;
+
+/** No server has answered; the node answers itself. */
+export interface FailedEnd {
+  kind: 'failed';
+  failure: CallFailure;
+  tries: number;
+  mayHaveRun: boolean;
+  /** Asked last; undefined if nobody was asked. */
+  asked: AskedServer | undefined;
+}
+
+/** The answer broke off after part of it had been passed on. */
+export interface CutEnd {
+  kind: 'cut';
+  failure: CallFailure;
+  tries: number;
+  /** Bytes of the answer's body that were passed on. */
+  bytes: number;
+  asked: AskedServer;
+}
+
+/** The caller's connection closed before the answer was complete. */
+export interface LeftEnd {
+  kind: 'left';
+  tries: number;
+  /** Bytes of the answer's body that were passed on. */
+  bytes: number;
+  closedBy: ClosedBy;
+}
+
+/** The end of a request whose last try decided it. */
+export function endWith(
+  end: Exclude<TryEnd, {kind: 'failed'}>,
+  {bytesPassedOn: bytes, closedBy}: CallerRequest,
+  tries: number,
+  asked: AskedServer,
+): RequestEnd {
+  switch (end.kind) {
+    case 'answered':
+      return {kind: 'answered', status: end.status, tries};
+    case 'cut':
+      return {kind: 'cut', failure: end.failure, tries, bytes, asked};
+    case 'left':
+      return {kind: 'left', tries, bytes, closedBy};
+  }
+}
--- a/packages/sidecar/src/observe/request-log.ts
+++ b/packages/sidecar/src/observe/request-log.ts
@@ -4,8 +4,16 @@
 import type {Clock} from '@turmericmill/utils';
 import type Logger from 'bunyan';
 
-import type {CallerRequest, OwnAnswer} from '../ingress/caller-request.js';
-import type {RequestEnd, RoutedRequest} from '../ingress/routed-request.js';
+import type {
+  CallerRequest,
+  OwnAnswer,
+  UndeliveredAnswer,
+} from '../ingress/caller-request.js';
+import type {
+  AskedServer,
+  RequestEnd,
+  RoutedRequest,
+} from '../ingress/routed-request.js';
 import {LogBudget, type LineRate} from './log-budget.js';
 
 /** Failures are written before answers: complaints are about failures. */
@@ -34,30 +42,15 @@
     {version, latencyMs}: RequestContext,
     status?: number,
   ): void {
-    const event = eventOf(end);
-    const rate = end.kind === 'failed' ? FAILURE_RATE : OTHER_RATE;
-    const line = this.budget.take(event, rate, this.clock.now());
-    if (!line.write) return;
     const {caller, route, service} = request;
-    const entry = {
-      requestId: requestIdOf(caller),
+    this.write(eventOf(end), caller, rateOf(end), () => ({
       version,
       route: route.name,
       service,
       tries: end.tries,
       latencyMs: Math.round(latencyMs),
-      ...(line.leftOut > 0 && {leftOut: line.leftOut}),
-    };
-    if (end.kind !== 'failed') {
-      this.logger.info(entry, event);
-      return;
-    }
-    const {reason, detail, load} = end.failure;
-    const {mayHaveRun} = end;
-    this.logger.info(
-      {...entry, status, reason, detail, load, mayHaveRun},
-      event,
-    );
+      ...endFields(end, status),
+    }));
   }
 
   /** A request that was answered before a route or its limits allowed it. */
@@ -66,21 +59,49 @@
     {status, reason}: OwnAnswer,
     version: number,
   ): void {
-    const event = 'request rejected';
-    const now = this.clock.now();
-    const line = this.budget.take(event, FAILURE_RATE, now);
-    if (!line.write) return;
     const {url, headers} = caller.req;
-    const entry = {
-      requestId: requestIdOf(caller),
+    this.write('request rejected', caller, FAILURE_RATE, () => ({
       version,
       host: headers.host,
       path: url,
       status,
       reason,
-      ...(line.leftOut > 0 && {leftOut: line.leftOut}),
-    };
-    this.logger.info(entry, event);
+    }));
+  }
+
+  /** A request that ended with an exception. */
+  brokenOff(caller: CallerRequest, err: unknown): void {
+    const {url} = caller.req;
+    const entry = () => ({path: url, err});
+    this.write('request broken off', caller, FAILURE_RATE, entry);
+  }
+
+  /** An answer that had ended and was not written as a whole. */
+  undelivered(caller: CallerRequest, answer: UndeliveredAnswer): void {
+    const entry = () => ({
+      ...answer,
+      sinceEndMs: Math.round(answer.sinceEndMs),
+    });
+    this.write('answer not delivered', caller, FAILURE_RATE, entry);
+  }
+
+  private write(
+    event: string,
+    caller: CallerRequest,
+    rate: LineRate,
+    entry: () => object,
+  ): void {
+    const line = this.budget.take(event, rate, this.clock.now());
+    if (!line.write) return;
+    const {leftOut} = line;
+    this.logger.info(
+      {
+        requestId: requestIdOf(caller),
+        ...entry(),
+        ...(leftOut > 0 && {leftOut}),
+      },
+      event,
+    );
   }
 }
 
@@ -93,3 +114,32 @@
   if (end.kind !== 'failed') return `request ${end.kind}`;
   return end.mayHaveRun ? 'request failed' : 'request refused';
 }
+
+function rateOf({kind}: RequestEnd): LineRate {
+  return kind === 'failed' || kind === 'cut' ? FAILURE_RATE : OTHER_RATE;
+}
+
+/** What only this way of ending has. */
+function endFields(end: RequestEnd, status: number | undefined): object {
+  switch (end.kind) {
+    case 'answered':
+      return {};
+    case 'left':
+      return {bytes: end.bytes, closedBy: end.closedBy};
+    case 'cut': {
+      const {reason, detail, load} = end.failure;
+      const {bytes, asked} = end;
+      return {reason, detail, load, bytes, ...askedFields(asked)};
+    }
+    case 'failed': {
+      const {reason, detail, load} = end.failure;
+      const {mayHaveRun, asked} = end;
+      const told = {status, reason, detail, load, mayHaveRun};
+      return {...told, ...askedFields(asked)};
+    }
+  }
+}
+
+function askedFields(asked: AskedServer | undefined): object {
+  return asked ? {askedNode: asked.nodeId, askedServer: asked.serverId} : {};
+}
--- a/packages/sidecar/src/observe/sidecar-metrics.ts
+++ b/packages/sidecar/src/observe/sidecar-metrics.ts
@@ -2,6 +2,7 @@
 
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
+import type {UndeliveredAnswer} from '../ingress/caller-request.js';
 import type {RequestEnd, RoutedRequest} from '../ingress/routed-request.js';
 
 /** Upper bounds in seconds of latency buckets: around targets and timeouts. */
@@ -47,6 +48,18 @@
     registers: [this.registry],
   });
 
+  private readonly broken = new Counter({
+    name: 'turmericmill_requests_broken_off_total',
+    help: 'Requests that ended with an exception.',
+    registers: [this.registry],
+  });
+  private readonly notDelivered = new Counter({
+    name: 'turmericmill_answers_not_delivered_total',
+    help: 'Answers that ended and were not written as a whole, by who closed.',
+    labelNames: ['closed_by'],
+    registers: [this.registry],
+  });
+
   constructor(sources: MetricSources) {
     this.gauge('config_version', 'Version in force.', sources.configVersion);
     this.gauge(
@@ -69,8 +82,7 @@
   ended(request: RoutedRequest, end: RequestEnd, latencyMs: number): void {
     const {route, service} = request;
     const {kind} = route;
-    const reason = end.kind === 'failed' ? end.failure.reason : '';
-    this.requests.inc({kind, service, end: end.kind, reason});
+    this.requests.inc({kind, service, end: end.kind, reason: reasonOf(end)});
     this.tries.inc({service}, end.tries);
     if (end.kind !== 'answered') return;
     this.latency.observe({kind, service}, latencyMs / MS_PER_S);
@@ -80,6 +92,14 @@
     this.rejections.inc({reason});
   }
 
+  brokenOff(): void {
+    this.broken.inc();
+  }
+
+  undelivered({closedBy}: UndeliveredAnswer): void {
+    this.notDelivered.inc({closed_by: closedBy});
+  }
+
   /** The page as text. */
   page(): Promise<string> {
     return this.registry.metrics();
@@ -100,3 +120,16 @@
     });
   }
 }
+
+/** Why a request ended without a whole answer; empty if it was answered. */
+function reasonOf(end: RequestEnd): string {
+  switch (end.kind) {
+    case 'answered':
+      return '';
+    case 'left':
+      return `closed-by-${end.closedBy}`;
+    case 'cut':
+    case 'failed':
+      return end.failure.reason;
+  }
+}
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -227,7 +227,7 @@
   }
 
   private makeIngress(): IngressServer {
-    const {bus, clock, random, logger} = this;
+    const {bus, clock, random} = this;
     const {nodeId, dataCentre, service, listen, retries} = this.settings;
     const dispatch = new RequestDispatch({
       nodeId,
@@ -252,7 +252,6 @@
       bus,
       clock,
       random,
-      logger,
       onEnded: (request, end, context, status) => {
         this.requestLog.ended(request, end, context, status);
         this.metrics.ended(request, end, context.latencyMs);
@@ -261,6 +260,14 @@
         this.requestLog.rejected(caller, answer, version);
         this.metrics.rejected(answer.reason);
       },
+      onBrokenOff: (caller, err) => {
+        this.requestLog.brokenOff(caller, err);
+        this.metrics.brokenOff();
+      },
+      onUndelivered: (caller, answer) => {
+        this.requestLog.undelivered(caller, answer);
+        this.metrics.undelivered(answer);
+      },
     });
   }
 }
--- a/packages/sidecar/tests/ingress/ingress-server.test.ts
+++ b/packages/sidecar/tests/ingress/ingress-server.test.ts
@@ -4,7 +4,6 @@
 import type {MeshConfig} from '@turmericmill/config';
 import {Bus} from '@turmericmill/node';
 import {ManualClock, SeededRandom} from '@turmericmill/utils';
-import bunyan from 'bunyan';
 import {expect} from 'chai';
 
 import {IngressServer} from '../../src/ingress/ingress-server.js';
@@ -59,9 +58,10 @@
       bus,
       clock: new ManualClock(1_000),
       random: new SeededRandom(1),
-      logger: bunyan.createLogger({name: 'test', level: bunyan.FATAL + 1}),
       onEnded: () => undefined,
       onRejected: () => undefined,
+      onBrokenOff: () => undefined,
+      onUndelivered: () => undefined,
     });
     bus.publish('mesh-config', {config: CONFIG});
   }
--- a/packages/sidecar/tests/ingress/request-dispatch.test.ts
+++ b/packages/sidecar/tests/ingress/request-dispatch.test.ts
@@ -85,6 +85,8 @@
 class FakeCaller {
   hasLeft = false;
   onLeft: (() => void) | undefined;
+  bytesPassedOn = 0;
+  readonly closedBy = 'peer';
   readonly seen: string[] = [];
 
   start(status: number): void {
@@ -92,6 +94,7 @@
   }
 
   data(chunk: Uint8Array): void {
+    this.bytesPassedOn += chunk.length;
     this.seen.push(Buffer.from(chunk).toString());
   }
 
@@ -236,6 +239,24 @@
     expect(caller.seen).to.deep.equal(['200', 'x', 'cut']);
   });
 
+  it('tells what ended an answer that broke off, and where', async () => {
+    const cutBy = {
+      outcome: 'unknown',
+      reason: 'connection-lost',
+      detail: 'The connection to node n-0 was lost.',
+    } as const;
+    const {end} = await play([{status: 200, cutBy}], {servers: 1});
+    expect(end).to.deep.include({kind: 'cut', tries: 1, bytes: 1});
+    if (end.kind !== 'cut') return;
+    expect(end.failure).to.include(cutBy);
+    expect(end.asked).to.include({nodeId: 'n-0', serverId: 's-n-0'});
+  });
+
+  it('tells the node that a failed request was sent to', async () => {
+    const {end} = await play([LOST, LOST], {servers: 1});
+    expect(end.kind === 'failed' && end.asked).to.include({nodeId: 'n-0'});
+  });
+
   it('gives up at the deadline and cancels the call', async () => {
     const {end, runner} = await play(['silent']);
     expect(end).to.deep.include({kind: 'failed', mayHaveRun: true});
--- a/packages/sidecar/tests/observe/request-log.test.ts
+++ b/packages/sidecar/tests/observe/request-log.test.ts
@@ -34,16 +34,44 @@
   load: {...NO_LOAD, waitMs: 70},
 };
 
+const ASKED = {nodeId: 'n-2', serverId: 's-2'};
+
 const ENDS: Record<string, RequestEnd> = {
   answered: {kind: 'answered', status: 200, tries: 1},
-  refused: {kind: 'failed', failure: FAILURE, tries: 4, mayHaveRun: false},
+  refused: {
+    kind: 'failed',
+    failure: FAILURE,
+    tries: 4,
+    mayHaveRun: false,
+    asked: ASKED,
+  },
+  'refused without a server': {
+    kind: 'failed',
+    failure: {...FAILURE, reason: 'no-server'},
+    tries: 0,
+    mayHaveRun: false,
+    asked: undefined,
+  },
   'of unknown outcome': {
     kind: 'failed',
     failure: {...FAILURE, outcome: 'unknown', reason: 'server-failed'},
     tries: 1,
     mayHaveRun: true,
+    asked: ASKED,
   },
-  cut: {kind: 'cut', tries: 1},
+  cut: {
+    kind: 'cut',
+    failure: {
+      ...FAILURE,
+      outcome: 'unknown',
+      reason: 'connection-lost',
+      detail: 'The connection to node n-2 was lost.',
+    },
+    tries: 1,
+    bytes: 65_536,
+    asked: ASKED,
+  },
+  left: {kind: 'left', tries: 1, bytes: 512, closedBy: 'peer'},
 };
 
 function open() {
@@ -57,7 +85,12 @@
       lines.push(rest);
     },
   };
-  const logger = bunyan.createLogger({name: 'test', stream: stream as never});
+  const {err} = bunyan.stdSerializers;
+  const logger = bunyan.createLogger({
+    name: 'test',
+    stream: stream as never,
+    serializers: {err},
+  });
   return {log: new RequestLog(new ManualClock(), logger), lines};
 }
 
@@ -77,6 +110,34 @@
     expect(lines).toMatchSnapshot();
   });
 
+  it('tells which request broke off', () => {
+    const {log, lines} = open();
+    log.brokenOff(CALLER, new Error('aborted'));
+    const [{err, ...rest}] = lines as [Record<string, unknown>];
+    expect(err).to.include({message: 'aborted'});
+    expect(rest).to.deep.equal({
+      requestId: 'q-1',
+      path: '/none/x',
+      msg: 'request broken off',
+    });
+  });
+
+  it('tells which answer was not delivered', () => {
+    const {log, lines} = open();
+    const closed = {closedBy: 'peer' as const, code: 'ECONNRESET'};
+    log.undelivered(CALLER, {bytes: 90_000, sinceEndMs: 8.4, ...closed});
+    expect(lines).toMatchSnapshot();
+  });
+
+  it('writes a cut answer for each of a burst that failures may write', () => {
+    const {log, lines} = open();
+    const cut = ENDS.cut as RequestEnd;
+    for (let i = 0; i < 50; i++) {
+      log.ended(REQUEST, cut, {version: 7, latencyMs: 12});
+    }
+    expect(lines).to.have.length(50);
+  });
+
   it('bounds its lines and tells how many it left out', () => {
     const {log, lines} = open();
     for (let i = 0; i < 1_000; i++) {
