A closed connection between nodes tells what it had carried

`peer connection closed` said `silent` and nothing that tells a dead peer from a message that was still under way, a full link from here or a process that did not run. The line now has the time since the last byte and since the last whole message, the bytes of an unfinished message, the bytes that wait to be sent, the open calls of both ends, the pings out and the time in which the heartbeat timer of this process was held up. `turmericmill_peer_connections_closed_total` counts ends by cause.

No decision changes: the heartbeat still sees whole messages only.

--- a/packages/node/src/transport/peer-connection.ts
+++ b/packages/node/src/transport/peer-connection.ts
@@ -17,6 +17,10 @@
 
 import type {Peer} from '../bus.js';
 import {withoutTime} from '../calls/time-left.js';
+import {
+  ConnectionActivity,
+  type ConnectionEvidence,
+} from './connection-activity.js';
 
 /** Interval in ms at which heartbeats look whether they are due. */
 export const HEARTBEAT_INTERVAL_MS = 100;
@@ -29,11 +33,19 @@
 /** Frames kept in bytes until the handshake is done. */
 const MAX_UNSENT_BYTES = 16 * 1024 * 1024;
 
+/** `silent`: given up by its heartbeat. `goodbye`: from either end. */
+export type CloseCause = 'silent' | 'goodbye' | 'error' | 'ended';
+
+/** How a connection ended, and what it had carried until then. */
+export interface ConnectionEnd extends ConnectionEvidence {
+  cause: CloseCause;
+}
+
 /** What a connection tells its owner. */
 export interface ConnectionEvents {
   opened(connection: PeerConnection): void;
   message(connection: PeerConnection, message: Message): void;
-  closed(connection: PeerConnection, reason: string): void;
+  closed(connection: PeerConnection, reason: string, end: ConnectionEnd): void;
 }
 
 /** A message that waits for the handshake. */
@@ -73,8 +85,7 @@
   private corked = false;
   private closed = false;
   private readonly beat: Heartbeat;
-  /** Calls sent over this connection that have not been answered. */
-  private readonly openCalls = new Set<number>();
+  private readonly activity: ConnectionActivity;
   private nonce = 0;
 
   constructor(
@@ -84,18 +95,20 @@
     private readonly counts: TrafficCounts,
     private readonly clock: Clock,
   ) {
-    this.beat = new Heartbeat(HEARTBEAT_TIMES, clock.now());
+    const now = clock.now();
+    this.beat = new Heartbeat(HEARTBEAT_TIMES, now);
+    this.activity = new ConnectionActivity(HEARTBEAT_INTERVAL_MS, now);
     socket.setNoDelay(true);
     socket.on('data', chunk => this.receive(chunk));
-    socket.on('error', err => this.finish(err.message));
-    socket.on('close', () => this.finish('closed'));
+    socket.on('error', err => this.finish('error', err.message));
+    socket.on('close', () => this.finish('ended', 'closed'));
     this.write(encodeFrame({type: 'hello', body: own}));
   }
 
   /** Queues a message until the handshake is done, then sends it. */
   send(message: Message): void {
     if (this.closed) return;
-    this.trackSent(message);
+    this.activity.sent(message);
     if (this.peer) {
       this.transmit(message);
       return;
@@ -126,11 +139,12 @@
 
   /** Sends a ping when one is due; gives up when none was answered. */
   heartbeat(nowMs: number): void {
-    if (this.openCalls.size > 0) this.beat.sent(nowMs);
+    this.activity.beat(nowMs);
+    if (this.activity.busy) this.beat.sent(nowMs);
     const effect = this.beat.tick(nowMs);
     if (effect === 'replace') {
       this.socket.destroy();
-      this.finish('silent');
+      this.finish('silent', 'silent');
       return;
     }
     if (effect !== 'ping' || !this.peer) return;
@@ -140,7 +154,7 @@
 
   /** Notes that something arrived, by the owner's clock. */
   heard(nowMs: number): void {
-    this.beat.received(this.openCalls.size > 0, nowMs);
+    this.beat.received(this.activity.busy, nowMs);
   }
 
   /** Says why and closes once all is sent. */
@@ -148,22 +162,12 @@
     if (this.closed) return;
     this.write(encodeFrame({type: 'goodbye', body: {reason, detail}}));
     this.socket.end();
-    this.finish(`${reason}: ${detail}`);
-  }
-
-  private trackSent({type, body}: Message): void {
-    if (type === 'callStart') this.openCalls.add(body.callId);
-    if (type === 'callCancel') this.openCalls.delete(body.callId);
-  }
-
-  private trackReceived({type, body}: Message): void {
-    const isAnswer = type === 'answerStart' || type === 'answerData';
-    const ends = isAnswer && body.end;
-    if (ends || type === 'answerFailed') this.openCalls.delete(body.callId);
+    this.finish('goodbye', `${reason}: ${detail}`);
   }
 
   private receive(chunk: Buffer): void {
     if (this.closed) return;
+    this.activity.bytesReceived(this.clock.now());
     const messages = this.reader.push(chunk);
     if (messages.isErr()) {
       this.close('malformed', messages.error.message);
@@ -174,7 +178,7 @@
 
   private take(message: Message): void {
     if (this.closed) return;
-    this.trackReceived(message);
+    this.activity.received(message, this.clock.now());
     if (!this.peer) {
       this.greet(message);
     } else if (message.type === 'ping') {
@@ -182,7 +186,8 @@
       this.events.message(this, message);
     } else if (message.type === 'goodbye') {
       this.socket.end();
-      this.finish(`goodbye: ${message.body.reason}: ${message.body.detail}`);
+      const {reason, detail} = message.body;
+      this.finish('goodbye', `goodbye: ${reason}: ${detail}`);
     } else {
       this.events.message(this, message);
     }
@@ -191,7 +196,8 @@
   private greet(message: Message): void {
     if (message.type === 'goodbye') {
       this.socket.end();
-      this.finish(`refused: ${message.body.reason}: ${message.body.detail}`);
+      const {reason, detail} = message.body;
+      this.finish('goodbye', `refused: ${reason}: ${detail}`);
       return;
     }
     if (message.type !== 'hello') {
@@ -241,11 +247,16 @@
     else this.counts.controlBytesOut += bytes;
   }
 
-  private finish(reason: string): void {
+  private finish(cause: CloseCause, reason: string): void {
     if (this.closed) return;
     this.closed = true;
     this.unsent = [];
-    this.events.closed(this, reason);
+    const evidence = this.activity.evidence(
+      this.reader.pendingBytes,
+      this.socket.writableLength,
+      this.clock.now(),
+    );
+    this.events.closed(this, reason, {cause, ...evidence});
     if (!this.peer) this.onceFailed?.();
   }
 }
--- a/packages/node/src/transport/transport-task.ts
+++ b/packages/node/src/transport/transport-task.ts
@@ -20,6 +20,8 @@
 import {
   HEARTBEAT_INTERVAL_MS,
   PeerConnection,
+  type CloseCause,
+  type ConnectionEnd,
   type ConnectionEvents,
   type TrafficCounts,
 } from './peer-connection.js';
@@ -45,6 +47,13 @@
     callBytesOut: 0,
     messagesOut: 0,
   };
+  /** Connections to known nodes that have ended. */
+  readonly closedCounts: Record<CloseCause, number> = {
+    silent: 0,
+    goodbye: 0,
+    error: 0,
+    ended: 0,
+  };
   /** The port in use, once started. */
   port = 0;
   private readonly server = createServer(socket => this.accept(socket));
@@ -140,7 +149,7 @@
     if (connection.peer) this.bus.publishPeerMessage(connection.peer, message);
   }
 
-  closed(connection: PeerConnection, reason: string): void {
+  closed(connection: PeerConnection, reason: string, end: ConnectionEnd): void {
     this.connections.delete(connection);
     for (const [key, value] of this.byAddress) {
       if (value === connection) this.byAddress.delete(key);
@@ -148,7 +157,8 @@
     const {peer} = connection;
     if (!peer) return;
     const {nodeId} = peer;
-    this.logger.info({nodeId, reason}, 'peer connection closed');
+    this.closedCounts[end.cause] += 1;
+    this.logger.info({nodeId, reason, ...end}, 'peer connection closed');
     this.closeTwins(peer);
     const current = this.byNode.get(nodeId)?.peer;
     if (current?.incarnation === peer.incarnation) this.byNode.delete(nodeId);
--- a/packages/node/tests/transport/peer-connection.test.ts
+++ b/packages/node/tests/transport/peer-connection.test.ts
@@ -21,6 +21,7 @@
   readonly written: Message[] = [];
   destroyed = false;
   ended = false;
+  writableLength = 0;
   private readonly reader = new FrameReader();
 
   write(frame: Buffer): void {
--- a/packages/sidecar/src/observe/sidecar-metrics.ts
+++ b/packages/sidecar/src/observe/sidecar-metrics.ts
@@ -16,6 +16,8 @@
   serverInFlight(): number;
   logLinesLeftOut(): number;
   logLinesDropped(): number;
+  /** Connections to other nodes that have ended, by cause. */
+  connectionsClosed(): Readonly<Record<string, number>>;
 }
 
 export class SidecarMetrics {
@@ -48,6 +50,20 @@
   });
 
   constructor(sources: MetricSources) {
+    new Counter({
+      name: 'turmericmill_peer_connections_closed_total',
+      help: 'Connections to other nodes that have ended, by cause.',
+      labelNames: ['cause'],
+      registers: [this.registry],
+      collect() {
+        this.reset();
+        for (const [cause, count] of Object.entries(
+          sources.connectionsClosed(),
+        )) {
+          this.inc({cause}, count);
+        }
+      },
+    });
     this.gauge('config_version', 'Version in force.', sources.configVersion);
     this.gauge(
       'server_calls_in_flight',
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -111,6 +111,7 @@
       serverInFlight: () => this.server.inFlight,
       logLinesLeftOut: () => this.requestLog.budget.leftOutTotal,
       logLinesDropped: () => destination.dropped,
+      connectionsClosed: () => this.transport.closedCounts,
     });
     this.metricsServer = new MetricsServer(settings.ip, this.metrics);
     this.ingress = this.makeIngress();
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -80,6 +80,11 @@
 export class FrameReader {
   private pending: Buffer = Buffer.alloc(0);
 
+  /** Bytes of a message that has arrived in part. */
+  get pendingBytes(): number {
+    return this.pending.length;
+  }
+
   /** Takes received bytes and returns all messages that are now complete. */
   push(chunk: Buffer): Result<Message[], FrameError> {
     this.pending =
