A budget of bytes that many holders keep together

Answers that arrive are held in memory until they are whole. What one holder may keep is bounded; what all keep together is not. ByteBudget keeps the account: a reservation beyond the bound names the holders that must drop theirs, those with most bytes first, so that an answer without end goes and not the honest one that comes last. It drops nothing itself; its tables of tests need no sockets and no clock. Nobody uses it yet.

--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -1,5 +1,6 @@
 /** Results, clocks, randomness, findings, checked JSON, state charts. */
 export {boundedCache, type BoundedCache} from './bounded-cache.js';
+export {ByteBudget} from './byte-budget.js';
 export {ManualClock, SystemClock, type Clock} from './clock.js';
 export {
   compareFindings,
