An answer that breaks off between nodes is repeated or ends as 502

Callers saw their connection closed in the middle of an answer, although the request had been accepted and another server could have served it.

Cause: the caller's node passed an answer on from its first frame. When the connection to the server's node was then lost (a restart, a reset, a partition, a heartbeat that was taken for lost), the only way left was to cut the caller.

Now the caller's node holds an answer until it is whole. A try that fails after part of its answer came counts as run: it is repeated within the usual limits where the route allows it, and ends as 502 elsewhere. The bytes that are held share one budget; beyond it the largest answers are streamed, as before. An answer in one frame is still passed on in the turn in which it arrives.

Evidence: with real sockets and one kept connection of the caller, three calls whose connection between nodes is reset after two of three frames ended with "Error: aborted" on the first (safe, download and unsafe alike). The new tests of RequestDispatch got "cut" in place of "answered" or "failed".

Ruled out: cancelling frames at the server's node. It hands the whole answer to its socket in one turn and has forgotten the call by then; the frames that still come are dropped by the caller's node.

--- /dev/null
+++ b/packages/sidecar/src/ingress/held-answer.ts
@@ -0,0 +1,72 @@
+/** An answer that its caller gets once it is whole. */
+
+import type {ByteBudget} from '@turmericmill/utils';
+import type {FlatHeaders} from '@turmericmill/wire';
+
+import type {CallerRequest} from './caller-request.js';
+
+/** Where an answer goes. */
+export type AnswerTarget = Pick<CallerRequest, 'start' | 'data' | 'end'>;
+
+/**
+ * Nothing of an answer is passed on before its end, so that one that breaks off
+ * can be replaced. When the answers held exceed their budget, the largest ones
+ * are passed on as they come.
+ */
+export class HeldAnswer {
+  /** 0 before the head has come. */
+  status = 0;
+  /** Bytes of the body so far. */
+  bytes = 0;
+  private headers: FlatHeaders = [];
+  private chunks: Uint8Array[] = [];
+  private streaming = false;
+
+  constructor(
+    private readonly caller: AnswerTarget,
+    private readonly budget: ByteBudget<HeldAnswer>,
+  ) {}
+
+  /** True once the caller may have seen part of the answer. */
+  get isStreaming(): boolean {
+    return this.streaming;
+  }
+
+  start(status: number, headers: FlatHeaders): void {
+    this.status = status;
+    this.headers = headers;
+  }
+
+  data(chunk: Uint8Array): void {
+    this.bytes += chunk.length;
+    if (this.streaming) {
+      this.caller.data(chunk);
+      return;
+    }
+    this.chunks.push(chunk);
+    const overflowing = this.budget.reserve(this, chunk.length);
+    for (const answer of overflowing) answer.stream();
+  }
+
+  /** Passes the answer on as it comes. */
+  stream(): void {
+    if (this.streaming) return;
+    const {caller, chunks} = this;
+    this.streaming = true;
+    this.drop();
+    caller.start(this.status, this.headers);
+    for (const chunk of chunks) caller.data(chunk);
+  }
+
+  /** Passes on the whole answer. */
+  end(): void {
+    this.stream();
+    this.caller.end();
+  }
+
+  /** Drops what is held. */
+  drop(): void {
+    this.chunks = [];
+    this.budget.release(this);
+  }
+}
--- a/packages/sidecar/src/ingress/request-dispatch.ts
+++ b/packages/sidecar/src/ingress/request-dispatch.ts
@@ -1,13 +1,14 @@
 /** Takes one request to a backend server, with offers and repetitions. */
 
 import {
-  deadlinePassed,
   loadOf,
   NO_LOAD,
   noServer,
   outcomeOf,
+  type CallEvents,
   type CallFailure,
   type CallHead,
+  type CallLeg,
   type CallRunner,
   type FirstBody,
   type RemoteRunner,
@@ -29,17 +30,15 @@
   type OfferState,
   type RetryAllowance,
 } from '@turmericmill/routing';
-import type {Clock, RandomSource} from '@turmericmill/utils';
-import type {ServerLoad} from '@turmericmill/wire';
+import type {ByteBudget, Clock, RandomSource} from '@turmericmill/utils';
 
 import {MAX_BODY_FRAME_BYTES} from '../server/server-call.js';
 import type {AnswerSizes} from './answer-sizes.js';
+import {HeldAnswer} from './held-answer.js';
 import type {RequestEnd, RoutedRequest} from './routed-request.js';
+import {ServerTry} from './server-try.js';
 import {nextStep} from './try-decision.js';
 
-/** Time in ms after the deadline in which an answer may still arrive. */
-const DEADLINE_GRACE_MS = 60;
-
 export interface RequestDispatchParts {
   nodeId: string;
   local: CallRunner;
@@ -48,6 +47,8 @@
   clock: Clock;
   random: RandomSource;
   sizes: AnswerSizes;
+  /** Bytes of answers that are held until they are whole. */
+  heldAnswers: ByteBudget<HeldAnswer>;
   /** How many of a service's requests may be sent again. */
   retries: RetryAllowance;
   /** Data centre of this node. */
@@ -234,72 +235,28 @@
     return end;
   }
 
-  private run(progress: Progress, candidate: Candidate): Promise<TryEnd> {
+  private async run(progress: Progress, candidate: Candidate): Promise<TryEnd> {
     const {request} = progress;
-    const {caller} = request;
+    const {clock, sizes, heldAnswers} = this.parts;
+    const {caller, body} = request;
     const head = this.headOf(progress, candidate);
-    const {clock, sizes} = this.parts;
-    return new Promise(resolve => {
-      let ended = false;
-      let bytes = 0;
-      let status = 0;
-      let load: ServerLoad = NO_LOAD;
-      // The local node may settle the try before `start` returns.
-      let timer: NodeJS.Timeout | undefined = undefined;
-      const settle = (end: TryEnd) => {
-        if (ended) return;
-        ended = true;
-        clearTimeout(timer);
-        caller.onLeft = undefined;
-        resolve(end);
-      };
-      const leg = this.start(candidate, head, request.body, {
-        credit: () => undefined,
-        answerStart: (code, headers, serverLoad) => {
-          status = code;
-          load = serverLoad;
-          clearTimeout(timer);
-          caller.start(code, headers);
-        },
-        answerData: chunk => {
-          bytes += chunk.length;
-          caller.data(chunk);
-        },
-        answerEnd: () => {
-          caller.end();
-          if (status < 300) sizes.record(request.route, bytes);
-          settle({kind: 'answered', status, load});
-        },
-        failed: failure => {
-          if (status === 0) {
-            settle({kind: 'failed', failure});
-            return;
-          }
-          caller.cut();
-          settle({kind: 'cut', failure});
-        },
-      });
-      if (ended) return;
-      const waitMs = request.deadlineMs - clock.now() + DEADLINE_GRACE_MS;
-      timer = setTimeout(() => {
-        leg.cancel();
-        settle({kind: 'failed', failure: deadlinePassed()});
-      }, waitMs);
-      const leave = () => {
-        leg.cancel();
-        settle({kind: 'left'});
-      };
-      if (caller.hasLeft) leave();
-      else caller.onLeft = leave;
-    });
+    const answer = new HeldAnswer(caller, heldAnswers);
+    const serverTry = new ServerTry(request, answer, clock);
+    const end = await serverTry.run(events =>
+      this.start(candidate, head, body, events),
+    );
+    if (end.kind === 'answered' && end.status < 300) {
+      sizes.record(request.route, answer.bytes);
+    }
+    return end;
   }
 
   private start(
     candidate: Candidate,
     head: CallHead,
     body: Uint8Array,
-    events: Parameters<CallRunner['run']>[2],
-  ) {
+    events: CallEvents,
+  ): CallLeg {
     const {nodeId, local, remote} = this.parts;
     const first: FirstBody = {
       chunk: body.subarray(0, MAX_BODY_FRAME_BYTES),
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -11,7 +11,12 @@
 } from '@turmericmill/node';
 import {HttpStore, type HostSettings} from '@turmericmill/platform-adapter';
 import {LeastExpectedCostBalancer} from '@turmericmill/routing';
-import {sleep, SystemClock, SystemRandom} from '@turmericmill/utils';
+import {
+  ByteBudget,
+  sleep,
+  SystemClock,
+  SystemRandom,
+} from '@turmericmill/utils';
 import {MAX_PROTOCOL_VERSION, MIN_PROTOCOL_VERSION} from '@turmericmill/wire';
 import type Logger from 'bunyan';
 
@@ -40,6 +45,8 @@
 const RETRY_SHARE_USED = 0.85;
 /** Repetitions in a window for services that are seldom asked for here. */
 const EXTRA_RETRIES = 1;
+/** Bytes of answers that a node holds: an eighth of the smallest host's memory. */
+const HELD_ANSWERS_BYTES = 32 * 1024 * 1024;
 /** Time in ms after which a node that knows no other one serves by itself. */
 const JOIN_PATIENCE_MS = 3_000;
 /**
@@ -237,6 +244,7 @@
       clock,
       random,
       sizes: new AnswerSizes(),
+      heldAnswers: new ByteBudget(HELD_ANSWERS_BYTES),
       dataCentre,
       retries: {
         share: retries.share * RETRY_SHARE_USED,
--- /dev/null
+++ b/packages/sidecar/tests/ingress/entry-mesh.ts
@@ -0,0 +1,268 @@
+/** An entry node and two others with real sockets between them. */
+
+import {once} from 'node:events';
+import {Agent, request, type IncomingHttpHeaders} from 'node:http';
+import {
+  connect,
+  createServer,
+  type AddressInfo,
+  type Server,
+  type Socket,
+} from 'node:net';
+
+import type {MeshConfig, RequestKind} from '@turmericmill/config';
+import {
+  Bus,
+  CallRunner,
+  ENDED_LEG,
+  IncomingCalls,
+  NO_LOAD,
+  RemoteRunner,
+  TransportTask,
+  type CallEvents,
+  type CallHead,
+  type CallLeg,
+  type FirstBody,
+} from '@turmericmill/node';
+import {LeastExpectedCostBalancer} from '@turmericmill/routing';
+import {ByteBudget, SeededRandom, SystemClock} from '@turmericmill/utils';
+import type {MemberRecord} from '@turmericmill/wire';
+import bunyan from 'bunyan';
+
+import {AnswerSizes} from '../../src/ingress/answer-sizes.js';
+import {IngressServer} from '../../src/ingress/ingress-server.js';
+import {RequestDispatch} from '../../src/ingress/request-dispatch.js';
+
+const SILENT = bunyan.createLogger({name: 'test', level: bunyan.FATAL + 1});
+const PLACE = {dataCentre: 'a-1', region: 'a'};
+/** Time in ms in which frames have long crossed a loopback connection. */
+const CROSSING_MS = 30;
+/** More than all answers here. */
+const HELD_BYTES = 1024 * 1024;
+
+/** What the server of either node answers to a call. */
+export interface PeerAnswer {
+  status: number;
+  headers: string[];
+  frames: readonly Uint8Array[];
+  /** The connection to the node is reset in place of the answer's end. */
+  loses?: true;
+}
+
+/** What the caller got. */
+export interface CallerAnswer {
+  status: number;
+  headers: IncomingHttpHeaders;
+  body: Buffer;
+  /** The caller's port: the same for all that comes over one connection. */
+  port: number;
+}
+
+function config(kind: RequestKind): MeshConfig {
+  const route = {
+    name: 'r-1',
+    host: 'shop.example',
+    pathPrefix: '/d/',
+    kind,
+    timeoutMs: 3_000,
+    targetLatencyMs: 1_000,
+    rank: 1,
+    maxAttempts: 2,
+    split: [{service: 'desk', weight: 1}],
+  };
+  return {
+    version: 1,
+    routes: [route],
+    services: [{name: 'desk', healthCheckPath: '/health', maxConnections: 9}],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1_000,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 15_000,
+    },
+  };
+}
+
+function makeTransport(nodeId: string, bus: Bus): TransportTask {
+  const hello = {minVersion: 1, maxVersion: 1, ...PLACE, nodeId};
+  const options = {
+    address: '127.0.0.1',
+    port: 0,
+    hello: {...hello, incarnation: 1},
+  };
+  return new TransportTask(options, bus, new SystemClock(), SILENT);
+}
+
+/** Passes bytes on to a port until its connections are reset. */
+class Link {
+  private readonly sockets = new Set<Socket>();
+  private readonly server: Server;
+
+  constructor(target: () => number) {
+    this.server = createServer(near => {
+      const far = connect(target(), '127.0.0.1');
+      this.sockets.add(near).add(far);
+      near.on('error', () => far.destroy());
+      far.on('error', () => near.destroy());
+      near.pipe(far).pipe(near);
+    });
+  }
+
+  async listen(): Promise<number> {
+    this.server.listen(0, '127.0.0.1');
+    await once(this.server, 'listening');
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  reset(): void {
+    for (const socket of this.sockets) socket.resetAndDestroy();
+    this.sockets.clear();
+  }
+
+  close(): void {
+    this.reset();
+    this.server.close();
+  }
+}
+
+/** A node whose server answers as it is told. */
+class PeerNode extends CallRunner {
+  private readonly bus = new Bus();
+  private readonly transport: TransportTask;
+  private readonly link: Link;
+
+  constructor(
+    private readonly nodeId: string,
+    private readonly answers: PeerAnswer[],
+    private readonly ran: CallHead[],
+  ) {
+    super();
+    this.transport = makeTransport(nodeId, this.bus);
+    this.link = new Link(() => this.transport.port);
+    new IncomingCalls(this.bus, this, new SystemClock());
+  }
+
+  /** Resolves with the record under which others find the node. */
+  async start(): Promise<MemberRecord> {
+    await this.transport.start();
+    const port = await this.link.listen();
+    return {
+      id: this.nodeId,
+      incarnation: 1,
+      status: 'alive',
+      address: '127.0.0.1',
+      port,
+      ...PLACE,
+      servers: [],
+      revision: 0,
+    };
+  }
+
+  async stop(): Promise<void> {
+    this.link.close();
+    await this.transport.stop();
+  }
+
+  override run(head: CallHead, body: FirstBody, events: CallEvents): CallLeg {
+    this.ran.push(head);
+    const answer = this.answers.shift();
+    if (!answer) throw new Error('unexpected call');
+    events.answerStart(answer.status, answer.headers, {...NO_LOAD});
+    for (const frame of answer.frames) events.answerData(frame);
+    if (answer.loses) setTimeout(() => this.link.reset(), CROSSING_MS);
+    else events.answerEnd([]);
+    return ENDED_LEG;
+  }
+}
+
+/** The others run the service; a caller keeps one connection to the entry. */
+export class EntryMesh {
+  /** Answers to the next calls, in turn. */
+  readonly answers: PeerAnswer[] = [];
+  readonly ran: CallHead[] = [];
+  private readonly agent = new Agent({keepAlive: true, maxSockets: 1});
+  private readonly bus = new Bus();
+  private readonly transport = makeTransport('entry', this.bus);
+  private readonly peers = ['n-1', 'n-2'].map(
+    nodeId => new PeerNode(nodeId, this.answers, this.ran),
+  );
+  private readonly ingress = this.makeIngress();
+
+  async start(kind: RequestKind): Promise<void> {
+    await this.transport.start();
+    const members = await Promise.all(this.peers.map(peer => peer.start()));
+    this.bus.publish('view-changed', {members});
+    this.bus.publish('mesh-config', {config: config(kind)});
+    await this.ingress.start();
+  }
+
+  async stop(): Promise<void> {
+    this.agent.destroy();
+    await this.ingress.stop();
+    for (const peer of this.peers) await peer.stop();
+    await this.transport.stop();
+  }
+
+  /** Rejects when the connection closes before the answer is whole. */
+  call(method = 'GET'): Promise<CallerAnswer> {
+    const {agent} = this;
+    const {port} = this.ingress;
+    const headers = {host: 'shop.example'};
+    const options = {host: '127.0.0.1', port, path: '/d/x', agent, headers};
+    return new Promise((resolve, reject) => {
+      const req = request({...options, method}, res => {
+        const localPort = res.socket.localPort ?? 0;
+        const chunks: Buffer[] = [];
+        res.on('data', (chunk: Buffer) => chunks.push(chunk));
+        res.once('error', reject);
+        res.once('end', () => {
+          const {statusCode: status = 0, headers} = res;
+          const body = Buffer.concat(chunks);
+          resolve({status, headers, body, port: localPort});
+        });
+      });
+      req.once('error', reject);
+      req.end();
+    });
+  }
+
+  private makeIngress(): IngressServer {
+    const {bus} = this;
+    const clock = new SystemClock();
+    const random = new SeededRandom(1);
+    const dispatch = new RequestDispatch({
+      nodeId: 'entry',
+      local: this.peers[0]!,
+      remote: new RemoteRunner(bus, clock),
+      balancer: new LeastExpectedCostBalancer(PLACE.dataCentre, 1),
+      clock,
+      random,
+      sizes: new AnswerSizes(),
+      heldAnswers: new ByteBudget(HELD_BYTES),
+      retries: {share: 1, extra: 9, windowMs: 10_000},
+      dataCentre: PLACE.dataCentre,
+      candidates: () =>
+        ['n-1', 'n-2'].map(nodeId => ({
+          nodeId,
+          serverId: `s-${nodeId}`,
+          incarnation: 1,
+          group: 'desk',
+          dataCentre: PLACE.dataCentre,
+          state: 'ready',
+          slots: 9,
+          readySinceMs: 0,
+        })),
+    });
+    return new IngressServer({
+      listen: {address: '127.0.0.1', port: 0},
+      callerService: 'desk',
+      dispatch,
+      bus,
+      clock,
+      random,
+      logger: SILENT,
+      onEnded: () => undefined,
+      onRejected: () => undefined,
+    });
+  }
+}
