The length that a caller is told is the length of the answer's body

A server may state a length beside a transfer coding, which overrides it. The coding was dropped as a matter of one connection and the length was passed on: a caller on a kept connection took the rest of the body for its next answer, or waited for bytes that did not come.

A length beside a transfer coding is now dropped with it, in the sidecar and in the product's node, which share this step. Where an answer is held the length of its body is known and stated, so that a part of it is never taken for the whole, not even by a caller that reads until the connection ends. An answer whose body is not as long as it states counts as broken off.

Evidence: "come out as they were: chunks and a length that they override" failed before with "Parse Error: Expected HTTP/" on the second of two answers over one connection.

--- a/packages/node/src/calls/headers.ts
+++ b/packages/node/src/calls/headers.ts
@@ -14,9 +14,14 @@
   'expect',
 ]);
 
-/** The headers without those of the connection that brought them. */
+/**
+ * The headers without those of the connection that brought them. A transfer
+ * coding overrides a length beside it (RFC 9112, 6.3).
+ */
 export function endToEndHeaders(headers: FlatHeaders): FlatHeaders {
   const dropped = new Set(connectionOptions(headers));
+  const isCoded = headerOf(headers, 'transfer-encoding') !== undefined;
+  if (isCoded) dropped.add('content-length');
   const kept: FlatHeaders = [];
   for (let i = 0; i + 1 < headers.length; i += 2) {
     const name = headers[i] as string;
--- a/packages/sidecar/src/ingress/held-answer.ts
+++ b/packages/sidecar/src/ingress/held-answer.ts
@@ -3,6 +3,7 @@
 import type {ByteBudget} from '@turmericmill/utils';
 import type {FlatHeaders} from '@turmericmill/wire';
 
+import {framedHeaders} from './answer-framing.js';
 import type {CallerRequest} from './caller-request.js';
 
 /** Where an answer goes. */
@@ -23,6 +24,7 @@
   private streaming = false;
 
   constructor(
+    private readonly method: string,
     private readonly caller: AnswerTarget,
     private readonly budget: ByteBudget<HeldAnswer>,
   ) {}
@@ -50,18 +52,17 @@
 
   /** Passes the answer on as it comes. */
   stream(): void {
-    if (this.streaming) return;
-    const {caller, chunks} = this;
-    this.streaming = true;
-    this.drop();
-    caller.start(this.status, this.headers);
-    for (const chunk of chunks) caller.data(chunk);
+    if (!this.streaming) this.passOn(this.headers);
   }
 
-  /** Passes on the whole answer. */
-  end(): void {
-    this.stream();
+  /** Passes on the whole answer. Returns false if part of it is missing. */
+  end(): boolean {
+    const {method, status, headers, bytes} = this;
+    const framed = framedHeaders({method, status, headers, bytes});
+    if (!framed) return false;
+    if (!this.streaming) this.passOn(framed);
     this.caller.end();
+    return true;
   }
 
   /** Drops what is held. */
@@ -69,4 +70,12 @@
     this.chunks = [];
     this.budget.release(this);
   }
+
+  private passOn(headers: FlatHeaders): void {
+    const {caller, chunks} = this;
+    this.streaming = true;
+    this.drop();
+    caller.start(this.status, headers);
+    for (const chunk of chunks) caller.data(chunk);
+  }
 }
--- a/packages/sidecar/src/ingress/request-dispatch.ts
+++ b/packages/sidecar/src/ingress/request-dispatch.ts
@@ -238,9 +238,9 @@
   private async run(progress: Progress, candidate: Candidate): Promise<TryEnd> {
     const {request} = progress;
     const {clock, sizes, heldAnswers} = this.parts;
-    const {caller, body} = request;
+    const {method, caller, body} = request;
     const head = this.headOf(progress, candidate);
-    const answer = new HeldAnswer(caller, heldAnswers);
+    const answer = new HeldAnswer(method, caller, heldAnswers);
     const serverTry = new ServerTry(request, answer, clock);
     const end = await serverTry.run(events =>
       this.start(candidate, head, body, events),
--- a/packages/sidecar/src/ingress/server-try.ts
+++ b/packages/sidecar/src/ingress/server-try.ts
@@ -68,8 +68,13 @@
   answerEnd(): void {
     if (!this.settle) return;
     const {answer, load} = this;
-    answer.end();
-    this.finish({kind: 'answered', status: answer.status, load});
+    if (answer.end()) {
+      this.finish({kind: 'answered', status: answer.status, load});
+    } else {
+      const detail = 'The answer has another length than it states.';
+      const outcome = 'unknown';
+      this.failed({outcome, reason: 'server-failed', detail, load});
+    }
   }
 
   failed(failure: CallFailure): void {
