A caller of HTTP/1.0 is reset when its answer breaks off

A caller that speaks HTTP/1.0 gets an answer without a length up to the end of its connection. When such an answer broke off, the connection ended in order, and the part looked complete. It is reset now. Only answers that are streamed can break off before their caller; held ones have a length.

Evidence: the new test, with real sockets and nothing held, saw "end" in place of "ECONNRESET" before. Callers of HTTP/1.1 get chunks, whose last one is missing then; they are cut as before.

--- a/packages/sidecar/src/ingress/caller-request.ts
+++ b/packages/sidecar/src/ingress/caller-request.ts
@@ -74,6 +74,9 @@
 
   /** Ends the connection: part of an answer must not pass for the whole. */
   cut(): void {
+    const {httpVersion, socket} = this.req;
+    // Without chunks, a body may end where its connection ends in order.
+    if (httpVersion === '1.0') socket.resetAndDestroy();
     this.res.destroy();
   }
 
--- a/packages/sidecar/tests/ingress/entry-mesh.ts
+++ b/packages/sidecar/tests/ingress/entry-mesh.ts
@@ -186,7 +186,16 @@
   private readonly peers = ['n-1', 'n-2'].map(
     nodeId => new PeerNode(nodeId, this.answers, this.ran),
   );
-  private readonly ingress = this.makeIngress();
+  private readonly ingress: IngressServer;
+
+  constructor(heldBytes = HELD_BYTES) {
+    this.ingress = this.makeIngress(heldBytes);
+  }
+
+  /** Where the entry node takes calls. */
+  get port(): number {
+    return this.ingress.port;
+  }
 
   async start(kind: RequestKind): Promise<void> {
     await this.transport.start();
@@ -226,7 +235,7 @@
     });
   }
 
-  private makeIngress(): IngressServer {
+  private makeIngress(heldBytes: number): IngressServer {
     const {bus} = this;
     const clock = new SystemClock();
     const random = new SeededRandom(1);
@@ -238,7 +247,7 @@
       clock,
       random,
       sizes: new AnswerSizes(),
-      heldAnswers: new ByteBudget(HELD_BYTES),
+      heldAnswers: new ByteBudget(heldBytes),
       retries: {share: 1, extra: 9, windowMs: 10_000},
       dataCentre: PLACE.dataCentre,
       candidates: () =>
--- a/packages/sidecar/tests/ingress/lost-peer-connection.test.ts
+++ b/packages/sidecar/tests/ingress/lost-peer-connection.test.ts
@@ -1,3 +1,5 @@
+import {connect} from 'node:net';
+
 import {expect} from 'chai';
 
 import {EntryMesh, type PeerAnswer} from './entry-mesh.js';
@@ -11,6 +13,19 @@
 };
 const LOST: PeerAnswer = {...WHOLE, frames: [FRAME, FRAME], loses: true};
 
+/** Resolves with how the connection ended after a call of HTTP/1.0. */
+function endOfOldCall(port: number): Promise<string> {
+  return new Promise(resolve => {
+    const socket = connect(port, '127.0.0.1');
+    socket.on('error', (err: NodeJS.ErrnoException) => {
+      resolve(err.code ?? err.message);
+    });
+    socket.on('end', () => resolve('end'));
+    socket.resume();
+    socket.write('GET /d/x HTTP/1.0\r\nhost: shop.example\r\n\r\n');
+  });
+}
+
 describe('a connection between nodes that is lost during an answer', () => {
   let mesh: EntryMesh;
 
@@ -47,4 +62,12 @@
     expect(ports.size).to.equal(1);
     expect(mesh.ran).to.have.length(3);
   });
+
+  it('resets a caller that reads until the end, once part is streamed', async () => {
+    await mesh.stop();
+    mesh = new EntryMesh(0);
+    await mesh.start('safe');
+    mesh.answers.push({...LOST, headers: []});
+    expect(await endOfOldCall(mesh.port)).to.equal('ECONNRESET');
+  });
 });
