--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -234,7 +234,7 @@
   }
 
   private makeIngress(): IngressServer {
-    const {bus, clock, random, logger} = this;
+    const {bus, clock, random} = this;
     const {nodeId, dataCentre, service, listen, retries} = this.settings;
     const dispatch = new RequestDispatch({
       nodeId,
@@ -260,7 +260,6 @@
       bus,
       clock,
       random,
-      logger,
       onEnded: (request, end, context, status) => {
         this.requestLog.ended(request, end, context, status);
         this.metrics.ended(request, end, context.latencyMs);
@@ -269,6 +268,14 @@
         this.requestLog.rejected(caller, answer, version);
         this.metrics.rejected(answer.reason);
       },
+      onBrokenOff: (caller, err) => {
+        this.requestLog.brokenOff(caller, err);
+        this.metrics.brokenOff();
+      },
+      onUndelivered: (caller, answer) => {
+        this.requestLog.undelivered(caller, answer);
+        this.metrics.undelivered(answer);
+      },
     });
   }
 }
--- a/packages/sidecar/tests/ingress/entry-mesh.ts
+++ b/packages/sidecar/tests/ingress/entry-mesh.ts
@@ -269,7 +269,8 @@
       bus,
       clock,
       random,
-      logger: SILENT,
+      onBrokenOff: () => undefined,
+      onUndelivered: () => undefined,
       onEnded: () => undefined,
       onRejected: () => undefined,
     });
