A message under way counts as life of its connection

Callers saw requests end with `connection-lost`, and answers cut within, while both hosts were up. The heartbeat heard whole messages only: a frame of 64 KiB that takes longer than 700 ms over a thin or shared link was silence, and the connection was given up with all its calls. Bytes of any kind now count, as the class of the heartbeat has always said.

--- a/packages/node/src/transport/peer-connection.ts
+++ b/packages/node/src/transport/peer-connection.ts
@@ -152,7 +152,7 @@
     this.send({type: 'ping', body: {nonce: this.nonce}});
   }
 
-  /** Notes that something arrived, by the owner's clock. */
+  /** Notes that bytes have arrived; they need not make a whole message. */
   heard(nowMs: number): void {
     this.beat.received(this.activity.busy, nowMs);
   }
@@ -167,7 +167,9 @@
 
   private receive(chunk: Buffer): void {
     if (this.closed) return;
-    this.activity.bytesReceived(this.clock.now());
+    const now = this.clock.now();
+    this.activity.bytesReceived(now);
+    this.heard(now);
     const messages = this.reader.push(chunk);
     if (messages.isErr()) {
       this.close('malformed', messages.error.message);
--- a/packages/node/src/transport/transport-task.ts
+++ b/packages/node/src/transport/transport-task.ts
@@ -145,7 +145,6 @@
   }
 
   message(connection: PeerConnection, message: Message): void {
-    connection.heard(this.clock.now());
     if (connection.peer) this.bus.publishPeerMessage(connection.peer, message);
   }
 
--- /dev/null
+++ b/packages/node/tests/transport/mesh-pair.ts
@@ -0,0 +1,158 @@
+/** Two nodes on the loopback address, one of which calls the other. */
+
+import {SystemClock} from '@turmericmill/utils';
+import type {MemberRecord} from '@turmericmill/wire';
+import bunyan from 'bunyan';
+
+import {Bus} from '../../src/bus.js';
+import {
+  NO_LOAD,
+  type CallEvents,
+  type CallHead,
+  type CallLeg,
+  type CallRunner,
+} from '../../src/calls/call-leg.js';
+import {IncomingCalls} from '../../src/calls/incoming-calls.js';
+import {RemoteRunner} from '../../src/calls/remote-runner.js';
+import {TransportTask} from '../../src/transport/transport-task.js';
+import {Relay} from './relay.js';
+
+const ADDRESS = '127.0.0.1';
+const SILENT = bunyan.createLogger({name: 'test', level: bunyan.FATAL + 1});
+
+const HEAD: CallHead = {
+  serverId: 's1',
+  serverIncarnation: 1,
+  group: 'g',
+  method: 'GET',
+  path: '/',
+  headers: [],
+  customer: 'c1',
+  class: 'g/class/all',
+  priority: 'interactive',
+  deadlineMs: 0,
+  hops: 0,
+  fingerprint: '',
+};
+
+/** How a call ended, after how long, and what its answer held. */
+export interface CallResult {
+  end: string;
+  afterMs: number;
+  body: Buffer;
+}
+
+/** Hands each call to the test. */
+class HeldCalls implements CallRunner {
+  readonly events: CallEvents[] = [];
+  readonly cancelled = new Set<CallEvents>();
+  private onNext: ((events: CallEvents) => void) | undefined;
+
+  run(head: CallHead, body: unknown, events: CallEvents): CallLeg {
+    this.events.push(events);
+    this.onNext?.(events);
+    this.onNext = undefined;
+    const none = () => undefined;
+    const cancel = () => this.cancelled.add(events);
+    return {data: none, end: none, credit: none, cancel};
+  }
+
+  next(): Promise<CallEvents> {
+    return new Promise(resolve => (this.onNext = resolve));
+  }
+}
+
+export class MeshNode {
+  readonly bus = new Bus();
+  readonly calls = new HeldCalls();
+  readonly transport: TransportTask;
+  private readonly clock = new SystemClock();
+  private readonly remote = new RemoteRunner(this.bus, this.clock);
+
+  constructor(readonly nodeId: string) {
+    const place = {dataCentre: 'a-1', region: 'a'};
+    const versions = {minVersion: 1, maxVersion: 1};
+    const hello = {...versions, ...place, nodeId, incarnation: 1};
+    const options = {address: ADDRESS, port: 0, hello};
+    const {bus, clock} = this;
+    this.transport = new TransportTask(options, bus, clock, SILENT);
+    new IncomingCalls(bus, this.calls, clock);
+  }
+
+  /** Makes `nodeId` known at a port. */
+  knows(nodeId: string, port: number): void {
+    const member: MemberRecord = {
+      id: nodeId,
+      incarnation: 1,
+      status: 'alive',
+      address: ADDRESS,
+      port,
+      dataCentre: 'a-1',
+      region: 'a',
+      servers: [],
+      revision: 0,
+    };
+    this.bus.publish('view-changed', {members: [member]});
+  }
+
+  /** Calls another node; resolves when the call has ended. */
+  call(nodeId: string): Promise<CallResult> {
+    const startedMs = this.clock.now();
+    const head = {...HEAD, deadlineMs: startedMs + 20_000};
+    const first = {chunk: new Uint8Array(), end: true};
+    const chunks: Uint8Array[] = [];
+    return new Promise(resolve => {
+      const ended = (end: string) => {
+        const afterMs = this.clock.now() - startedMs;
+        resolve({end, afterMs, body: Buffer.concat(chunks)});
+      };
+      this.remote.run(nodeId, head, first, {
+        credit: () => undefined,
+        answerStart: () => undefined,
+        answerData: chunk => chunks.push(chunk),
+        answerEnd: () => ended('answered'),
+        failed: ({outcome, reason}) => ended(`${outcome} ${reason}`),
+      });
+    });
+  }
+}
+
+/** Sends an answer in frames of `frameBytes`. */
+export function answer(
+  events: CallEvents,
+  body = Buffer.from('done'),
+  frameBytes = 64 * 1024,
+): void {
+  events.answerStart(200, [], NO_LOAD);
+  for (let at = 0; at < body.length; at += frameBytes) {
+    events.answerData(body.subarray(at, at + frameBytes));
+  }
+  events.answerEnd([]);
+}
+
+/** `caller` reaches `server` through `relay`. */
+export class MeshPair {
+  readonly caller = new MeshNode('caller');
+  readonly server = new MeshNode('server');
+  readonly relay = new Relay(() => this.server.transport.port);
+
+  async start(): Promise<void> {
+    await this.caller.transport.start();
+    await this.server.transport.start();
+    await this.relay.start();
+    this.caller.knows('server', this.relay.port);
+  }
+
+  async stop(): Promise<void> {
+    await this.relay.stop();
+    await this.caller.transport.stop();
+    await this.server.transport.stop();
+  }
+
+  /** Starts a call; resolves once the server has got it. */
+  async begin(): Promise<{result: Promise<CallResult>; events: CallEvents}> {
+    const arrived = this.server.calls.next();
+    const result = this.caller.call('server');
+    return {result, events: await arrived};
+  }
+}
--- a/packages/node/tests/transport/peer-connection.test.ts
+++ b/packages/node/tests/transport/peer-connection.test.ts
@@ -216,6 +216,22 @@
     });
   }
 
+  it('keeps a connection while a long frame arrives in pieces', () => {
+    const {socket, connection, receive, clock, log} = open();
+    receive(encodeFrame({type: 'hello', body: OTHER}));
+    connection.send(CALL);
+    const chunk = Buffer.alloc(64 * 1024);
+    const body = {callId: 1, chunk, end: true, trailers: []};
+    const frame = encodeFrame({type: 'answerData', body});
+    const pieceBytes = Math.ceil(frame.length / 20);
+    for (let at = 0; at < frame.length; at += pieceBytes) {
+      connection.heartbeat(clock.advance(HEARTBEAT_INTERVAL_MS));
+      receive(frame.subarray(at, at + pieceBytes));
+    }
+    expect(socket.destroyed).to.equal(false);
+    expect(log).to.deep.equal(['opened', 'answerData']);
+  });
+
   it('keeps a connection that answers its pings', () => {
     const {socket, connection, receive} = open();
     receive(encodeFrame({type: 'hello', body: OTHER}));
--- /dev/null
+++ b/packages/node/tests/transport/silent-peers.test.ts
@@ -0,0 +1,62 @@
+import {expect} from 'chai';
+
+import {
+  HEARTBEAT_INTERVAL_MS,
+  HEARTBEAT_TIMES,
+} from '../../src/transport/peer-connection.js';
+import {answer, MeshPair} from './mesh-pair.js';
+
+const ANSWER = Buffer.from(
+  Array.from({length: 200 * 1024}, (unused, at) => at % 251),
+);
+
+/** Bound in ms of `docs/routing.md` for a peer that cannot be reached. */
+const GONE_MS = 1_500;
+/** Bound in ms for a connection that is silent while new ones work. */
+const FORGOTTEN_MS =
+  HEARTBEAT_TIMES.busyQuietMs +
+  2 * HEARTBEAT_TIMES.pongMs +
+  3 * HEARTBEAT_INTERVAL_MS;
+
+describe('calls over a connection that seems silent', () => {
+  let pair: MeshPair;
+
+  beforeEach(async () => {
+    pair = new MeshPair();
+    await pair.start();
+  });
+
+  afterEach(() => pair.stop());
+
+  it('are answered whole over a link that takes 1 s for a frame', async () => {
+    const {relay} = pair;
+    const {result, events} = await pair.begin();
+    relay.bytesPerSecond = 60_000;
+    answer(events, ANSWER);
+    const {end, body} = await result;
+    expect(end).to.equal('answered');
+    expect(body.equals(ANSWER)).to.equal(true);
+  }).timeout(15_000);
+
+  it('fail soon when the network has forgotten the connection', async () => {
+    const {relay} = pair;
+    const {result} = await pair.begin();
+    relay.forgetOpen();
+    const forgottenMs = Date.now();
+    expect(await result).to.include({end: 'unknown connection-lost'});
+    expect(Date.now() - forgottenMs).to.be.below(FORGOTTEN_MS);
+    const next = await pair.begin();
+    answer(next.events);
+    expect(await next.result).to.include({end: 'answered'});
+  });
+
+  it('fail within a bound when the peer is gone', async () => {
+    const {relay} = pair;
+    const {result} = await pair.begin();
+    relay.swallowsNew = true;
+    relay.forgetOpen();
+    const {end, afterMs} = await result;
+    expect(end).to.equal('unknown connection-lost');
+    expect(afterMs).to.be.below(GONE_MS + 2 * HEARTBEAT_INTERVAL_MS);
+  });
+});
