A call stays with the connection on which it began

Two nodes may hold two connections: both connect at once, or one comes back while the other has not seen the end of the former connection. Callers then saw two faults:

- When one connection ended, its healthy twin was closed as well, and `peer-lost` failed all calls with that node, also those on a newer connection, and those with a later incarnation.
- Messages of a call took the newest connection.
An answer begun on one went on over the other, could overtake its own beginning, and reached the caller out of order.

The transport now keeps the calls of each connection. Messages within a call take its connection; without one the call has ended and they are dropped. `peer-lost` names the calls that ended while another connection to the node is open. Twins are no longer closed: no call is left waiting, as each ends with its own connection.

--- a/packages/node/src/bus.ts
+++ b/packages/node/src/bus.ts
@@ -26,16 +26,26 @@
   region: string;
 }
 
+/** Ids of the calls that ended with a connection. */
+export interface LostCalls {
+  /** Calls of this node. */
+  own: ReadonlySet<number>;
+  /** Calls of the peer's incarnation, if it was known. */
+  theirs: ReadonlySet<number>;
+  incarnation?: number;
+}
+
 /** A message that another node sent over TCP. */
 export type PeerMessage<K extends MessageName> = MessageOf<K> & {peer: Peer};
 
 /** The topics of the bus and what is published on each. */
 export interface Topics {
   /**
-   * From transport: the connection with a node was lost. `opened` is false
-   * when nothing had been sent over it.
+   * From transport: a connection with a node was lost. `opened` is false when
+   * nothing had been sent over it. `calls` went over it, while others go on
+   * over another connection; without it, all calls with the node are lost.
    */
-  'peer-lost': {nodeId: string; opened: boolean};
+  'peer-lost': {nodeId: string; opened: boolean; calls?: LostCalls};
   /** From transport: a datagram arrived. */
   datagram: {address: string; port: number; message: Message};
   /** To transport. */
--- a/packages/node/src/calls/incoming-calls.ts
+++ b/packages/node/src/calls/incoming-calls.ts
@@ -10,7 +10,7 @@
   ServerLoad,
 } from '@turmericmill/wire';
 
-import type {Bus, Peer} from '../bus.js';
+import type {Bus, LostCalls, Peer} from '../bus.js';
 import type {
   CallEvents,
   CallFailure,
@@ -51,7 +51,10 @@
       this.find(peer, body.callId)?.cancel();
       this.forget(peer, body.callId);
     });
-    bus.subscribe('peer-lost', ({nodeId}) => this.cancelAll(nodeId));
+    bus.subscribe('peer-lost', ({nodeId, calls}) => {
+      if (calls) this.cancelSome(nodeId, calls);
+      else this.cancelAll(nodeId);
+    });
   }
 
   /** Resolves when no call is in progress, at the latest at `deadlineMs`. */
@@ -118,6 +121,17 @@
     if (legs?.size === 0) this.legs.delete(peerKey(peer));
   }
 
+  private cancelSome(nodeId: string, {theirs, incarnation}: LostCalls): void {
+    const key = `${nodeId}#${incarnation}`;
+    const legs = this.legs.get(key) ?? new Map<number, CallLeg>();
+    for (const [callId, leg] of [...legs]) {
+      if (!theirs.has(callId)) continue;
+      legs.delete(callId);
+      leg.cancel();
+    }
+    if (legs.size === 0) this.legs.delete(key);
+  }
+
   private cancelAll(nodeId: string): void {
     for (const key of [...this.delays.keys()]) {
       if (key.startsWith(`${nodeId}#`)) this.delays.delete(key);
--- a/packages/node/src/calls/remote-runner.ts
+++ b/packages/node/src/calls/remote-runner.ts
@@ -3,7 +3,7 @@
 import type {Clock} from '@turmericmill/utils';
 import type {MessageName, MessageOf} from '@turmericmill/wire';
 
-import type {Bus, Peer} from '../bus.js';
+import type {Bus, LostCalls, Peer} from '../bus.js';
 import {
   NO_LOAD,
   type CallEvents,
@@ -46,8 +46,8 @@
       const {callId, ...failure} = body;
       this.finish(callId, peer)?.events.failed(failure);
     });
-    bus.subscribe('peer-lost', ({nodeId, opened}) => {
-      this.failAll(nodeId, opened);
+    bus.subscribe('peer-lost', ({nodeId, opened, calls}) => {
+      this.failAll(nodeId, opened, calls);
     });
   }
 
@@ -111,9 +111,10 @@
     return call;
   }
 
-  private failAll(nodeId: string, opened: boolean): void {
+  private failAll(nodeId: string, opened: boolean, calls?: LostCalls): void {
     for (const [callId, call] of [...this.pending]) {
       if (call.nodeId !== nodeId) continue;
+      if (calls && !calls.own.has(callId)) continue;
       this.pending.delete(callId);
       call.events.failed({
         outcome: opened ? 'unknown' : 'not-run',
--- a/packages/node/src/transport/connection-activity.ts
+++ b/packages/node/src/transport/connection-activity.ts
@@ -22,11 +22,19 @@
   stalledMs: number;
 }
 
+/** Ids of calls that are carried by one connection. */
+export interface CarriedCalls {
+  /** Calls of this node. */
+  own: ReadonlySet<number>;
+  /** Calls of the peer. */
+  theirs: ReadonlySet<number>;
+}
+
 /** One instance for each connection. */
 export class ConnectionActivity {
   /** Calls sent over this connection that have not been answered. */
-  private readonly out = new Set<number>();
-  private readonly in = new Set<number>();
+  private readonly own = new Set<number>();
+  private readonly theirs = new Set<number>();
   private byteAtMs: number;
   private messageAtMs: number;
   private beatAtMs: number;
@@ -45,7 +53,19 @@
 
   /** True while calls of this node wait for answers. */
   get busy(): boolean {
-    return this.out.size > 0;
+    return this.own.size > 0;
+  }
+
+  get calls(): CarriedCalls {
+    return {own: this.own, theirs: this.theirs};
+  }
+
+  /** True if the call of a message that is to be sent began here. */
+  carries(message: Message): boolean {
+    const side = SIDES.get(message.type);
+    if (side === undefined) return false;
+    const {callId} = message.body as {callId: number};
+    return this.calls[side].has(callId);
   }
 
   /** The heartbeat timer ran. */
@@ -63,17 +83,17 @@
   sent(message: Message): void {
     const {type, body} = message;
     if (type === 'ping') this.pingsOut += 1;
-    if (type === 'callStart') this.out.add(body.callId);
-    if (type === 'callCancel') this.out.delete(body.callId);
-    if (endsCall(message)) this.in.delete(message.body.callId);
+    if (type === 'callStart') this.own.add(body.callId);
+    if (type === 'callCancel') this.own.delete(body.callId);
+    if (endsCall(message)) this.theirs.delete(message.body.callId);
   }
 
   received(message: Message, nowMs: number): void {
     const {type, body} = message;
     this.messageAtMs = nowMs;
-    if (type === 'callStart') this.in.add(body.callId);
-    if (type === 'callCancel') this.in.delete(body.callId);
-    if (endsCall(message)) this.out.delete(message.body.callId);
+    if (type === 'callStart') this.theirs.add(body.callId);
+    if (type === 'callCancel') this.theirs.delete(body.callId);
+    if (endsCall(message)) this.own.delete(message.body.callId);
   }
 
   evidence(
@@ -86,14 +106,30 @@
       sinceMessageMs: nowMs - this.messageAtMs,
       unfinishedBytes,
       unsentBytes,
-      callsOut: this.out.size,
-      callsIn: this.in.size,
+      callsOut: this.own.size,
+      callsIn: this.theirs.size,
       pingsOut: this.pingsOut,
       stalledMs: this.stalledMs,
     };
   }
 }
 
+/** By type of a message that is sent within a call: whose call it is. */
+const SIDES: ReadonlyMap<string, keyof CarriedCalls> = new Map([
+  ['callData', 'own'],
+  ['callCancel', 'own'],
+  ['answerWindow', 'own'],
+  ['callWindow', 'theirs'],
+  ['answerStart', 'theirs'],
+  ['answerData', 'theirs'],
+  ['answerFailed', 'theirs'],
+]);
+
+/** True for messages that go where their call began. */
+export function continuesCall({type}: Message): boolean {
+  return SIDES.has(type);
+}
+
 type CallEnd = Extract<
   Message,
   {type: 'answerStart' | 'answerData' | 'answerFailed'}
--- a/packages/node/src/transport/peer-connection.ts
+++ b/packages/node/src/transport/peer-connection.ts
@@ -19,6 +19,7 @@
 import {withoutTime} from '../calls/time-left.js';
 import {
   ConnectionActivity,
+  type CarriedCalls,
   type ConnectionEvidence,
 } from './connection-activity.js';
 
@@ -77,8 +78,6 @@
   peer: Peer | undefined;
   /** The node that was meant; another one is refused. */
   expectedNodeId: string | undefined;
-  /** Called when the connection ends before the handshake was done. */
-  onceFailed: (() => void) | undefined;
   private readonly reader = new FrameReader();
   private unsent: Unsent[] = [];
   private unsentBytes = 0;
@@ -105,6 +104,21 @@
     this.write(encodeFrame({type: 'hello', body: own}));
   }
 
+  /** The node at the other end, or the one that is meant. */
+  get nodeId(): string | undefined {
+    return this.peer?.nodeId ?? this.expectedNodeId;
+  }
+
+  /** Calls that have begun here and have not ended. */
+  get calls(): CarriedCalls {
+    return this.activity.calls;
+  }
+
+  /** True if the call of a message that is to be sent began here. */
+  carries(message: Message): boolean {
+    return this.activity.carries(message);
+  }
+
   /** Queues a message until the handshake is done, then sends it. */
   send(message: Message): void {
     if (this.closed) return;
@@ -259,7 +273,6 @@
       this.clock.now(),
     );
     this.events.closed(this, reason, {cause, ...evidence});
-    if (!this.peer) this.onceFailed?.();
   }
 }
 
--- a/packages/node/src/transport/transport-task.ts
+++ b/packages/node/src/transport/transport-task.ts
@@ -15,8 +15,10 @@
 } from '@turmericmill/wire';
 import type Logger from 'bunyan';
 
-import type {Bus, Peer} from '../bus.js';
+import type {Bus, LostCalls} from '../bus.js';
 import {Task} from '../task.js';
+import {continuesCall} from './connection-activity.js';
+import {ConnectionTable} from './connection-table.js';
 import {
   HEARTBEAT_INTERVAL_MS,
   PeerConnection,
@@ -40,7 +42,7 @@
   maxConnections?: number;
 }
 
-/** Sends and receives messages; one connection for each other node. */
+/** Sends and receives messages, as a rule over one connection a node. */
 export class TransportTask extends Task implements ConnectionEvents {
   readonly counts: TrafficCounts = {
     controlBytesOut: 0,
@@ -58,8 +60,7 @@
   port = 0;
   private readonly server = createServer(socket => this.accept(socket));
   private readonly udp: UdpSocket = createSocket('udp4');
-  private readonly connections = new Set<PeerConnection>();
-  private readonly byNode = new Map<string, PeerConnection>();
+  private readonly connections = new ConnectionTable();
   private readonly byAddress = new Map<string, PeerConnection>();
   private members = new Map<string, MemberRecord>();
   private readonly accepts: AcceptLimiter;
@@ -125,7 +126,7 @@
 
   override async stop(): Promise<void> {
     clearInterval(this.timer);
-    for (const connection of [...this.connections]) {
+    for (const connection of this.connections) {
       connection.close('shutdown', 'The node is stopping.');
     }
     await new Promise<void>(resolve => this.udp.close(() => resolve()));
@@ -135,12 +136,12 @@
   opened(connection: PeerConnection): void {
     const {peer} = connection;
     if (!peer) return;
-    const known = this.byNode.get(peer.nodeId)?.peer;
+    const known = this.connections.openTo(peer.nodeId)?.peer;
     if (known && known.incarnation > peer.incarnation) {
       connection.close('unexpected', 'A later incarnation is connected.');
       return;
     }
-    this.byNode.set(peer.nodeId, connection);
+    this.connections.prefer(peer.nodeId, connection);
     this.logger.debug({peer}, 'peer connected');
   }
 
@@ -149,33 +150,26 @@
   }
 
   closed(connection: PeerConnection, reason: string, end: ConnectionEnd): void {
-    this.connections.delete(connection);
+    this.connections.remove(connection);
     for (const [key, value] of this.byAddress) {
       if (value === connection) this.byAddress.delete(key);
     }
-    const {peer} = connection;
-    if (!peer) return;
-    const {nodeId} = peer;
-    this.closedCounts[end.cause] += 1;
-    this.logger.info({nodeId, reason, ...end}, 'peer connection closed');
-    this.closeTwins(peer);
-    const current = this.byNode.get(nodeId)?.peer;
-    if (current?.incarnation === peer.incarnation) this.byNode.delete(nodeId);
-    this.bus.publish('peer-lost', {nodeId, opened: true});
+    const {nodeId, peer, calls} = connection;
+    if (nodeId === undefined) return;
+    if (peer) {
+      this.closedCounts[end.cause] += 1;
+      this.logger.info({nodeId, reason, ...end}, 'peer connection closed');
+    }
+    const {incarnation} = peer ?? {};
+    const lost = {...calls, ...(incarnation !== undefined && {incarnation})};
+    this.publishLost(nodeId, peer !== undefined, lost);
   }
 
-  /**
-   * Two nodes that connect to each other at once hold two connections, and
-   * calls may have gone over either: they end together, so that no call waits
-   * for an answer that cannot come.
-   */
-  private closeTwins(lost: Peer): void {
-    for (const connection of [...this.connections]) {
-      const {peer} = connection;
-      if (peer?.nodeId !== lost.nodeId) continue;
-      if (peer.incarnation !== lost.incarnation) continue;
-      connection.close('unexpected', 'Its twin connection was lost.');
-    }
+  /** Calls that go over other connections to the node are not touched. */
+  private publishLost(nodeId: string, opened: boolean, calls: LostCalls): void {
+    const isLast = this.connections.toNode(nodeId).length === 0;
+    const lost = {nodeId, opened, ...(!isLast && {calls})};
+    this.bus.publish('peer-lost', lost);
   }
 
   /** Refuses before any hello, so that the other end knows nothing has run. */
@@ -208,25 +202,32 @@
     message: Message,
     incarnation?: number,
   ): void {
-    const open = this.byNode.get(nodeId);
-    if (incarnation !== undefined && open?.peer?.incarnation !== incarnation) {
+    if (continuesCall(message)) {
+      // Without a connection the call has been reported as lost.
+      this.connections.carrying(nodeId, message, incarnation)?.send(message);
       return;
     }
-    if (open) {
-      open.send(message);
+    const open = this.connections.openTo(nodeId);
+    if (incarnation !== undefined && open?.peer?.incarnation !== incarnation) {
       return;
     }
-    const member = this.members.get(nodeId);
-    if (!member) {
-      this.bus.publish('peer-lost', {nodeId, opened: false});
+    const connection = open ?? this.connectToMember(nodeId);
+    if (connection) {
+      connection.send(message);
       return;
     }
+    const {type, body} = message;
+    const own = new Set(type === 'callStart' ? [body.callId] : []);
+    this.publishLost(nodeId, false, {own, theirs: new Set()});
+  }
+
+  /** Undefined when the address is unknown or leads to another node. */
+  private connectToMember(nodeId: string): PeerConnection | undefined {
+    const member = this.members.get(nodeId);
+    if (!member) return undefined;
     const connection = this.connectTo(member.address, member.port);
-    if (this.expectPeer(connection, nodeId)) {
-      connection.send(message);
-    } else {
-      this.bus.publish('peer-lost', {nodeId, opened: false});
-    }
+    if (connection.nodeId === undefined) connection.expectedNodeId = nodeId;
+    return connection.nodeId === nodeId ? connection : undefined;
   }
 
   private connectTo(address: string, port: number): PeerConnection {
@@ -238,23 +239,6 @@
     return connection;
   }
 
-  /**
-   * Ties a connection to the node that is meant. Returns false when it leads to
-   * another one, as after a host has taken over an address. A connection that
-   * fails before its hello is lost for its node, too.
-   */
-  private expectPeer(connection: PeerConnection, nodeId: string): boolean {
-    const other = connection.peer?.nodeId ?? connection.expectedNodeId;
-    if (other !== undefined) return other === nodeId;
-    connection.expectedNodeId = nodeId;
-    // Calls may have gone over a connection that the peer opened meanwhile.
-    connection.onceFailed = () => {
-      const opened = this.byNode.has(nodeId);
-      this.bus.publish('peer-lost', {nodeId, opened});
-    };
-    return true;
-  }
-
   private sendDatagram(address: string, port: number, message: Message): void {
     const payload = encodeMessage(message);
     this.counts.messagesOut += 1;
@@ -264,6 +248,6 @@
 
   private heartbeat(): void {
     const now = this.clock.now();
-    for (const connection of [...this.connections]) connection.heartbeat(now);
+    for (const connection of this.connections) connection.heartbeat(now);
   }
 }
--- a/packages/node/tests/calls/incoming-calls.test.ts
+++ b/packages/node/tests/calls/incoming-calls.test.ts
@@ -113,4 +113,26 @@
     const {notes} = await play([[CALL], [CANCEL]]);
     expect(notes).to.deep.equal(['run a', 'cancel']);
   });
+
+  const losses: {name: string; incarnation: number; expected: string[]}[] = [
+    {name: 'this incarnation', incarnation: 1, expected: ['cancel']},
+    {name: 'a former incarnation', incarnation: 0, expected: []},
+  ];
+  for (const {name, incarnation, expected} of losses) {
+    it(`cancels only the calls of a lost connection of ${name}`, async () => {
+      const bus = new Bus();
+      const runner = new NotingRunner();
+      new IncomingCalls(bus, runner, new ManualClock(0));
+      for (const callId of [7, 8]) {
+        const body = {...START, callId};
+        bus.publishPeerMessage(PEER, {type: 'callStart', body});
+      }
+      await new Promise(resolve => setImmediate(resolve));
+      const own = new Set<number>();
+      const calls = {own, theirs: new Set([7]), incarnation};
+      bus.publish('peer-lost', {nodeId: 'n-2', opened: true, calls});
+      const notes = runner.notes.filter(note => !note.startsWith('run'));
+      expect(notes).to.deep.equal(expected);
+    });
+  }
 });
--- a/packages/node/tests/calls/remote-runner.test.ts
+++ b/packages/node/tests/calls/remote-runner.test.ts
@@ -141,4 +141,15 @@
       expect(other.events.log).to.deep.equal([]);
     });
   }
+
+  it('fails only the calls of the lost connection while another is open', () => {
+    const {bus, start} = setUp();
+    const lost = start('n1');
+    const kept = start('n1');
+    const calls = {own: new Set([lost.callId]), theirs: new Set<number>()};
+    bus.publish('peer-lost', {nodeId: 'n1', opened: true, calls});
+    expect(lost.events.log).to.deep.equal(['failed unknown connection-lost']);
+    bus.publishPeerMessage(peer('n1'), answer(kept.callId, 'one'));
+    expect(kept.events.log).to.deep.equal(['start 200', 'data one', 'end']);
+  });
 });
--- a/packages/node/tests/transport/silent-peers.test.ts
+++ b/packages/node/tests/transport/silent-peers.test.ts
@@ -1,3 +1,5 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+
 import {expect} from 'chai';
 
 import {
@@ -60,3 +62,54 @@
     expect(afterMs).to.be.below(GONE_MS + 2 * HEARTBEAT_INTERVAL_MS);
   });
 });
+
+describe('calls over two connections between the same nodes', () => {
+  let pair: MeshPair;
+
+  beforeEach(async () => {
+    pair = new MeshPair();
+    await pair.start();
+  });
+
+  afterEach(() => pair.stop());
+
+  /** The server opens another connection, which is then the newer one. */
+  async function connectBack(): Promise<void> {
+    const {caller, server} = pair;
+    const {port} = caller.transport;
+    const body = {version: 1, digest: 'd', settled: true, known: 1, ask: false};
+    const message = {type: 'configHave', body} as const;
+    const heard = new Promise(resolve =>
+      caller.bus.onPeerMessage('configHave', resolve),
+    );
+    server.bus.publish('send-address', {address: '127.0.0.1', port, message});
+    await heard;
+  }
+
+  it('fail with their own connection only', async () => {
+    const {relay} = pair;
+    const first = await pair.begin();
+    await connectBack();
+    const second = await pair.begin();
+    relay.reset();
+    expect(await first.result).to.include({end: 'unknown connection-lost'});
+    await sleep(50);
+    answer(second.events);
+    expect(await second.result).to.include({end: 'answered'});
+  });
+
+  it('get their answers in order when a newer connection is faster', async () => {
+    const {relay} = pair;
+    const {result, events} = await pair.begin();
+    relay.bytesPerSecond = 400_000;
+    events.answerStart(200, [], {inFlight: 0, queued: 0, limit: 1});
+    events.answerData(ANSWER.subarray(0, 100_000));
+    await sleep(20);
+    await connectBack();
+    events.answerData(ANSWER.subarray(100_000));
+    events.answerEnd([]);
+    const {end, body} = await result;
+    expect(end).to.equal('answered');
+    expect(body.equals(ANSWER)).to.equal(true);
+  });
+});
