Who receives much tells the sender that it does

Callers saw `connection-lost` while the link from their entry node was full. A ping waits behind the bytes that were sent before it, of which the kernel keeps up to megabytes: while an answer of 200 KiB goes to the peer over a thin link, the peer has not been asked, and its silence says nothing. Nothing tells the sender how much of its bytes is under way.

A node that has received 4 KiB on a connection and sent nothing meanwhile now sends a pong at its next heartbeat. Pongs and pings alone are too small to cause one another.

--- a/packages/node/src/transport/connection-activity.ts
+++ b/packages/node/src/transport/connection-activity.ts
@@ -2,6 +2,9 @@
 
 import type {Message} from '@turmericmill/wire';
 
+/** Bytes behind which a ping of the peer may wait for long on a thin link. */
+const ONE_WAY_BYTES = 4 * 1024;
+
 /** What is known of a connection when it ends. Times in ms. */
 export interface ConnectionEvidence {
   /** Time since any bytes arrived. */
@@ -40,6 +43,8 @@
   private beatAtMs: number;
   private pingsOut = 0;
   private stalledMs = 0;
+  /** Bytes received since anything was sent. */
+  private oneWayBytes = 0;
 
   /** `intervalMs`: time between two beats of a process that is not held up. */
   constructor(
@@ -74,7 +79,13 @@
     this.beatAtMs = nowMs;
   }
 
-  bytesReceived(nowMs: number): void {
+  /** True while the peer sends much and hears nothing. */
+  get isOneWay(): boolean {
+    return this.oneWayBytes >= ONE_WAY_BYTES;
+  }
+
+  bytesReceived(bytes: number, nowMs: number): void {
+    this.oneWayBytes += bytes;
     this.byteAtMs = nowMs;
     this.pingsOut = 0;
     this.stalledMs = 0;
@@ -82,6 +93,7 @@
 
   sent(message: Message): void {
     const {type, body} = message;
+    this.oneWayBytes = 0;
     if (type === 'ping') this.pingsOut += 1;
     if (type === 'callStart') this.own.add(body.callId);
     if (type === 'callCancel') this.own.delete(body.callId);
--- a/packages/node/src/transport/peer-connection.ts
+++ b/packages/node/src/transport/peer-connection.ts
@@ -42,6 +42,12 @@
   cause: CloseCause;
 }
 
+/**
+ * Nonce of a pong that answers no ping. A peer that sends a long message can't
+ * be heard asking, as its ping waits behind that message.
+ */
+const UNASKED_NONCE = 0;
+
 /** What a connection tells its owner. */
 export interface ConnectionEvents {
   opened(connection: PeerConnection): void;
@@ -154,6 +160,9 @@
   /** Sends a ping when one is due; gives up when none was answered. */
   heartbeat(nowMs: number): void {
     this.activity.beat(nowMs);
+    if (this.peer && this.activity.isOneWay) {
+      this.send({type: 'pong', body: {nonce: UNASKED_NONCE}});
+    }
     if (this.activity.busy) this.beat.sent(nowMs);
     const effect = this.beat.tick(nowMs);
     if (effect === 'replace') {
@@ -182,7 +191,7 @@
   private receive(chunk: Buffer): void {
     if (this.closed) return;
     const now = this.clock.now();
-    this.activity.bytesReceived(now);
+    this.activity.bytesReceived(chunk.length, now);
     this.heard(now);
     const messages = this.reader.push(chunk);
     if (messages.isErr()) {
--- a/packages/node/tests/transport/connection-activity.test.ts
+++ b/packages/node/tests/transport/connection-activity.test.ts
@@ -46,12 +46,17 @@
 const bytes =
   (atMs: number): Step =>
   activity =>
-    activity.bytesReceived(atMs);
+    activity.bytesReceived(100, atMs);
 const beat =
   (atMs: number): Step =>
   activity =>
     activity.beat(atMs);
 
+/** 100 bytes arrive, `count` times. */
+function times(count: number): Step[] {
+  return Array.from({length: count}, () => bytes(1));
+}
+
 describe('ConnectionActivity', () => {
   const cases: {
     name: string;
@@ -110,4 +115,21 @@
       expect(activity.evidence(0, 0, 1000)).to.include(expected);
     });
   }
+
+  const oneWay: {name: string; steps: Step[]; expected: boolean}[] = [
+    {name: 'few bytes', steps: times(40), expected: false},
+    {name: 'many bytes', steps: times(41), expected: true},
+    {
+      name: 'many bytes between which something was sent',
+      steps: [...times(41), sent(PING), bytes(2)],
+      expected: false,
+    },
+  ];
+  for (const {name, steps, expected} of oneWay) {
+    it(`says ${expected} of ${name} in one direction`, () => {
+      const activity = new ConnectionActivity(INTERVAL_MS, 0);
+      for (const step of steps) step(activity);
+      expect(activity.isOneWay).to.equal(expected);
+    });
+  }
 });
--- a/packages/node/tests/transport/silent-peers.test.ts
+++ b/packages/node/tests/transport/silent-peers.test.ts
@@ -40,6 +40,31 @@
     expect(body.equals(ANSWER)).to.equal(true);
   }).timeout(15_000);
 
+  it('are answered while another answer fills the link the other way', async () => {
+    const {relay, caller, server} = pair;
+    const first = await pair.begin();
+    relay.bytesPerSecond = 60_000;
+    const arrived = caller.calls.next();
+    const back = server.call('caller');
+    answer(await arrived, ANSWER);
+    await sleep(50);
+    const second = pair.begin();
+    const {events} = await second;
+    answer(first.events);
+    answer(events);
+    const results = [
+      await back,
+      await first.result,
+      await (await second).result,
+    ];
+    expect(results.map(({end}) => end)).to.deep.equal([
+      'answered',
+      'answered',
+      'answered',
+    ]);
+    expect(results[0]?.body.equals(ANSWER)).to.equal(true);
+  }).timeout(15_000);
+
   it('fail soon when the network has forgotten the connection', async () => {
     const {relay} = pair;
     const {result} = await pair.begin();
--- a/packages/wire/src/messages/session.ts
+++ b/packages/wire/src/messages/session.ts
@@ -27,5 +27,6 @@
 }
 
 export interface Pong {
+  /** That of the ping; 0 if it answers none and shows that bytes arrive. */
   nonce: number;
 }
