The time in which a process stood still is not its peer's silence

Callers saw `connection-lost` from an entry node that had not run for some hundred ms. Timers run before reads: the first thing that such a process did was to give up connections whose pongs lay in its sockets.

A beat that comes late puts off the due time by its lateness since the last bytes, and beats run after the reads of their turn.

Evidence, before: `is not given up for a time in which its own process stood still` failed (the socket was destroyed at the first beat).

--- a/packages/node/src/transport/connection-activity.ts
+++ b/packages/node/src/transport/connection-activity.ts
@@ -2,6 +2,9 @@
 
 import type {Message} from '@turmericmill/wire';
 
+/** Lateness in ms that timers of an idle process may show. */
+const MIN_STALL_MS = 20;
+
 /** Bytes behind which a ping of the peer may wait for long on a thin link. */
 const ONE_WAY_BYTES = 4 * 1024;
 
@@ -73,10 +76,17 @@
     return this.calls[side].has(callId);
   }
 
-  /** The heartbeat timer ran. */
-  beat(nowMs: number): void {
-    this.stalledMs += Math.max(0, nowMs - this.beatAtMs - this.intervalMs);
+  /**
+   * The heartbeat timer ran. Returns for how long before, since any bytes
+   * arrived, this process was held up.
+   */
+  beat(nowMs: number): number {
+    const expectedMs = Math.max(this.beatAtMs + this.intervalMs, this.byteAtMs);
+    const lateMs = nowMs - expectedMs;
     this.beatAtMs = nowMs;
+    if (lateMs < MIN_STALL_MS) return 0;
+    this.stalledMs += lateMs;
+    return lateMs;
   }
 
   /** True while the peer sends much and hears nothing. */
--- a/packages/node/src/transport/transport-task.ts
+++ b/packages/node/src/transport/transport-task.ts
@@ -121,7 +121,10 @@
         message: message.value,
       });
     });
-    this.timer = setInterval(() => this.heartbeat(), HEARTBEAT_INTERVAL_MS);
+    // Immediates run after reads: what has arrived by then is heard first.
+    this.timer = setInterval(() => {
+      setImmediate(() => this.heartbeat());
+    }, HEARTBEAT_INTERVAL_MS);
   }
 
   override async stop(): Promise<void> {
--- a/packages/node/tests/transport/connection-activity.test.ts
+++ b/packages/node/tests/transport/connection-activity.test.ts
@@ -102,6 +102,11 @@
       steps: [bytes(0), beat(100), beat(200), beat(900), beat(1000)],
       expected: {sinceByteMs: 1000, stalledMs: 600},
     },
+    {
+      name: 'counts no time before the last bytes as held up',
+      steps: [beat(100), bytes(650), beat(700)],
+      expected: {stalledMs: 50},
+    },
     {
       name: 'forgets that it was held up once bytes arrive',
       steps: [beat(100), beat(700), bytes(701), beat(800)],
--- a/packages/node/tests/transport/peer-connection.test.ts
+++ b/packages/node/tests/transport/peer-connection.test.ts
@@ -232,6 +232,17 @@
     expect(log).to.deep.equal(['opened', 'answerData']);
   });
 
+  it('is not given up for a time in which its own process stood still', () => {
+    const {socket, connection, receive, clock} = open();
+    receive(encodeFrame({type: 'hello', body: OTHER}));
+    connection.send(CALL);
+    while (clock.now() < 700) {
+      connection.heartbeat(clock.advance(HEARTBEAT_INTERVAL_MS));
+    }
+    connection.heartbeat(clock.advance(1_000));
+    expect(socket.destroyed).to.equal(false);
+  });
+
   it('keeps a connection that answers its pings', () => {
     const {socket, connection, receive} = open();
     receive(encodeFrame({type: 'hello', body: OTHER}));
--- a/packages/routing/src/connections/heartbeat.ts
+++ b/packages/routing/src/connections/heartbeat.ts
@@ -61,6 +61,11 @@
     this.dueAtMs = nowMs + this.quietMs(busy);
   }
 
+  /** This process did not run for `heldMs`, and could not hear the peer. */
+  held(heldMs: number): void {
+    this.dueAtMs += heldMs;
+  }
+
   /** A call was sent: quiet time now counts as that of a busy connection. */
   sent(nowMs: number): void {
     if (this.current !== 'live') return;
--- a/packages/routing/tests/connections/heartbeat.test.ts
+++ b/packages/routing/tests/connections/heartbeat.test.ts
@@ -6,6 +6,7 @@
 
 type Step =
   | {atMs: number; do: 'sent' | 'received'}
+  | {atMs: number; do: 'held'; ms: number}
   | {atMs: number; do: 'tick'; effect?: 'ping' | 'replace'; state: string};
 
 describe('Heartbeat', () => {
@@ -41,6 +42,17 @@
         {atMs: 1_300, do: 'tick', effect: 'ping', state: 'pinging'},
       ],
     },
+    {
+      name: 'does not count the time in which its own process was held up',
+      steps: [
+        {atMs: 0, do: 'sent'},
+        {atMs: 300, do: 'tick', effect: 'ping', state: 'pinging'},
+        {atMs: 1_200, do: 'held', ms: 800},
+        {atMs: 1_200, do: 'tick', state: 'pinging'},
+        {atMs: 1_599, do: 'tick', state: 'pinging'},
+        {atMs: 1_600, do: 'tick', effect: 'ping', state: 'silent'},
+      ],
+    },
     {
       name: 'does not put off a ping by sending more',
       steps: [
@@ -56,6 +68,7 @@
       for (const step of steps) {
         if (step.do === 'sent') heartbeat.sent(step.atMs);
         if (step.do === 'received') heartbeat.received(true, step.atMs);
+        if (step.do === 'held') heartbeat.held(step.ms);
         if (step.do !== 'tick') continue;
         expect(heartbeat.tick(step.atMs)).to.equal(step.effect);
         expect(heartbeat.state).to.equal(step.state);
