The wait for a pong follows the round trips of its peer

Callers saw `connection-lost` from peers that were starved of processor time and answered each ping, but later than the fixed 250 ms twice over.

Evidence, before: `waits for a peer that has answered slowly before` failed (the socket was destroyed). The waits for peers that answer fast or are not known are as before, as the older tests show.

--- a/packages/node/src/transport/peer-connection.ts
+++ b/packages/node/src/transport/peer-connection.ts
@@ -92,6 +92,8 @@
   private readonly beat: Heartbeat;
   private readonly activity: ConnectionActivity;
   private nonce = 0;
+  /** Times in ms at which pings were sent that have no answer, by nonce. */
+  private readonly pings = new Map<number, number>();
 
   constructor(
     private readonly socket: Socket,
@@ -172,6 +174,7 @@
     }
     if (effect !== 'ping' || !this.peer) return;
     this.nonce += 1;
+    this.pings.set(this.nonce, nowMs);
     this.send({type: 'ping', body: {nonce: this.nonce}});
   }
 
@@ -209,6 +212,9 @@
     } else if (message.type === 'ping') {
       this.send({type: 'pong', body: message.body});
       this.events.message(this, message);
+    } else if (message.type === 'pong') {
+      this.takePong(message.body.nonce);
+      this.events.message(this, message);
     } else if (message.type === 'goodbye') {
       this.socket.end();
       const {reason, detail} = message.body;
@@ -218,6 +224,16 @@
     }
   }
 
+  private takePong(nonce: number): void {
+    const sentMs = this.pings.get(nonce);
+    if (sentMs === undefined) return;
+    for (const other of [...this.pings.keys()]) {
+      if (other <= nonce) this.pings.delete(other);
+    }
+    const now = this.clock.now();
+    this.beat.answered(now - sentMs, now);
+  }
+
   private greet(message: Message): void {
     if (message.type === 'goodbye') {
       this.socket.end();
--- a/packages/node/tests/transport/peer-connection.test.ts
+++ b/packages/node/tests/transport/peer-connection.test.ts
@@ -243,6 +243,27 @@
     expect(socket.destroyed).to.equal(false);
   });
 
+  it('waits for a peer that has answered slowly before', () => {
+    const {socket, connection, receive, clock} = open();
+    receive(encodeFrame({type: 'hello', body: OTHER}));
+    connection.send(CALL);
+    for (const pongMs of [400, 800]) {
+      let answerAtMs = Infinity;
+      const sent = socket.written.length;
+      while (clock.now() < answerAtMs) {
+        connection.heartbeat(clock.advance(HEARTBEAT_INTERVAL_MS));
+        const isAsked = socket.written.length > sent;
+        if (isAsked && answerAtMs === Infinity) {
+          answerAtMs = clock.now() + pongMs;
+        }
+      }
+      const ping = socket.written[sent];
+      const nonce = ping?.type === 'ping' ? ping.body.nonce : -1;
+      receive(encodeFrame({type: 'pong', body: {nonce}}));
+    }
+    expect(socket.destroyed).to.equal(false);
+  });
+
   it('keeps a connection that answers its pings', () => {
     const {socket, connection, receive} = open();
     receive(encodeFrame({type: 'hello', body: OTHER}));
--- a/packages/routing/src/connections/heartbeat.ts
+++ b/packages/routing/src/connections/heartbeat.ts
@@ -2,6 +2,8 @@
 
 import {readChart, StateChart} from '@turmericmill/utils';
 
+import {RoundTrip} from './round-trip.js';
+
 /**
  * `live`: bytes arrive. `pinging`: nothing has arrived for a while, a ping is
  * out. `silent`: the ping was not answered; no new calls use the connection
@@ -13,7 +15,7 @@
   type: 'QUIET' | 'RECEIVED' | 'EXPIRED';
 }
 
-/** Times in ms: quiet until a ping, and wait for each pong. */
+/** Times in ms: quiet until a ping, and least wait for each pong. */
 export interface HeartbeatTimes {
   /** Quiet time while calls are in flight. */
   busyQuietMs: number;
@@ -33,12 +35,14 @@
 export class Heartbeat {
   private current = chart.initial;
   private dueAtMs: number;
+  private readonly roundTrip: RoundTrip;
 
   constructor(
     private readonly times: HeartbeatTimes,
     nowMs: number,
   ) {
     this.dueAtMs = nowMs + times.idleQuietMs;
+    this.roundTrip = new RoundTrip(times.pongMs);
   }
 
   get state(): HeartbeatState {
@@ -61,6 +65,11 @@
     this.dueAtMs = nowMs + this.quietMs(busy);
   }
 
+  /** A ping was answered after `roundTripMs`. */
+  answered(roundTripMs: number, nowMs: number): void {
+    this.roundTrip.sample(roundTripMs, nowMs);
+  }
+
   /** This process did not run for `heldMs`, and could not hear the peer. */
   held(heldMs: number): void {
     this.dueAtMs += heldMs;
@@ -77,7 +86,7 @@
     if (nowMs < this.dueMs) return undefined;
     const type = this.current === 'live' ? 'QUIET' : 'EXPIRED';
     this.current = chart.next(this.current, {type});
-    this.dueAtMs = nowMs + this.times.pongMs;
+    this.dueAtMs = nowMs + this.roundTrip.waitMs(nowMs);
     return this.current === 'replaced' ? 'replace' : 'ping';
   }
 
--- a/packages/routing/tests/connections/heartbeat.test.ts
+++ b/packages/routing/tests/connections/heartbeat.test.ts
@@ -84,4 +84,14 @@
     heartbeat.tick(800);
     expect(heartbeat.usable).to.equal(false);
   });
+
+  it('waits longer for a peer that answers late', () => {
+    const heartbeat = new Heartbeat({...TIMES, pongMs: 100}, 0);
+    heartbeat.answered(100, 0);
+    heartbeat.sent(0);
+    expect(heartbeat.tick(300)).to.equal('ping');
+    expect(heartbeat.tick(599)).to.equal(undefined);
+    expect(heartbeat.tick(600)).to.equal('ping');
+    expect(heartbeat.tick(900)).to.equal('replace');
+  });
 });
