A silent peer is asked over another connection before calls end

Callers saw `connection-lost`, or an answer that broke off, when their entry node had heard nothing from a host for 700 ms: a host that is starved or paused for a second was taken for gone, and all its calls ended as unknown. Silence on one connection can't tell a starved peer from a connection that the network has dropped without notice.

After the second unanswered ping the peer is pinged on another connection, which is opened if none is usable. A pong there to a ping sent later shows that the peer reads, and that the old connection does not lead to it: it is given up after the wait for the second pong, as soon as before. Without one the calls wait on, 800 ms or twice the usual round trip up to 2 s. Bytes on the old connection end the suspicion. New calls no longer take a silent connection (`Heartbeat.usable` said so, and nobody asked it). A node opens no more than three connections to another to ask it. The log and the counts tell `forgotten` from `unreachable`.

Evidence, before: `outlive a peer that stands still for a second` failed with `unknown connection-lost`; `do not hold up new calls to the same peer` failed (the second call never arrived).

--- a/packages/node/src/transport/connection-table.ts
+++ b/packages/node/src/transport/connection-table.ts
@@ -33,11 +33,21 @@
     this.preferred.set(nodeId, connection);
   }
 
-  /** The connection for new calls, if one is open. */
-  openTo(nodeId: string): PeerConnection | undefined {
+  /** The connection on which the node was greeted last. */
+  latestTo(nodeId: string): PeerConnection | undefined {
     return this.preferred.get(nodeId);
   }
 
+  /** The connection for new calls, if one is open that is not silent. */
+  usableTo(nodeId: string): PeerConnection | undefined {
+    const latest = this.preferred.get(nodeId);
+    if (!latest || latest.usable) return latest;
+    const incarnation = latest.peer?.incarnation;
+    return this.toNode(nodeId).find(
+      ({usable, peer}) => usable && peer?.incarnation === incarnation,
+    );
+  }
+
   /** Connections to a node, with those that are not greeted yet. */
   toNode(nodeId: string): PeerConnection[] {
     return [...this.connections].filter(other => other.nodeId === nodeId);
--- a/packages/node/src/transport/peer-connection.ts
+++ b/packages/node/src/transport/peer-connection.ts
@@ -34,8 +34,13 @@
 /** Frames kept in bytes until the handshake is done. */
 const MAX_UNSENT_BYTES = 16 * 1024 * 1024;
 
-/** `silent`: given up by its heartbeat. `goodbye`: from either end. */
-export type CloseCause = 'silent' | 'goodbye' | 'error' | 'ended';
+/**
+ * Given up by its heartbeat as `forgotten` if the peer answers on another
+ * connection, as `unreachable` if it does not, as `silent` if it was not asked.
+ * `goodbye`: from either end.
+ */
+export type CloseCause =
+  'silent' | 'forgotten' | 'unreachable' | 'goodbye' | 'error' | 'ended';
 
 /** How a connection ended, and what it had carried until then. */
 export interface ConnectionEnd extends ConnectionEvidence {
@@ -94,6 +99,9 @@
   private nonce = 0;
   /** Times in ms at which pings were sent that have no answer, by nonce. */
   private readonly pings = new Map<number, number>();
+  /** Time in ms at which the latest ping that was answered was sent. */
+  private answeredPingMs = -Infinity;
+  private silentSinceMs = Infinity;
 
   constructor(
     private readonly socket: Socket,
@@ -127,6 +135,42 @@
     return this.activity.carries(message);
   }
 
+  /** True while new calls may go over the connection. */
+  get usable(): boolean {
+    return this.beat.usable;
+  }
+
+  /** True if two pings are out and the peer has not been asked elsewhere. */
+  get needsWitness(): boolean {
+    return this.peer !== undefined && this.beat.state === 'silent';
+  }
+
+  /** The peer is asked over another connection. */
+  askedElsewhere(nowMs: number): void {
+    this.beat.askedElsewhere(nowMs);
+  }
+
+  /** Asks the peer at once, as another connection to it is silent. */
+  challenge(nowMs: number): void {
+    if (!this.peer) return;
+    this.beat.challenge(nowMs);
+    this.ping(nowMs);
+  }
+
+  /**
+   * Another connection to the node has brought something. The node is sure not
+   * to read this one if it has read there what was sent later, or if it is
+   * another incarnation of it.
+   */
+  witnessed(other: PeerConnection, nowMs: number): void {
+    const {peer} = other;
+    if (!this.peer || !peer) return;
+    const isLater = peer.incarnation > this.peer.incarnation;
+    const isSame = peer.incarnation === this.peer.incarnation;
+    const hasRead = isSame && other.answeredPingMs >= this.silentSinceMs;
+    if (isLater || hasRead) this.beat.answeredElsewhere(nowMs);
+  }
+
   /** Queues a message until the handshake is done, then sends it. */
   send(message: Message): void {
     if (this.closed) return;
@@ -166,13 +210,20 @@
       this.send({type: 'pong', body: {nonce: UNASKED_NONCE}});
     }
     if (this.activity.busy) this.beat.sent(nowMs);
+    const {state} = this.beat;
     const effect = this.beat.tick(nowMs);
     if (effect === 'replace') {
       this.socket.destroy();
-      this.finish('silent', 'silent');
+      const isJudged = state === 'forgotten' || state === 'unreachable';
+      this.finish(isJudged ? state : 'silent', 'silent');
       return;
     }
     if (effect !== 'ping' || !this.peer) return;
+    if (this.beat.state === 'silent') this.silentSinceMs = nowMs;
+    this.ping(nowMs);
+  }
+
+  private ping(nowMs: number): void {
     this.nonce += 1;
     this.pings.set(this.nonce, nowMs);
     this.send({type: 'ping', body: {nonce: this.nonce}});
@@ -230,6 +281,7 @@
     for (const other of [...this.pings.keys()]) {
       if (other <= nonce) this.pings.delete(other);
     }
+    this.answeredPingMs = sentMs;
     const now = this.clock.now();
     this.beat.answered(now - sentMs, now);
   }
--- a/packages/node/src/transport/transport-task.ts
+++ b/packages/node/src/transport/transport-task.ts
@@ -29,6 +29,8 @@
 } from './peer-connection.js';
 
 const DEFAULT_ACCEPTS_PER_SECOND = 200;
+/** Connections to one node beyond which no other is opened to ask it. */
+const MAX_CONNECTIONS = 3;
 
 /** What the transport needs to know of its node. */
 export interface TransportOptions {
@@ -52,6 +54,8 @@
   /** Connections to known nodes that have ended. */
   readonly closedCounts: Record<CloseCause, number> = {
     silent: 0,
+    forgotten: 0,
+    unreachable: 0,
     goodbye: 0,
     error: 0,
     ended: 0,
@@ -139,24 +143,27 @@
   opened(connection: PeerConnection): void {
     const {peer} = connection;
     if (!peer) return;
-    const known = this.connections.openTo(peer.nodeId)?.peer;
+    const known = this.connections.latestTo(peer.nodeId)?.peer;
     if (known && known.incarnation > peer.incarnation) {
       connection.close('unexpected', 'A later incarnation is connected.');
       return;
     }
     this.connections.prefer(peer.nodeId, connection);
     this.logger.debug({peer}, 'peer connected');
+    const others = this.connections.toNode(peer.nodeId);
+    if (others.every(({usable}) => usable)) return;
+    connection.challenge(this.clock.now());
+    this.witness(connection);
   }
 
   message(connection: PeerConnection, message: Message): void {
+    if (message.type === 'pong') this.witness(connection);
     if (connection.peer) this.bus.publishPeerMessage(connection.peer, message);
   }
 
   closed(connection: PeerConnection, reason: string, end: ConnectionEnd): void {
     this.connections.remove(connection);
-    for (const [key, value] of this.byAddress) {
-      if (value === connection) this.byAddress.delete(key);
-    }
+    this.forgetAddress(connection);
     const {nodeId, peer, calls} = connection;
     if (nodeId === undefined) return;
     if (peer) {
@@ -168,6 +175,13 @@
     this.publishLost(nodeId, peer !== undefined, lost);
   }
 
+  /** Another connection is opened when the address is used next. */
+  private forgetAddress(connection: PeerConnection): void {
+    for (const [key, value] of this.byAddress) {
+      if (value === connection) this.byAddress.delete(key);
+    }
+  }
+
   /** Calls that go over other connections to the node are not touched. */
   private publishLost(nodeId: string, opened: boolean, calls: LostCalls): void {
     const isLast = this.connections.toNode(nodeId).length === 0;
@@ -210,11 +224,12 @@
       this.connections.carrying(nodeId, message, incarnation)?.send(message);
       return;
     }
-    const open = this.connections.openTo(nodeId);
+    const open = this.connections.usableTo(nodeId);
     if (incarnation !== undefined && open?.peer?.incarnation !== incarnation) {
       return;
     }
-    const connection = open ?? this.connectToMember(nodeId);
+    const connection =
+      open ?? this.connectToMember(nodeId) ?? this.connections.latestTo(nodeId);
     if (connection) {
       connection.send(message);
       return;
@@ -251,6 +266,42 @@
 
   private heartbeat(): void {
     const now = this.clock.now();
-    for (const connection of this.connections) connection.heartbeat(now);
+    for (const connection of this.connections) {
+      connection.heartbeat(now);
+      if (connection.needsWitness) this.askElsewhere(connection, now);
+    }
+  }
+
+  /**
+   * A silent connection tells nothing of its peer, which may be starved, and a
+   * peer that lives tells nothing of the connection: the peer is asked again
+   * over another one.
+   */
+  private askElsewhere(silent: PeerConnection, nowMs: number): void {
+    const {nodeId, peer} = silent;
+    if (nodeId === undefined || !peer) return;
+    const others = this.connections.toNode(nodeId);
+    const open = others.find(
+      other =>
+        other.usable &&
+        other.peer !== undefined &&
+        other.peer.incarnation >= peer.incarnation,
+    );
+    this.forgetAddress(silent);
+    silent.askedElsewhere(nowMs);
+    if (open) {
+      open.challenge(nowMs);
+      silent.witnessed(open, nowMs);
+    } else if (others.length < MAX_CONNECTIONS) {
+      this.connectToMember(nodeId);
+    }
+  }
+
+  /** Tells the other connections to the node what came over this one. */
+  private witness(connection: PeerConnection): void {
+    const now = this.clock.now();
+    for (const other of this.connections.toNode(connection.nodeId ?? '')) {
+      if (other !== connection) other.witnessed(connection, now);
+    }
   }
 }
--- a/packages/node/tests/transport/silent-peers.test.ts
+++ b/packages/node/tests/transport/silent-peers.test.ts
@@ -65,6 +65,18 @@
     expect(results[0]?.body.equals(ANSWER)).to.equal(true);
   }).timeout(15_000);
 
+  it('outlive a peer that stands still for a second', async () => {
+    const {relay} = pair;
+    const {result, events} = await pair.begin();
+    relay.paused = true;
+    answer(events);
+    await sleep(1_000);
+    relay.paused = false;
+    const {end, body} = await result;
+    expect(end).to.equal('answered');
+    expect(body.toString()).to.equal('done');
+  });
+
   it('fail soon when the network has forgotten the connection', async () => {
     const {relay} = pair;
     const {result} = await pair.begin();
@@ -77,6 +89,50 @@
     expect(await next.result).to.include({end: 'answered'});
   });
 
+  it('do not hold up new calls to the same peer', async () => {
+    const {relay} = pair;
+    const first = await pair.begin();
+    relay.forgetOpen();
+    await sleep(HEARTBEAT_TIMES.busyQuietMs + HEARTBEAT_TIMES.pongMs + 150);
+    const second = await pair.begin();
+    answer(second.events);
+    const {end, afterMs} = await second.result;
+    expect(end).to.equal('answered');
+    expect(afterMs).to.be.below(100);
+    expect(await first.result).to.include({end: 'unknown connection-lost'});
+  });
+
+  it('take few connections to a peer that stands still often', async () => {
+    const {relay} = pair;
+    for (let pause = 0; pause < 3; pause += 1) {
+      const {result, events} = await pair.begin();
+      relay.paused = true;
+      await sleep(900);
+      relay.paused = false;
+      answer(events);
+      expect(await result).to.include({end: 'answered'});
+    }
+    expect(relay.connections).to.be.within(1, 3);
+  });
+
+  it('fail soon when all connections to the peer were forgotten', async () => {
+    const {relay} = pair;
+    const first = await pair.begin();
+    relay.paused = true;
+    await sleep(900);
+    relay.paused = false;
+    answer(first.events);
+    await first.result;
+    const {result} = await pair.begin();
+    relay.forgetOpen();
+    const {end, afterMs} = await result;
+    expect(end).to.equal('unknown connection-lost');
+    expect(afterMs).to.be.below(GONE_MS);
+    const next = await pair.begin();
+    answer(next.events);
+    expect(await next.result).to.include({end: 'answered'});
+  });
+
   it('fail within a bound when the peer is gone', async () => {
     const {relay} = pair;
     const {result} = await pair.begin();
--- a/packages/routing/src/connections/heartbeat.ts
+++ b/packages/routing/src/connections/heartbeat.ts
@@ -7,14 +7,26 @@
 /**
  * `live`: bytes arrive. `pinging`: nothing has arrived for a while, a ping is
  * out. `silent`: the ping was not answered; no new calls use the connection
- * and a second ping is out. `replaced`: given up, its calls have failed.
+ * and a second ping is out. `unreachable`: the peer is being asked over another
+ * connection, too, and has not answered there. `forgotten`: it has answered
+ * there, so that this connection no longer leads to it. `replaced`: given up,
+ * its calls have failed.
  */
-export type HeartbeatState = 'live' | 'pinging' | 'silent' | 'replaced';
+export type HeartbeatState =
+  'live' | 'pinging' | 'silent' | 'unreachable' | 'forgotten' | 'replaced';
 
 interface HeartbeatEvent {
-  type: 'QUIET' | 'RECEIVED' | 'EXPIRED';
+  type: 'QUIET' | 'RECEIVED' | 'EXPIRED' | 'ASKED' | 'ANSWERED';
 }
 
+/** Least wait in ms for a peer that answers on no connection. */
+const UNREACHABLE_MS = 800;
+/** The same for one that has answered late before, and how long at most. */
+const UNREACHABLE_ROUND_TRIPS = 2;
+const MAX_UNREACHABLE_MS = 2_000;
+/** Time in ms in which an answer that was sent first may arrive second. */
+const CROSSING_MS = 50;
+
 /** Times in ms: quiet until a ping, and least wait for each pong. */
 export interface HeartbeatTimes {
   /** Quiet time while calls are in flight. */
@@ -35,6 +47,8 @@
 export class Heartbeat {
   private current = chart.initial;
   private dueAtMs: number;
+  /** End in ms of the wait for the second pong. */
+  private secondDueAtMs = 0;
   private readonly roundTrip: RoundTrip;
 
   constructor(
@@ -73,6 +87,31 @@
   /** This process did not run for `heldMs`, and could not hear the peer. */
   held(heldMs: number): void {
     this.dueAtMs += heldMs;
+    this.secondDueAtMs += heldMs;
+  }
+
+  /** Pings ahead of time, to learn whether the peer answers here. */
+  challenge(nowMs: number): void {
+    if (this.current !== 'live') return;
+    this.current = chart.next(this.current, {type: 'QUIET'});
+    this.dueAtMs = nowMs + this.roundTrip.waitMs(nowMs);
+  }
+
+  /** The peer is asked over another connection, after the second ping here. */
+  askedElsewhere(nowMs: number): void {
+    if (this.current !== 'silent') return;
+    this.current = chart.next(this.current, {type: 'ASKED'});
+    this.secondDueAtMs = this.dueAtMs;
+    const slowMs = UNREACHABLE_ROUND_TRIPS * this.roundTrip.usualMs(nowMs);
+    this.dueAtMs =
+      nowMs + Math.max(UNREACHABLE_MS, Math.min(MAX_UNREACHABLE_MS, slowMs));
+  }
+
+  /** The peer has answered there. */
+  answeredElsewhere(nowMs: number): void {
+    if (this.current !== 'unreachable') return;
+    this.current = chart.next(this.current, {type: 'ANSWERED'});
+    this.dueAtMs = Math.max(this.secondDueAtMs, nowMs + CROSSING_MS);
   }
 
   /** A call was sent: quiet time now counts as that of a busy connection. */
--- a/packages/routing/src/connections/round-trip.ts
+++ b/packages/routing/src/connections/round-trip.ts
@@ -33,11 +33,16 @@
     this.sampledAtMs = nowMs;
   }
 
+  /** Time in ms within which answers usually come; 0 if it is not known. */
+  usualMs(nowMs: number): number {
+    if (!this.isKnown(nowMs)) return 0;
+    return this.meanMs + DEVIATIONS * this.deviationMs;
+  }
+
   /** Wait in ms for a ping that is sent now. */
   waitMs(nowMs: number): number {
-    if (!this.isKnown(nowMs)) return this.minWaitMs;
-    const usualMs = this.meanMs + DEVIATIONS * this.deviationMs;
-    return Math.max(this.minWaitMs, Math.min(MAX_WAIT_MS, usualMs));
+    const usualMs = Math.min(MAX_WAIT_MS, this.usualMs(nowMs));
+    return Math.max(this.minWaitMs, usualMs);
   }
 
   private isKnown(nowMs: number): boolean {
--- a/packages/routing/tests/connections/heartbeat.test.ts
+++ b/packages/routing/tests/connections/heartbeat.test.ts
@@ -5,7 +5,8 @@
 const TIMES = {busyQuietMs: 300, idleQuietMs: 10_000, pongMs: 500};
 
 type Step =
-  | {atMs: number; do: 'sent' | 'received'}
+  | {atMs: number; do: 'sent' | 'received' | 'challenge'}
+  | {atMs: number; do: 'askedElsewhere' | 'answeredElsewhere'}
   | {atMs: number; do: 'held'; ms: number}
   | {atMs: number; do: 'tick'; effect?: 'ping' | 'replace'; state: string};
 
@@ -53,6 +54,70 @@
         {atMs: 1_600, do: 'tick', effect: 'ping', state: 'silent'},
       ],
     },
+    {
+      name: 'gives up a connection to a peer that answers on another one',
+      steps: [
+        {atMs: 0, do: 'sent'},
+        {atMs: 300, do: 'tick', effect: 'ping', state: 'pinging'},
+        {atMs: 800, do: 'tick', effect: 'ping', state: 'silent'},
+        {atMs: 800, do: 'askedElsewhere'},
+        {atMs: 810, do: 'answeredElsewhere'},
+        {atMs: 1_299, do: 'tick', state: 'forgotten'},
+        {atMs: 1_300, do: 'tick', effect: 'replace', state: 'replaced'},
+      ],
+    },
+    {
+      name: 'waits for bytes that may cross a late answer on another one',
+      steps: [
+        {atMs: 0, do: 'sent'},
+        {atMs: 300, do: 'tick', effect: 'ping', state: 'pinging'},
+        {atMs: 800, do: 'tick', effect: 'ping', state: 'silent'},
+        {atMs: 800, do: 'askedElsewhere'},
+        {atMs: 1_400, do: 'answeredElsewhere'},
+        {atMs: 1_449, do: 'tick', state: 'forgotten'},
+        {atMs: 1_450, do: 'tick', effect: 'replace', state: 'replaced'},
+      ],
+    },
+    {
+      name: 'keeps a connection to a peer that was starved and answers on both',
+      steps: [
+        {atMs: 0, do: 'sent'},
+        {atMs: 300, do: 'tick', effect: 'ping', state: 'pinging'},
+        {atMs: 800, do: 'tick', effect: 'ping', state: 'silent'},
+        {atMs: 800, do: 'askedElsewhere'},
+        {atMs: 1_500, do: 'answeredElsewhere'},
+        {atMs: 1_510, do: 'received'},
+        {atMs: 1_800, do: 'tick', state: 'live'},
+      ],
+    },
+    {
+      name: 'gives up a connection to a peer that answers nowhere',
+      steps: [
+        {atMs: 0, do: 'sent'},
+        {atMs: 300, do: 'tick', effect: 'ping', state: 'pinging'},
+        {atMs: 800, do: 'tick', effect: 'ping', state: 'silent'},
+        {atMs: 800, do: 'askedElsewhere'},
+        {atMs: 1_599, do: 'tick', state: 'unreachable'},
+        {atMs: 1_600, do: 'tick', effect: 'replace', state: 'replaced'},
+      ],
+    },
+    {
+      name: 'does not heed an answer on another one while bytes arrive',
+      steps: [
+        {atMs: 100, do: 'received'},
+        {atMs: 100, do: 'askedElsewhere'},
+        {atMs: 101, do: 'answeredElsewhere'},
+        {atMs: 399, do: 'tick', state: 'live'},
+      ],
+    },
+    {
+      name: 'learns soon whether a peer answers on an idle connection',
+      steps: [
+        {atMs: 100, do: 'challenge'},
+        {atMs: 599, do: 'tick', state: 'pinging'},
+        {atMs: 600, do: 'tick', effect: 'ping', state: 'silent'},
+      ],
+    },
     {
       name: 'does not put off a ping by sending more',
       steps: [
@@ -69,6 +134,11 @@
         if (step.do === 'sent') heartbeat.sent(step.atMs);
         if (step.do === 'received') heartbeat.received(true, step.atMs);
         if (step.do === 'held') heartbeat.held(step.ms);
+        if (step.do === 'challenge') heartbeat.challenge(step.atMs);
+        if (step.do === 'askedElsewhere') heartbeat.askedElsewhere(step.atMs);
+        if (step.do === 'answeredElsewhere') {
+          heartbeat.answeredElsewhere(step.atMs);
+        }
         if (step.do !== 'tick') continue;
         expect(heartbeat.tick(step.atMs)).to.equal(step.effect);
         expect(heartbeat.state).to.equal(step.state);
@@ -94,4 +164,22 @@
     expect(heartbeat.tick(600)).to.equal('ping');
     expect(heartbeat.tick(900)).to.equal('replace');
   });
+
+  const patience: {roundTripMs: number; silenceMs: number}[] = [
+    {roundTripMs: 1, silenceMs: 800},
+    {roundTripMs: 200, silenceMs: 1_200},
+    {roundTripMs: 900, silenceMs: 2_000},
+  ];
+  for (const {roundTripMs, silenceMs} of patience) {
+    it(`waits ${silenceMs} ms for a peer that took ${roundTripMs} ms`, () => {
+      const heartbeat = new Heartbeat(TIMES, 0);
+      heartbeat.answered(roundTripMs, 0);
+      heartbeat.sent(0);
+      heartbeat.tick(300);
+      heartbeat.tick(800);
+      heartbeat.askedElsewhere(800);
+      expect(heartbeat.tick(799 + silenceMs)).to.equal(undefined);
+      expect(heartbeat.tick(800 + silenceMs)).to.equal('replace');
+    });
+  }
 });
