--- a/packages/node/src/transport/connection-activity.ts
+++ b/packages/node/src/transport/connection-activity.ts
@@ -2,6 +2,12 @@
 
 import type {Message} from '@turmericmill/wire';
 
+/** Lateness in ms that timers of an idle process may show. */
+const MIN_STALL_MS = 20;
+
+/** Bytes behind which a ping of the peer may wait for long on a thin link. */
+const ONE_WAY_BYTES = 4 * 1024;
+
 /** What is known of a connection when it ends. Times in ms. */
 export interface ConnectionEvidence {
   /** Time since any bytes arrived. */
@@ -22,16 +28,26 @@
   stalledMs: number;
 }
 
+/** Ids of calls that are carried by one connection. */
+export interface CarriedCalls {
+  /** Calls of this node. */
+  own: ReadonlySet<number>;
+  /** Calls of the peer. */
+  theirs: ReadonlySet<number>;
+}
+
 /** One instance for each connection. */
 export class ConnectionActivity {
   /** Calls sent over this connection that have not been answered. */
-  private readonly out = new Set<number>();
-  private readonly in = new Set<number>();
+  private readonly own = new Set<number>();
+  private readonly theirs = new Set<number>();
   private byteAtMs: number;
   private messageAtMs: number;
   private beatAtMs: number;
   private pingsOut = 0;
   private stalledMs = 0;
+  /** Bytes received since anything was sent. */
+  private oneWayBytes = 0;
 
   /** `intervalMs`: time between two beats of a process that is not held up. */
   constructor(
@@ -45,16 +61,41 @@
 
   /** True while calls of this node wait for answers. */
   get busy(): boolean {
-    return this.out.size > 0;
+    return this.own.size > 0;
   }
 
-  /** The heartbeat timer ran. */
-  beat(nowMs: number): void {
-    this.stalledMs += Math.max(0, nowMs - this.beatAtMs - this.intervalMs);
+  get calls(): CarriedCalls {
+    return {own: this.own, theirs: this.theirs};
+  }
+
+  /** True if the call of a message that is to be sent began here. */
+  carries(message: Message): boolean {
+    const side = SIDES.get(message.type);
+    if (side === undefined) return false;
+    const {callId} = message.body as {callId: number};
+    return this.calls[side].has(callId);
+  }
+
+  /**
+   * The heartbeat timer ran. Returns for how long before, since any bytes
+   * arrived, this process was held up.
+   */
+  beat(nowMs: number): number {
+    const expectedMs = Math.max(this.beatAtMs + this.intervalMs, this.byteAtMs);
+    const lateMs = nowMs - expectedMs;
     this.beatAtMs = nowMs;
+    if (lateMs < MIN_STALL_MS) return 0;
+    this.stalledMs += lateMs;
+    return lateMs;
+  }
+
+  /** True while the peer sends much and hears nothing. */
+  get isOneWay(): boolean {
+    return this.oneWayBytes >= ONE_WAY_BYTES;
   }
 
-  bytesReceived(nowMs: number): void {
+  bytesReceived(bytes: number, nowMs: number): void {
+    this.oneWayBytes += bytes;
     this.byteAtMs = nowMs;
     this.pingsOut = 0;
     this.stalledMs = 0;
@@ -62,18 +103,19 @@
 
   sent(message: Message): void {
     const {type, body} = message;
+    this.oneWayBytes = 0;
     if (type === 'ping') this.pingsOut += 1;
-    if (type === 'callStart') this.out.add(body.callId);
-    if (type === 'callCancel') this.out.delete(body.callId);
-    if (endsCall(message)) this.in.delete(message.body.callId);
+    if (type === 'callStart') this.own.add(body.callId);
+    if (type === 'callCancel') this.own.delete(body.callId);
+    if (endsCall(message)) this.theirs.delete(message.body.callId);
   }
 
   received(message: Message, nowMs: number): void {
     const {type, body} = message;
     this.messageAtMs = nowMs;
-    if (type === 'callStart') this.in.add(body.callId);
-    if (type === 'callCancel') this.in.delete(body.callId);
-    if (endsCall(message)) this.out.delete(message.body.callId);
+    if (type === 'callStart') this.theirs.add(body.callId);
+    if (type === 'callCancel') this.theirs.delete(body.callId);
+    if (endsCall(message)) this.own.delete(message.body.callId);
   }
 
   evidence(
@@ -86,14 +128,30 @@
       sinceMessageMs: nowMs - this.messageAtMs,
       unfinishedBytes,
       unsentBytes,
-      callsOut: this.out.size,
-      callsIn: this.in.size,
+      callsOut: this.own.size,
+      callsIn: this.theirs.size,
       pingsOut: this.pingsOut,
       stalledMs: this.stalledMs,
     };
   }
 }
 
+/** By type of a message that is sent within a call: whose call it is. */
+const SIDES: ReadonlyMap<string, keyof CarriedCalls> = new Map([
+  ['callData', 'own'],
+  ['callCancel', 'own'],
+  ['answerWindow', 'own'],
+  ['callWindow', 'theirs'],
+  ['answerStart', 'theirs'],
+  ['answerData', 'theirs'],
+  ['answerFailed', 'theirs'],
+]);
+
+/** True for messages that go where their call began. */
+export function continuesCall({type}: Message): boolean {
+  return SIDES.has(type);
+}
+
 type CallEnd = Extract<
   Message,
   {type: 'answerStart' | 'answerData' | 'answerFailed'}
