An answer whose lines have no end is given up

What callers saw: none of their requests at a node was answered any more, as its process was killed. A server beside it had sent bytes that are no answer and have no end, and the node kept or read them until the request's deadline.

Cause: the parser's library bounds the lines of a head alone. A chunk size, a chunk extension, the line behind a chunk and a trailer line grew to 512 MB, the longest string there is; trailers were collected without a bound; its count of a head begins anew with each informational answer, and answers to other requests were passed over without a limit.

Evidence: the table of endless parts in endless-answers.test.ts. Before, ten of its parts failed: `a chunk size`, `a chunk extension`, `bytes behind a chunk` and `a trailer line` took 538 to 541 MB from the server (at most 24 MB are allowed), and `informational answers`, both kinds of `answers to another request`, `chunks of one byte`, `extensions of each chunk` and `trailers` were still read after 2 s. The other cases passed before: status and header lines, a cancelled request, bytes behind a whole or an early answer, idle connections.

Fix: every byte outside a body goes through the library's consumeLine, so the bound is there: AnswerLines counts the lines of each part and throws. The head counts for the whole exchange, lines of chunks between two pieces of the body and in proportion to the body, trailers on their own. At most four late answers are passed over on a connection. Ruled out: the library's maxHeaderSize, which it checks in head states only.

--- a/packages/sidecar/src/server/answer-parser.ts
+++ b/packages/sidecar/src/server/answer-parser.ts
@@ -4,6 +4,8 @@
 
 import {HTTPParser} from 'http-parser-js';
 
+import {AnswerLines} from './answer-lines.js';
+
 /** An answer that has arrived whole. */
 export interface ServerAnswer {
   status: number;
@@ -23,10 +25,12 @@
 }
 
 const CONTENT_LENGTH = /^\d+$/;
-const CHUNK_SIZE = /^[0-9a-fA-F]+[ \t]*(?:;.*)?$/;
+const CHUNK_SIZE = /^[0-9a-fA-F]{1,16}[ \t]*(?:;.*)?$/;
 const SKIP_BODY = 1;
 /** Largest answer in bytes that is taken; far above what servers send. */
 const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+/** Most headers of an answer; those of Node.js have the same bound. */
+const MAX_HEADERS = 2_000;
 
 /** Parts of the library's parser that its types keep private. */
 interface ParserInternals {
@@ -38,6 +42,7 @@
   /* eslint-disable @typescript-eslint/naming-convention */
   body_bytes: number;
   state: string;
+  info: {headers: string[]};
   BODY_CHUNKHEAD: (this: ParserInternals) => void;
   /* eslint-enable @typescript-eslint/naming-convention */
 }
@@ -60,16 +65,18 @@
   private headers: string[] = [];
   private chunks: Buffer[] = [];
   private bytes = 0;
+  private lines = new AnswerLines();
   private keepAlive = false;
   private failed = false;
   /** True while part of an answer has arrived. */
   private partial = false;
-  /** For HEAD requests, whose answers have no body. */
-  bodyless = false;
+  private bodyless = false;
 
   constructor(private readonly events: AnswerEvents) {
-    const {parser} = this;
-    this.internals.BODY_CHUNKHEAD = readChunkSize;
+    const {parser, internals} = this;
+    const {consumeLine} = internals;
+    internals.BODY_CHUNKHEAD = readChunkSize;
+    internals.consumeLine = () => this.countLine(consumeLine);
     parser[HTTPParser.kOnHeadersComplete] = info => {
       this.status = info.statusCode;
       this.headers = info.headers;
@@ -80,11 +87,18 @@
     parser[HTTPParser.kOnBody] = (chunk: Buffer) => {
       this.bytes += chunk.length;
       if (this.bytes > MAX_ANSWER_BYTES) throw new Error('answer too large');
+      this.lines.noteBody(chunk.length);
       this.chunks.push(chunk);
     };
     parser[HTTPParser.kOnMessageComplete] = () => this.complete();
   }
 
+  /** A request goes out; `bodyless` for HEAD, whose answers have no body. */
+  begin(bodyless: boolean): void {
+    this.bodyless = bodyless;
+    this.lines = new AnswerLines();
+  }
+
   /** Takes received bytes. */
   push(chunk: Buffer): void {
     if (this.failed) return;
@@ -107,6 +121,20 @@
     if (!this.failed && this.partial) this.parser.finish();
   }
 
+  /** Reads a line as the library does, within the bounds of its part. */
+  private countLine(
+    consumeLine: ParserInternals['consumeLine'],
+  ): string | undefined {
+    const {internals} = this;
+    const {offset, state} = internals;
+    const line = consumeLine.call(internals);
+    this.lines.note(state, internals.offset - offset);
+    if (internals.info.headers.length > 2 * MAX_HEADERS) {
+      throw new Error('too many headers');
+    }
+    return line;
+  }
+
   private complete(): void {
     const {status, headers, keepAlive} = this;
     const body = Buffer.concat(this.chunks);
--- a/packages/sidecar/src/server/server-connection.ts
+++ b/packages/sidecar/src/server/server-connection.ts
@@ -35,6 +35,8 @@
 const DEFAULT_IDLE_MS = 4_000;
 
 const EMPTY_LINE = '\r\n';
+/** Late answers to earlier requests that are passed over on a connection. */
+const MAX_LATE_ANSWERS = 4;
 
 /** Tells its owner only of its end; exchanges settle their own callbacks. */
 export class ServerConnection {
@@ -50,6 +52,7 @@
   private requestId: string | undefined;
   private closed = false;
   private tainted = false;
+  private lateAnswers = 0;
 
   private constructor(socket: Socket) {
     this.socket = socket;
@@ -105,7 +108,7 @@
     }
     this.settle = settle;
     this.requestId = req.requestId;
-    this.parser.bodyless = req.bodyless;
+    this.parser.begin(req.bodyless);
     this.socket.cork();
     this.socket.write(req.head);
     if (req.body.length > 0) this.socket.write(req.body);
@@ -158,6 +161,8 @@
     if (echoed !== undefined && echoed !== this.requestId) {
       // A late second answer to an earlier request; ours is still to come.
       this.tainted = true;
+      this.lateAnswers += 1;
+      if (this.lateAnswers > MAX_LATE_ANSWERS) this.close('no answer of ours');
       return;
     }
     this.settle = undefined;
--- /dev/null
+++ b/packages/sidecar/tests/server/endless-answers.test.ts
@@ -0,0 +1,138 @@
+import {SystemClock} from '@turmericmill/utils';
+import {expect} from 'chai';
+
+import type {
+  ExchangeEnd,
+  WireRequest,
+} from '../../src/server/server-connection.js';
+import {ServerPool} from '../../src/server/server-pool.js';
+import {EndlessServer, type EndlessBytes} from './endless-server.js';
+
+const ID = 'X-Turmericmill-Request-Id';
+const OK = `HTTP/1.1 200 OK\r\n${ID}: id-1\r\n`;
+const CHUNKED = `${OK}Transfer-Encoding: chunked\r\n\r\n`;
+/** Time in ms within which an answer without end is given up. */
+const GIVE_UP_MS = 2_000;
+/** What a server may write meanwhile: the bound and the system's buffers. */
+const MAX_WRITTEN_BYTES = 24 * 1024 * 1024;
+
+/** Answers that are no answer, each without end in another part. */
+const PARTS: Record<string, EndlessBytes> = {
+  'empty lines before a status line': {prefix: '', block: '\r\n'},
+  'bytes without a line': {prefix: '', block: 'x'},
+  'a status line': {prefix: 'HTTP/1.1 200 ', block: 'x'},
+  'a header line': {prefix: `${OK}X-Long: `, block: 'x'},
+  headers: {prefix: OK, block: 'X-More: x\r\n'},
+  'header lines without a name': {prefix: OK, block: ': x\r\n'},
+  'a folded header': {prefix: `${OK}X-Long: x\r\n`, block: ' x\r\n'},
+  'informational answers': {
+    prefix: '',
+    block: 'HTTP/1.1 103 Early Hints\r\n\r\n',
+  },
+  'answers to another request': {
+    prefix: '',
+    block: `HTTP/1.1 200 OK\r\n${ID}: id-0\r\nContent-Length: 0\r\n\r\n`,
+  },
+  'long answers to another request': {
+    prefix: '',
+    block: `HTTP/1.1 200 OK\r\n${ID}: id-0\r\nContent-Length: 65536\r\n\r\n${'x'.repeat(65_536)}`,
+  },
+  'chunks of one byte': {prefix: CHUNKED, block: '1\r\nx\r\n'},
+  'a chunk size': {prefix: CHUNKED, block: '0'},
+  'a chunk extension': {prefix: `${CHUNKED}1;`, block: 'x'},
+  'extensions of each chunk': {
+    prefix: CHUNKED,
+    block: `1;${'x'.repeat(500)}\r\nx\r\n`,
+  },
+  'bytes behind a chunk': {prefix: `${CHUNKED}1\r\nx`, block: 'x'},
+  trailers: {prefix: `${CHUNKED}0\r\n`, block: 'X-More: x\r\n'},
+  'a trailer line': {prefix: `${CHUNKED}0\r\nX-Long: `, block: 'x'},
+};
+
+function request(method = 'GET', body = Buffer.alloc(0)): WireRequest {
+  const requestId = 'id-1';
+  const head = `${method} /x HTTP/1.1\r\n${ID}: ${requestId}\r\nContent-Length: ${body.length}\r\n\r\n`;
+  const bodyless = method === 'HEAD';
+  return {head: Buffer.from(head), body, requestId, bodyless};
+}
+
+function exchange(pool: ServerPool, req = request()): Promise<ExchangeEnd> {
+  return new Promise(resolve => pool.run(req, true, resolve));
+}
+
+/** Resolves with false if `holds` does not within `GIVE_UP_MS`. */
+async function soon(holds: () => boolean): Promise<boolean> {
+  const deadlineMs = Date.now() + GIVE_UP_MS;
+  while (!holds() && Date.now() < deadlineMs) {
+    await new Promise(resolve => setTimeout(resolve, 5));
+  }
+  return holds();
+}
+
+describe('an answer without end', () => {
+  let server: EndlessServer;
+  let pool: ServerPool;
+
+  async function start(bytes: EndlessBytes): Promise<void> {
+    server = new EndlessServer(() => bytes);
+    const port = await server.listen();
+    pool = new ServerPool('127.0.0.1', port, new SystemClock());
+  }
+
+  afterEach(() => {
+    pool.destroy('The test is over.');
+    server.close();
+  });
+
+  for (const [part, bytes] of Object.entries(PARTS)) {
+    it(`is given up: ${part}`, async () => {
+      await start(bytes);
+      let end: ExchangeEnd | undefined;
+      pool.run(request(), true, settled => (end = settled));
+      await soon(() => end !== undefined);
+      expect(end?.kind).to.equal('lost');
+      expect(await soon(() => server.sockets.size === 0)).to.equal(true);
+      expect(server.writtenBytes).to.be.at.most(MAX_WRITTEN_BYTES);
+    });
+  }
+
+  it('is not read on once its request is cancelled', async () => {
+    await start({prefix: `${OK}\r\n`, block: 'x'});
+    const settled: ExchangeEnd[] = [];
+    const running = pool.run(request(), true, end => settled.push(end));
+    await soon(() => server.writtenBytes > 0);
+    running.cancel();
+    expect(await soon(() => server.sockets.size === 0)).to.equal(true);
+    expect(settled).to.deep.equal([]);
+    expect(server.writtenBytes).to.be.at.most(MAX_WRITTEN_BYTES);
+  });
+
+  for (const method of ['GET', 'HEAD']) {
+    it(`closes the connection behind a whole one: ${method}`, async () => {
+      await start({prefix: `${OK}Content-Length: 0\r\n\r\n`, block: 'x'});
+      const end = await exchange(pool, request(method));
+      expect(end.kind).to.equal('answered');
+      expect(await soon(() => server.sockets.size === 0)).to.equal(true);
+      expect(server.writtenBytes).to.be.at.most(MAX_WRITTEN_BYTES);
+    });
+  }
+
+  it('closes the connection behind an early one', async () => {
+    await start({prefix: `${OK}Content-Length: 0\r\n\r\n`, block: 'x'});
+    const body = Buffer.alloc(32 * 1024 * 1024);
+    const end = await exchange(pool, request('POST', body));
+    expect(end.kind).to.equal('answered');
+    expect(await soon(() => server.sockets.size === 0)).to.equal(true);
+    expect(server.writtenBytes).to.be.at.most(MAX_WRITTEN_BYTES);
+  });
+
+  it('closes an idle connection', async () => {
+    await start({prefix: `${OK}Content-Length: 0\r\n\r\n`, block: ''});
+    expect((await exchange(pool)).kind).to.equal('answered');
+    expect(server.sockets.size).to.equal(1);
+    const [socket] = server.sockets;
+    if (socket) server.pour(socket, {prefix: '', block: 'x'});
+    expect(await soon(() => server.sockets.size === 0)).to.equal(true);
+    expect(server.writtenBytes).to.be.at.most(MAX_WRITTEN_BYTES);
+  });
+});
