Answers without end share a budget of the process's memory

What callers saw: a server that sent bodies without end, or several at once, cost the node beside it its process, and all requests that the process had accepted were lost.

Cause: an answer was bounded by itself alone, at 64 MiB, and all answers together by nothing. Twelve of them exceed the memory of the smallest host (250 MB) several times over; a body was copied once more when it was whole, and in chunks of a few bytes it took many times its length.

Fix: all answers that a node holds share one budget, a share of the memory limit in the settings (20 MB of 250). A reservation that exceeds it makes the answer with most bytes give up, which ends as lost; honest ones beside it go on. Bodies are copied once, into blocks that double up to 64 KiB, and go on block by block.

--- a/packages/sidecar/src/server/answer-parser.ts
+++ b/packages/sidecar/src/server/answer-parser.ts
@@ -4,14 +4,17 @@
 
 import {HTTPParser} from 'http-parser-js';
 
+import {AnswerBody} from './answer-body.js';
 import {AnswerLines} from './answer-lines.js';
+import {BLOCK_BYTES, BlockPool} from './block-pool.js';
 
 /** An answer that has arrived whole. */
 export interface ServerAnswer {
   status: number;
   /** Names and values in the order received, flattened. */
   headers: string[];
-  body: Buffer;
+  /** The body's bytes in order. */
+  body: Buffer[];
   /** False if the connection cannot carry another request. */
   keepAlive: boolean;
 }
@@ -22,6 +25,8 @@
   answer(answer: ServerAnswer): void;
   /** Bytes that are no answer in the protocol. */
   malformed(detail: string): void;
+  /** Bytes of memory that were taken for the answer, beside those before. */
+  held(bytes: number): void;
 }
 
 const CONTENT_LENGTH = /^\d+$/;
@@ -29,6 +34,8 @@
 const SKIP_BODY = 1;
 /** Largest answer in bytes that is taken; far above what servers send. */
 const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+/** Bytes of memory that are kept for later answers. */
+const MAX_FREE_BYTES = 16 * 1024 * 1024;
 /** Most headers of an answer; those of Node.js have the same bound. */
 const MAX_HEADERS = 2_000;
 
@@ -58,12 +65,16 @@
 
 HTTPParser.encoding = 'latin1';
 
+/** Memory of answers that were given up: it is not free before a collection. */
+const BLOCKS = new BlockPool(MAX_FREE_BYTES / BLOCK_BYTES);
+
 /** One parser for each connection. */
 export class AnswerParser {
   private readonly parser = new HTTPParser('RESPONSE');
   private status = 0;
   private headers: string[] = [];
-  private chunks: Buffer[] = [];
+  private readonly body = new AnswerBody(BLOCKS);
+  /** Bytes of all bodies of an exchange, foreign answers included. */
   private bytes = 0;
   private lines = new AnswerLines();
   private keepAlive = false;
@@ -84,21 +95,24 @@
       this.checkHeaders();
       return this.bodyless ? SKIP_BODY : undefined;
     };
-    parser[HTTPParser.kOnBody] = (chunk: Buffer) => {
-      this.bytes += chunk.length;
-      if (this.bytes > MAX_ANSWER_BYTES) throw new Error('answer too large');
-      this.lines.noteBody(chunk.length);
-      this.chunks.push(chunk);
-    };
+    parser[HTTPParser.kOnBody] = (chunk: Buffer) => this.takeBody(chunk);
     parser[HTTPParser.kOnMessageComplete] = () => this.complete();
   }
 
   /** A request goes out; `bodyless` for HEAD, whose answers have no body. */
   begin(bodyless: boolean): void {
     this.bodyless = bodyless;
+    this.bytes = 0;
     this.lines = new AnswerLines();
   }
 
+  /** Drops what has arrived, and takes no more. */
+  discard(): void {
+    this.failed = true;
+    this.body.discard();
+    this.headers = [];
+  }
+
   /** Takes received bytes. */
   push(chunk: Buffer): void {
     if (this.failed) return;
@@ -121,6 +135,13 @@
     if (!this.failed && this.partial) this.parser.finish();
   }
 
+  private takeBody(chunk: Buffer): void {
+    this.bytes += chunk.length;
+    if (this.bytes > MAX_ANSWER_BYTES) throw new Error('answer too large');
+    this.lines.noteBody(chunk.length);
+    this.hold(this.body.append(chunk));
+  }
+
   /** Reads a line as the library does, within the bounds of its part. */
   private countLine(
     consumeLine: ParserInternals['consumeLine'],
@@ -128,18 +149,24 @@
     const {internals} = this;
     const {offset, state} = internals;
     const line = consumeLine.call(internals);
-    this.lines.note(state, internals.offset - offset);
+    const bytes = internals.offset - offset;
+    this.lines.note(state, bytes);
     if (internals.info.headers.length > 2 * MAX_HEADERS) {
       throw new Error('too many headers');
     }
+    this.hold(bytes);
     return line;
   }
 
+  /** The owner may discard the answer in response. */
+  private hold(bytes: number): void {
+    if (bytes > 0 && !this.failed) this.events.held(bytes);
+    if (this.failed) throw new Error('answer given up');
+  }
+
   private complete(): void {
     const {status, headers, keepAlive} = this;
-    const body = Buffer.concat(this.chunks);
-    this.chunks = [];
-    this.bytes = 0;
+    const body = this.body.take();
     this.partial = false;
     if (status < 200) return;
     const hasMore = this.internals.offset < this.internals.end;
@@ -166,7 +193,8 @@
   }
 
   private fail(detail: string): void {
-    this.failed = true;
+    if (this.failed) return;
+    this.discard();
     this.events.malformed(detail);
   }
 }
--- a/packages/sidecar/src/server/server-connection.ts
+++ b/packages/sidecar/src/server/server-connection.ts
@@ -5,6 +5,11 @@
 import {REQUEST_ID_HEADER} from '@turmericmill/platform-adapter';
 import {headerOf} from '@turmericmill/node';
 
+import {
+  holdBytes,
+  type AnswerBudget,
+  type AnswerHolder,
+} from './answer-budget.js';
 import {AnswerParser, type ServerAnswer} from './answer-parser.js';
 
 /** A request as it goes on the wire. */
@@ -38,8 +43,14 @@
 /** Late answers to earlier requests that are passed over on a connection. */
 const MAX_LATE_ANSWERS = 4;
 
+/**
+ * Read into by all connections, one after the other: what is kept of the bytes
+ * is copied at once. A buffer for each read would wait for garbage collection.
+ */
+const READ_BUFFER = Buffer.allocUnsafeSlow(64 * 1024);
+
 /** Tells its owner only of its end; exchanges settle their own callbacks. */
-export class ServerConnection {
+export class ServerConnection implements AnswerHolder {
   /** Time in ms at which the connection became idle. */
   idleSinceMs = 0;
   /** Idle time in ms after which the connection is not reused. */
@@ -54,14 +65,17 @@
   private tainted = false;
   private lateAnswers = 0;
 
-  private constructor(socket: Socket) {
+  private constructor(
+    socket: Socket,
+    private readonly answers: AnswerBudget,
+  ) {
     this.socket = socket;
     this.parser = new AnswerParser({
       answer: answer => this.take(answer),
       malformed: detail => this.close(`malformed answer: ${detail}`),
+      held: bytes => holdBytes(answers, this, bytes),
     });
     socket.setNoDelay(true);
-    socket.on('data', chunk => this.receive(chunk));
     socket.on('end', () => this.confirmEnd());
     socket.on('error', err => this.close(err.message));
     socket.on('close', () => this.close('closed'));
@@ -72,9 +86,20 @@
     address: string,
     port: number,
     timeoutMs: number,
+    answers: AnswerBudget,
   ): Promise<ServerConnection> {
     return new Promise((resolve, reject) => {
-      const socket = connect({host: address, port, allowHalfOpen: true});
+      let opened: ServerConnection | undefined;
+      const callback = (bytes: number) => {
+        opened?.receive(READ_BUFFER.subarray(0, bytes));
+        return true;
+      };
+      const socket = connect({
+        host: address,
+        port,
+        allowHalfOpen: true,
+        onread: {buffer: READ_BUFFER, callback},
+      });
       const timer = setTimeout(() => {
         socket.destroy(new Error('connect timeout'));
       }, timeoutMs);
@@ -85,7 +110,8 @@
       socket.once('connect', () => {
         clearTimeout(timer);
         socket.removeAllListeners('error');
-        resolve(new ServerConnection(socket));
+        opened = new ServerConnection(socket, answers);
+        resolve(opened);
       });
     });
   }
@@ -115,11 +141,18 @@
     this.socket.uncork();
   }
 
+  /** All answers together take too much memory, and this one most of it. */
+  giveUp(): void {
+    this.close('answer given up: too many bytes are held');
+  }
+
   /** Ends the connection; a running exchange is lost. */
   close(detail: string): void {
     if (this.closed) return;
     this.closed = true;
     this.socket.destroy();
+    this.parser.discard();
+    this.answers.release(this);
     const {settle} = this;
     this.settle = undefined;
     settle?.({kind: 'lost', detail});
@@ -153,6 +186,7 @@
 
   private take(answer: ServerAnswer): void {
     const {settle} = this;
+    this.answers.release(this);
     if (!settle) {
       this.tainted = true;
       return;
--- a/packages/sidecar/src/server/server-pool.ts
+++ b/packages/sidecar/src/server/server-pool.ts
@@ -2,6 +2,7 @@
 
 import type {Clock} from '@turmericmill/utils';
 
+import type {AnswerBudget} from './answer-budget.js';
 import {
   ServerConnection,
   type ExchangeEnd,
@@ -30,6 +31,7 @@
     private readonly address: string,
     private readonly port: number,
     private readonly clock: Clock,
+    private readonly answers: AnswerBudget,
   ) {}
 
   /** Sends a request over a kept connection or a new one. */
@@ -85,11 +87,12 @@
   }
 
   private async connect(): Promise<ServerConnection> {
-    const {address, port} = this;
+    const {address, port, answers} = this;
     const connection = await ServerConnection.open(
       address,
       port,
       CONNECT_TIMEOUT_MS,
+      answers,
     );
     this.open.add(connection);
     connection.onClosed = () => {
--- a/packages/sidecar/src/server/server-session.ts
+++ b/packages/sidecar/src/server/server-session.ts
@@ -29,8 +29,6 @@
 const PROBE_INTERVAL_MS = 300;
 /** Time in ms in which the losses of a crash become known. */
 const CRASH_SETTLE_MS = 50;
-/** Bytes of an answer in one frame between nodes. */
-const ANSWER_FRAME_BYTES = 64 * 1024;
 
 const DETAILS: Partial<Record<FailureReason, string>> = {
   overload: 'The server has no slot in time.',
@@ -57,9 +55,9 @@
     private readonly parts: ServerRunnerParts,
     private readonly stateChanged: () => void,
   ) {
-    const {address, port, clock} = parts;
+    const {address, port, clock, answers} = parts;
     this.queue = new SlotQueue(current.slots);
-    this.pool = new ServerPool(address, port, clock);
+    this.pool = new ServerPool(address, port, clock, answers);
     this.sweepLater();
     if (current.state === 'leaving') this.queue.close('draining');
   }
@@ -185,11 +183,8 @@
   }
 
   private deliver({events, head}: ServerCall, answer: ServerAnswer): void {
-    const {body} = answer;
     events.answerStart(answer.status, answer.headers, this.load(head));
-    for (let at = 0; at < body.length; at += ANSWER_FRAME_BYTES) {
-      events.answerData(body.subarray(at, at + ANSWER_FRAME_BYTES));
-    }
+    for (const block of answer.body) events.answerData(block);
     events.answerEnd([]);
   }
 
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -24,6 +24,7 @@
 import {MetricsServer} from './observe/metrics-server.js';
 import {RequestLog} from './observe/request-log.js';
 import {SidecarMetrics} from './observe/sidecar-metrics.js';
+import {answerBudget} from './server/answer-budget.js';
 import {ServerRunner} from './server/server-runner.js';
 import {ReadinessServer} from './tasks/readiness-server.js';
 import {StoreSeeds} from './tasks/store-seeds.js';
@@ -101,6 +102,7 @@
       clock,
       logger,
       quarantine,
+      answers: answerBudget(settings.memoryMb),
       address,
       port,
     });
--- /dev/null
+++ b/packages/sidecar/tests/server/answer-body.test.ts
@@ -0,0 +1,66 @@
+import {expect} from 'chai';
+
+import {AnswerBody} from '../../src/server/answer-body.js';
+import {BLOCK_BYTES, BlockPool} from '../../src/server/block-pool.js';
+
+const KIB = 1024;
+
+/** Sizes in bytes of the pieces that arrive. */
+const PIECES: Record<string, readonly number[]> = {
+  none: [],
+  'one short piece': [5],
+  'one piece of a block': [64 * KIB],
+  'one piece of several blocks': [200 * KIB],
+  'pieces of one byte': Array<number>(100_000).fill(1),
+  'small and large pieces in turn': [1, 64 * KIB, 3, 64 * KIB, 7, 64 * KIB],
+  'pieces of a segment': Array<number>(100).fill(1_460),
+};
+
+function piece(seed: number, bytes: number): Buffer {
+  return Buffer.from([...Array(bytes).keys()].map(at => (seed + at) % 251));
+}
+
+describe('AnswerBody', () => {
+  for (const [name, sizes] of Object.entries(PIECES)) {
+    it(`keeps the bytes in order: ${name}`, () => {
+      const body = new AnswerBody(new BlockPool(0));
+      const pieces = sizes.map((bytes, i) => piece(i, bytes));
+      for (const bytes of pieces) body.append(bytes);
+      const whole = Buffer.concat(pieces);
+      expect(Buffer.concat(body.take()).equals(whole)).to.equal(true);
+      expect(body.take()).to.deep.equal([]);
+    });
+
+    it(`takes little more memory than the bytes need: ${name}`, () => {
+      const body = new AnswerBody(new BlockPool(0));
+      let heldBytes = 0;
+      let bytes = 0;
+      for (const size of sizes) {
+        heldBytes += body.append(Buffer.alloc(size));
+        bytes += size;
+        expect(heldBytes).to.be.within(bytes, 2 * bytes + KIB);
+      }
+      const blocks = body.take();
+      expect(blocks.length).to.be.at.most(8 + bytes / (64 * KIB));
+      for (const {length} of blocks) expect(length).to.be.at.most(64 * KIB);
+    });
+  }
+
+  it('gives its large blocks back, and those alone, when discarded', () => {
+    const pool = new BlockPool(2);
+    const body = new AnswerBody(pool);
+    body.append(Buffer.alloc(5));
+    body.append(Buffer.alloc(4 * BLOCK_BYTES));
+    const other = new AnswerBody(pool);
+    other.append(Buffer.alloc(BLOCK_BYTES));
+    const [kept] = other.take();
+    body.discard();
+    expect(body.take()).to.deep.equal([]);
+    const again = [pool.take(), pool.take(), pool.take()];
+    expect(new Set(again).size).to.equal(3);
+    for (const block of again) {
+      expect(block.length).to.equal(BLOCK_BYTES);
+      expect(block.buffer).to.not.equal(kept?.buffer);
+    }
+  });
+});
--- a/packages/sidecar/tests/server/endless-answers.test.ts
+++ b/packages/sidecar/tests/server/endless-answers.test.ts
@@ -1,6 +1,9 @@
-import {SystemClock} from '@turmericmill/utils';
+import {createServer, type AddressInfo} from 'node:net';
+
+import {ByteBudget, SystemClock} from '@turmericmill/utils';
 import {expect} from 'chai';
 
+import type {AnswerHolder} from '../../src/server/answer-budget.js';
 import type {
   ExchangeEnd,
   WireRequest,
@@ -11,6 +14,7 @@
 const ID = 'X-Turmericmill-Request-Id';
 const OK = `HTTP/1.1 200 OK\r\n${ID}: id-1\r\n`;
 const CHUNKED = `${OK}Transfer-Encoding: chunked\r\n\r\n`;
+const MAX_HELD_BYTES = 1024 * 1024;
 /** Time in ms within which an answer without end is given up. */
 const GIVE_UP_MS = 2_000;
 /** What a server may write meanwhile: the bound and the system's buffers. */
@@ -37,6 +41,16 @@
     prefix: '',
     block: `HTTP/1.1 200 OK\r\n${ID}: id-0\r\nContent-Length: 65536\r\n\r\n${'x'.repeat(65_536)}`,
   },
+  'a body with a length': {
+    prefix: `${OK}Content-Length: 999999999999999\r\n\r\n`,
+    block: 'x',
+  },
+  'a body without a length': {prefix: `${OK}\r\n`, block: 'x'},
+  'one chunk': {prefix: `${CHUNKED}fffffffffff\r\n`, block: 'x'},
+  'large chunks': {
+    prefix: CHUNKED,
+    block: `10000\r\n${'x'.repeat(65_536)}\r\n`,
+  },
   'chunks of one byte': {prefix: CHUNKED, block: '1\r\nx\r\n'},
   'a chunk size': {prefix: CHUNKED, block: '0'},
   'a chunk extension': {prefix: `${CHUNKED}1;`, block: 'x'},
@@ -69,14 +83,39 @@
   return holds();
 }
 
+/** Answers in pieces of a KiB, with a pause behind each. */
+async function honestServer(): Promise<{port: number; close(): void}> {
+  const pieces = 40;
+  const server = createServer(socket => {
+    socket.on('error', () => socket.destroy());
+    socket.once('data', () => {
+      socket.write(`${OK}Content-Length: ${pieces * 1024}\r\n\r\n`);
+      let sent = 0;
+      const timer = setInterval(() => {
+        socket.write('x'.repeat(1024));
+        sent += 1;
+        if (sent === pieces) clearInterval(timer);
+      }, 5);
+      socket.once('close', () => clearInterval(timer));
+    });
+  });
+  await new Promise<void>(resolve => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const {port} = server.address() as AddressInfo;
+  return {port, close: () => server.close()};
+}
+
 describe('an answer without end', () => {
   let server: EndlessServer;
   let pool: ServerPool;
+  let answers: ByteBudget<AnswerHolder>;
 
-  async function start(bytes: EndlessBytes): Promise<void> {
+  async function start(bytes: EndlessBytes, maxHeldBytes = MAX_HELD_BYTES) {
     server = new EndlessServer(() => bytes);
     const port = await server.listen();
-    pool = new ServerPool('127.0.0.1', port, new SystemClock());
+    answers = new ByteBudget(maxHeldBytes);
+    pool = new ServerPool('127.0.0.1', port, new SystemClock(), answers);
   }
 
   afterEach(() => {
@@ -93,11 +132,12 @@
       expect(end?.kind).to.equal('lost');
       expect(await soon(() => server.sockets.size === 0)).to.equal(true);
       expect(server.writtenBytes).to.be.at.most(MAX_WRITTEN_BYTES);
+      expect(answers.heldBytes).to.equal(0);
     });
   }
 
   it('is not read on once its request is cancelled', async () => {
-    await start({prefix: `${OK}\r\n`, block: 'x'});
+    await start({prefix: `${OK}\r\n`, block: 'x'}, MAX_WRITTEN_BYTES);
     const settled: ExchangeEnd[] = [];
     const running = pool.run(request(), true, end => settled.push(end));
     await soon(() => server.writtenBytes > 0);
@@ -135,4 +175,35 @@
     expect(await soon(() => server.sockets.size === 0)).to.equal(true);
     expect(server.writtenBytes).to.be.at.most(MAX_WRITTEN_BYTES);
   });
+
+  it('does not cost an honest answer beside many of them', async () => {
+    await start({prefix: `${OK}\r\n`, block: 'x'});
+    const honest = await honestServer();
+    const other = new ServerPool(
+      '127.0.0.1',
+      honest.port,
+      new SystemClock(),
+      answers,
+    );
+    const lost: string[] = [];
+    let isOver = false;
+    let mostHeldBytes = 0;
+    const pour = async () => {
+      while (!isOver) {
+        lost.push((await exchange(pool)).kind);
+        mostHeldBytes = Math.max(mostHeldBytes, answers.heldBytes);
+      }
+    };
+    const pours = Promise.all(Array.from({length: 12}, pour));
+    const end = await exchange(other);
+    isOver = true;
+    await pours;
+    other.destroy('The test is over.');
+    honest.close();
+    expect(end.kind).to.equal('answered');
+    expect(new Set(lost)).to.deep.equal(new Set(['lost']));
+    expect(lost.length).to.be.above(24);
+    expect(mostHeldBytes).to.be.within(1, MAX_HELD_BYTES);
+    expect(answers.heldBytes).to.equal(0);
+  });
 });
--- a/packages/sidecar/tests/server/server-pool.test.ts
+++ b/packages/sidecar/tests/server/server-pool.test.ts
@@ -5,9 +5,10 @@
   type Socket,
 } from 'node:net';
 
-import {SystemClock} from '@turmericmill/utils';
+import {ByteBudget, SystemClock} from '@turmericmill/utils';
 import {expect} from 'chai';
 
+import type {AnswerHolder} from '../../src/server/answer-budget.js';
 import type {
   ExchangeEnd,
   WireRequest,
@@ -15,6 +16,7 @@
 import {ServerPool} from '../../src/server/server-pool.js';
 
 const ID = 'X-Turmericmill-Request-Id';
+const MAX_HELD_BYTES = 1024 * 1024;
 
 function answer(id: string, body: string, more = ''): string {
   return `HTTP/1.1 200 OK\r\n${ID}: ${id}\r\n${more}Content-Length: ${body.length}\r\n\r\n${body}`;
@@ -73,13 +75,19 @@
 
 function textOf(end: ExchangeEnd): string {
   if (end.kind !== 'answered') return end.kind;
-  return `${end.answer.status} ${end.answer.body.toString('latin1')}`;
+  const {status, body} = end.answer;
+  return `${status} ${Buffer.concat(body).toString('latin1')}`;
+}
+
+function makePool(port: number): ServerPool {
+  const answers = new ByteBudget<AnswerHolder>(MAX_HELD_BYTES);
+  return new ServerPool('127.0.0.1', port, new SystemClock(), answers);
 }
 
 async function play(scripts: Step[][]) {
   const server = new ScriptedServer(scripts);
   const port = await server.listen();
-  const pool = new ServerPool('127.0.0.1', port, new SystemClock());
+  const pool = makePool(port);
   const ends: string[] = [];
   const count = scripts.length;
   for (let i = 1; i <= count; i++) {
@@ -213,7 +221,7 @@
     const server = new ScriptedServer([]);
     const port = await server.listen();
     server.close();
-    const pool = new ServerPool('127.0.0.1', port, new SystemClock());
+    const pool = makePool(port);
     const end = await new Promise<ExchangeEnd>(resolve => {
       pool.run(request('id-1'), true, resolve);
     });
@@ -223,7 +231,7 @@
   it('ends the connection of a cancelled request', async () => {
     const server = new ScriptedServer([[], OK_2]);
     const port = await server.listen();
-    const pool = new ServerPool('127.0.0.1', port, new SystemClock());
+    const pool = makePool(port);
     const settled: ExchangeEnd[] = [];
     const exchange = pool.run(request('id-1'), true, end => settled.push(end));
     await new Promise(resolve => setTimeout(resolve, 20));
