Calls end at their deadline however slowly an answer arrives

No fault: the table shows that a byte now and then, in any part of an answer, does not keep a call or its connection past the deadline, for GET and HEAD.

--- /dev/null
+++ b/packages/sidecar/tests/server/server-session.test.ts
@@ -0,0 +1,131 @@
+import {createServer, type AddressInfo, type Socket} from 'node:net';
+
+import type {CurrentServer} from '@turmericmill/membership';
+import type {CallFailure, CallHead, QuarantineTask} from '@turmericmill/node';
+import {ByteBudget, SystemClock} from '@turmericmill/utils';
+import bunyan from 'bunyan';
+import {expect} from 'chai';
+
+import type {AnswerHolder} from '../../src/server/answer-budget.js';
+import {ServerSession} from '../../src/server/server-session.js';
+
+const DEADLINE_MS = 150;
+/** Time in ms after the deadline in which a call has to be over. */
+const SLACK_MS = 500;
+/** Time in ms between two bytes of the server. */
+const TRICKLE_MS = 5;
+const CHUNKED = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n';
+
+/** Answers of which a byte comes from time to time, but never the last. */
+const TRICKLES: Record<string, {prefix: string; byte: string}> = {
+  nothing: {prefix: '', byte: ''},
+  'empty lines': {prefix: '', byte: '\n'},
+  'a status line': {prefix: 'HTTP/1.1 200 ', byte: 'x'},
+  'a header': {prefix: 'HTTP/1.1 200 OK\r\nX-Long: ', byte: 'x'},
+  'informational answers': {prefix: '', byte: 'HTTP/1.1 103 x\r\n\r\n'},
+  'a body with a length': {
+    prefix: 'HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n',
+    byte: 'x',
+  },
+  'a body without a length': {prefix: 'HTTP/1.1 200 OK\r\n\r\n', byte: 'x'},
+  chunks: {prefix: CHUNKED, byte: '1\r\nx\r\n'},
+  'a chunk size': {prefix: CHUNKED, byte: '0'},
+  trailers: {prefix: `${CHUNKED}0\r\n`, byte: 'X: y\r\n'},
+};
+
+const HEAD: CallHead = {
+  serverId: 'i-1',
+  serverIncarnation: 1,
+  group: 'desk',
+  method: 'GET',
+  path: '/x',
+  headers: [],
+  customer: 'desk',
+  class: 'r',
+  priority: 'interactive',
+  hops: 1,
+  fingerprint: 'f',
+  deadlineMs: 0,
+};
+
+const SERVER = {
+  serverId: 'i-1',
+  bornMs: 1,
+  service: 'desk',
+  slots: 1,
+  state: 'ready',
+  warmUntilMs: 0,
+} as CurrentServer;
+
+describe('ServerSession', () => {
+  const sockets = new Set<Socket>();
+  let trickle = TRICKLES['nothing'];
+  let session: ServerSession;
+  const server = createServer(socket => {
+    sockets.add(socket);
+    socket.on('error', () => socket.destroy());
+    socket.on('close', () => sockets.delete(socket));
+    socket.once('data', () => {
+      const {prefix, byte} = trickle ?? {prefix: '', byte: ''};
+      socket.write(prefix);
+      const timer = setInterval(() => socket.write(byte), TRICKLE_MS);
+      socket.on('close', () => clearInterval(timer));
+    });
+  });
+
+  beforeEach(async () => {
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+    const {port} = server.address() as AddressInfo;
+    const quarantine = {
+      standing: () => 'clear',
+      answered: () => undefined,
+      crashed: () => undefined,
+    };
+    session = new ServerSession(
+      SERVER,
+      {
+        bus: undefined as never,
+        clock: new SystemClock(),
+        logger: bunyan.createLogger({name: 'test', level: bunyan.FATAL + 1}),
+        quarantine: quarantine as unknown as QuarantineTask,
+        answers: new ByteBudget<AnswerHolder>(1024 * 1024),
+        address: '127.0.0.1',
+        port,
+      },
+      () => undefined,
+    );
+  });
+
+  afterEach(async () => {
+    session.retire();
+    for (const socket of sockets) socket.destroy();
+    await new Promise(resolve => server.close(resolve));
+  });
+
+  for (const [name, bytes] of Object.entries(TRICKLES)) {
+    for (const method of ['GET', 'HEAD']) {
+      it(`ends a call at its deadline beside ${name}: ${method}`, async () => {
+        trickle = bytes;
+        const deadlineMs = new SystemClock().now() + DEADLINE_MS;
+        const startedMs = performance.now();
+        const failure = await new Promise<CallFailure>(resolve => {
+          const head = {...HEAD, method, deadlineMs};
+          const first = {chunk: new Uint8Array(), end: true};
+          session.run(head, first, {
+            credit: () => undefined,
+            answerStart: () => undefined,
+            answerData: () => undefined,
+            answerEnd: () => undefined,
+            failed: resolve,
+          });
+        });
+        const elapsedMs = performance.now() - startedMs;
+        expect(failure).to.include({outcome: 'unknown'});
+        expect(elapsedMs).to.be.below(DEADLINE_MS + SLACK_MS);
+        await new Promise(resolve => setTimeout(resolve, 20));
+        expect(sockets.size).to.equal(0);
+        expect(session.inFlight).to.equal(0);
+      });
+    }
+  }
+});
