--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -11,7 +11,12 @@
 } from '@turmericmill/node';
 import {HttpStore, type HostSettings} from '@turmericmill/platform-adapter';
 import {LeastExpectedCostBalancer} from '@turmericmill/routing';
-import {sleep, SystemClock, SystemRandom} from '@turmericmill/utils';
+import {
+  ByteBudget,
+  sleep,
+  SystemClock,
+  SystemRandom,
+} from '@turmericmill/utils';
 import {MAX_PROTOCOL_VERSION, MIN_PROTOCOL_VERSION} from '@turmericmill/wire';
 import type Logger from 'bunyan';
 
@@ -41,6 +46,8 @@
 const RETRY_SHARE_USED = 0.85;
 /** Repetitions in a window for services that are seldom asked for here. */
 const EXTRA_RETRIES = 1;
+/** Bytes of answers that a node holds: an eighth of the smallest host's memory. */
+const HELD_ANSWERS_BYTES = 32 * 1024 * 1024;
 /** Time in ms after which a node that knows no other one serves by itself. */
 const JOIN_PATIENCE_MS = 3_000;
 /**
@@ -113,6 +120,7 @@
       serverInFlight: () => this.server.inFlight,
       logLinesLeftOut: () => this.requestLog.budget.leftOutTotal,
       logLinesDropped: () => destination.dropped,
+      connectionsClosed: () => this.transport.closedCounts,
     });
     this.metricsServer = new MetricsServer(settings.ip, this.metrics);
     this.ingress = this.makeIngress();
@@ -229,7 +237,7 @@
   }
 
   private makeIngress(): IngressServer {
-    const {bus, clock, random, logger} = this;
+    const {bus, clock, random} = this;
     const {nodeId, dataCentre, service, listen, retries} = this.settings;
     const dispatch = new RequestDispatch({
       nodeId,
@@ -239,6 +247,7 @@
       clock,
       random,
       sizes: new AnswerSizes(),
+      heldAnswers: new ByteBudget(HELD_ANSWERS_BYTES),
       dataCentre,
       retries: {
         share: retries.share * RETRY_SHARE_USED,
@@ -254,7 +263,6 @@
       bus,
       clock,
       random,
-      logger,
       onEnded: (request, end, context, status) => {
         this.requestLog.ended(request, end, context, status);
         this.metrics.ended(request, end, context.latencyMs);
@@ -263,6 +271,14 @@
         this.requestLog.rejected(caller, answer, version);
         this.metrics.rejected(answer.reason);
       },
+      onBrokenOff: (caller, err) => {
+        this.requestLog.brokenOff(caller, err);
+        this.metrics.brokenOff();
+      },
+      onUndelivered: (caller, answer) => {
+        this.requestLog.undelivered(caller, answer);
+        this.metrics.undelivered(answer);
+      },
     });
   }
 }
