Answers of servers and of other nodes share one budget

What callers would see: the node killed, as before, when both kinds come at once. Answers that arrive from the server and answers that the entry node holds for its callers had a budget each, the second a constant that did not follow the memory of the host (32 MiB, beside 20 MiB of the first).

Both now reserve from the same budget, a tenth of the memory limit. What makes room differs: an answer of the server that is not whole is given up, an answer held for a caller is passed on as it comes. The tests of held answers change in the type of their budget only; one more shows that an honest answer is held on beside a larger one of the server.

--- a/packages/sidecar/src/ingress/held-answer.ts
+++ b/packages/sidecar/src/ingress/held-answer.ts
@@ -1,8 +1,12 @@
 /** An answer that its caller gets once it is whole. */
 
-import type {ByteBudget} from '@turmericmill/utils';
 import type {FlatHeaders} from '@turmericmill/wire';
 
+import {
+  holdBytes,
+  type AnswerBudget,
+  type AnswerHolder,
+} from '../answer-budget.js';
 import {framedHeaders} from './answer-framing.js';
 import type {CallerRequest} from './caller-request.js';
 
@@ -14,7 +18,7 @@
  * can be replaced. When the answers held exceed their budget, the largest ones
  * are passed on as they come.
  */
-export class HeldAnswer {
+export class HeldAnswer implements AnswerHolder {
   /** 0 before the head has come. */
   status = 0;
   /** Bytes of the body so far. */
@@ -26,7 +30,7 @@
   constructor(
     private readonly method: string,
     private readonly caller: AnswerTarget,
-    private readonly budget: ByteBudget<HeldAnswer>,
+    private readonly budget: AnswerBudget,
   ) {}
 
   /** True once the caller may have seen part of the answer. */
@@ -46,8 +50,11 @@
       return;
     }
     this.chunks.push(chunk);
-    const overflowing = this.budget.reserve(this, chunk.length);
-    for (const answer of overflowing) answer.stream();
+    holdBytes(this.budget, this, chunk.length);
+  }
+
+  makeRoom(): void {
+    this.stream();
   }
 
   /** Passes the answer on as it comes. */
--- a/packages/sidecar/src/ingress/request-dispatch.ts
+++ b/packages/sidecar/src/ingress/request-dispatch.ts
@@ -30,8 +30,9 @@
   type OfferState,
   type RetryAllowance,
 } from '@turmericmill/routing';
-import type {ByteBudget, Clock, RandomSource} from '@turmericmill/utils';
+import type {Clock, RandomSource} from '@turmericmill/utils';
 
+import type {AnswerBudget} from '../answer-budget.js';
 import {MAX_BODY_FRAME_BYTES} from '../server/server-call.js';
 import type {AnswerSizes} from './answer-sizes.js';
 import {HeldAnswer} from './held-answer.js';
@@ -52,7 +53,7 @@
   random: RandomSource;
   sizes: AnswerSizes;
   /** Bytes of answers that are held until they are whole. */
-  heldAnswers: ByteBudget<HeldAnswer>;
+  heldAnswers: AnswerBudget;
   /** How many of a service's requests may be sent again. */
   retries: RetryAllowance;
   /** Data centre of this node. */
--- a/packages/sidecar/src/server/server-connection.ts
+++ b/packages/sidecar/src/server/server-connection.ts
@@ -9,7 +9,7 @@
   holdBytes,
   type AnswerBudget,
   type AnswerHolder,
-} from './answer-budget.js';
+} from '../answer-budget.js';
 import {AnswerParser, type ServerAnswer} from './answer-parser.js';
 
 /** A request as it goes on the wire. */
@@ -142,7 +142,7 @@
   }
 
   /** All answers together take too much memory, and this one most of it. */
-  giveUp(): void {
+  makeRoom(): void {
     this.close('answer given up: too many bytes are held');
   }
 
--- a/packages/sidecar/src/server/server-pool.ts
+++ b/packages/sidecar/src/server/server-pool.ts
@@ -2,7 +2,7 @@
 
 import type {Clock} from '@turmericmill/utils';
 
-import type {AnswerBudget} from './answer-budget.js';
+import type {AnswerBudget} from '../answer-budget.js';
 import {
   ServerConnection,
   type ExchangeEnd,
--- a/packages/sidecar/src/server/server-runner.ts
+++ b/packages/sidecar/src/server/server-runner.ts
@@ -16,7 +16,7 @@
 import type {Clock} from '@turmericmill/utils';
 import type Logger from 'bunyan';
 
-import type {AnswerBudget} from './answer-budget.js';
+import type {AnswerBudget} from '../answer-budget.js';
 import {ServerSession} from './server-session.js';
 
 /** Connections to a server while its service's limit is not known. */
@@ -28,7 +28,6 @@
   clock: Clock;
   logger: Logger;
   quarantine: QuarantineTask;
-  /** For the answers of the server that are not whole yet. */
   answers: AnswerBudget;
   /** Where the server beside this node listens. */
   address: string;
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -11,15 +11,11 @@
 } from '@turmericmill/node';
 import {HttpStore, type HostSettings} from '@turmericmill/platform-adapter';
 import {LeastExpectedCostBalancer} from '@turmericmill/routing';
-import {
-  ByteBudget,
-  sleep,
-  SystemClock,
-  SystemRandom,
-} from '@turmericmill/utils';
+import {sleep, SystemClock, SystemRandom} from '@turmericmill/utils';
 import {MAX_PROTOCOL_VERSION, MIN_PROTOCOL_VERSION} from '@turmericmill/wire';
 import type Logger from 'bunyan';
 
+import {answerBudget, type AnswerBudget} from './answer-budget.js';
 import {ConfigFollower} from './config/config-follower.js';
 import {ReportServer} from './control/report-server.js';
 import {AnswerSizes} from './ingress/answer-sizes.js';
@@ -29,7 +25,6 @@
 import {MetricsServer} from './observe/metrics-server.js';
 import {RequestLog} from './observe/request-log.js';
 import {SidecarMetrics} from './observe/sidecar-metrics.js';
-import {answerBudget} from './server/answer-budget.js';
 import {ServerRunner} from './server/server-runner.js';
 import {ReadinessServer} from './tasks/readiness-server.js';
 import {StoreSeeds} from './tasks/store-seeds.js';
@@ -46,8 +41,6 @@
 const RETRY_SHARE_USED = 0.85;
 /** Repetitions in a window for services that are seldom asked for here. */
 const EXTRA_RETRIES = 1;
-/** Bytes of answers that a node holds: an eighth of the smallest host's memory. */
-const HELD_ANSWERS_BYTES = 32 * 1024 * 1024;
 /** Time in ms after which a node that knows no other one serves by itself. */
 const JOIN_PATIENCE_MS = 3_000;
 /**
@@ -69,6 +62,7 @@
   private readonly store: HttpStore;
   private readonly transport: TransportTask;
   private readonly membership: MembershipTask;
+  private readonly heldAnswers: AnswerBudget;
   private readonly config: ConfigFollower;
   private readonly server: ServerRunner;
   private readonly incoming: IncomingCalls;
@@ -89,7 +83,8 @@
     destination: LogDestination,
   ) {
     const {bus, clock, random} = this;
-    const {nodeId, dataCentre} = settings;
+    const {nodeId, dataCentre, memoryMb} = settings;
+    this.heldAnswers = answerBudget(memoryMb);
     this.store = new HttpStore(() => this.settings.store);
     this.transport = this.makeTransport();
     this.membership = this.makeMembership();
@@ -109,7 +104,7 @@
       clock,
       logger,
       quarantine,
-      answers: answerBudget(settings.memoryMb),
+      answers: this.heldAnswers,
       address,
       port,
     });
@@ -247,7 +242,7 @@
       clock,
       random,
       sizes: new AnswerSizes(),
-      heldAnswers: new ByteBudget(HELD_ANSWERS_BYTES),
+      heldAnswers: this.heldAnswers,
       dataCentre,
       retries: {
         share: retries.share * RETRY_SHARE_USED,
--- a/packages/sidecar/tests/ingress/held-answer.test.ts
+++ b/packages/sidecar/tests/ingress/held-answer.test.ts
@@ -1,6 +1,7 @@
 import {ByteBudget} from '@turmericmill/utils';
 import {expect} from 'chai';
 
+import {holdBytes, type AnswerHolder} from '../../src/answer-budget.js';
 import {HeldAnswer} from '../../src/ingress/held-answer.js';
 
 const MAX_BYTES = 10;
@@ -8,7 +9,7 @@
 /** Answers that share a budget; records what their callers see. */
 class Fixture {
   readonly seen: string[] = [];
-  readonly budget = new ByteBudget<HeldAnswer>(MAX_BYTES);
+  readonly budget = new ByteBudget<AnswerHolder>(MAX_BYTES);
 
   /** An answer whose head has come. */
   answer(name: string): HeldAnswer {
@@ -104,4 +105,14 @@
     expect(waiting.isStreaming).to.equal(false);
     expect(fixture.budget.heldBytes).to.equal(5);
   });
+
+  it('is held on beside a larger answer of the server', () => {
+    const seen: string[] = [];
+    holdBytes(fixture.budget, {makeRoom: () => seen.push('dropped')}, 8);
+    const answer = fixture.answer('a');
+    answer.data(Buffer.from('123'));
+    expect(seen).to.deep.equal(['dropped']);
+    expect(answer.isStreaming).to.equal(false);
+    expect(fixture.budget.heldBytes).to.equal(3);
+  });
 });
--- a/packages/sidecar/tests/ingress/server-try.test.ts
+++ b/packages/sidecar/tests/ingress/server-try.test.ts
@@ -2,6 +2,7 @@
 import {ByteBudget, ManualClock} from '@turmericmill/utils';
 import {expect} from 'chai';
 
+import type {AnswerHolder} from '../../src/answer-budget.js';
 import {HeldAnswer} from '../../src/ingress/held-answer.js';
 import type {RoutedRequest} from '../../src/ingress/routed-request.js';
 import {ServerTry} from '../../src/ingress/server-try.js';
@@ -30,7 +31,7 @@
     const {caller, clock} = this;
     const deadlineMs = START_MS + remainingMs;
     const request = {caller, deadlineMs} as unknown as RoutedRequest;
-    const budget = new ByteBudget<HeldAnswer>(1_000);
+    const budget = new ByteBudget<AnswerHolder>(1_000);
     const answer = new HeldAnswer('GET', request.caller, budget);
     const leg: CallLeg = {
       data: () => undefined,
--- a/packages/sidecar/tests/server/endless-answers.test.ts
+++ b/packages/sidecar/tests/server/endless-answers.test.ts
@@ -3,7 +3,7 @@
 import {ByteBudget, SystemClock} from '@turmericmill/utils';
 import {expect} from 'chai';
 
-import type {AnswerHolder} from '../../src/server/answer-budget.js';
+import type {AnswerHolder} from '../../src/answer-budget.js';
 import type {
   ExchangeEnd,
   WireRequest,
--- a/packages/sidecar/tests/server/server-pool.test.ts
+++ b/packages/sidecar/tests/server/server-pool.test.ts
@@ -8,7 +8,7 @@
 import {ByteBudget, SystemClock} from '@turmericmill/utils';
 import {expect} from 'chai';
 
-import type {AnswerHolder} from '../../src/server/answer-budget.js';
+import type {AnswerHolder} from '../../src/answer-budget.js';
 import type {
   ExchangeEnd,
   WireRequest,
--- a/packages/sidecar/tests/server/server-session.test.ts
+++ b/packages/sidecar/tests/server/server-session.test.ts
@@ -6,7 +6,7 @@
 import bunyan from 'bunyan';
 import {expect} from 'chai';
 
-import type {AnswerHolder} from '../../src/server/answer-budget.js';
+import type {AnswerHolder} from '../../src/answer-budget.js';
 import {ServerSession} from '../../src/server/server-session.js';
 
 const DEADLINE_MS = 150;
