A shutdown ends no connection whose answer has not left

What callers saw: around a planned shutdown, an answer that was sent in part ended with its connection. Slow callers and long answers were hit most.

Cause: http.Server's closeIdleConnections(), which close() calls as well, takes a connection for idle as soon as its response was ended, and destroys the socket with the bytes that it has not sent yet. The ingress of the host's node calls it every 50 ms from 2.5 s after SIGTERM on; the product's own node calls it after each answer. Also, a request stopped to count as in flight at res.end(), so that the process could exit before the answer had left.

Fix: CallerServer knows for each connection how many responses are open until they close, that is, have left the process or lost their caller, and how many bytes had been read by then. A connection is idle only if no response is open and no part of a further request was read. A request is in flight as long as its response is open. Responses of a caller that leaves with others queued behind are forgotten with its connection.

Ruled out: the reading of half a request; such a connection was kept before, and is kept now (test 'answers a request of which a part had come').

--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -11,6 +11,7 @@
 } from './tasks/config-task.js';
 export {WRITER_OPTIONS} from './tasks/claim-writers.js';
 export * from './calls/call-leg.js';
+export {CallerServer} from './calls/caller-server.js';
 export {CandidateIndex} from './calls/candidate-index.js';
 export {
   endToEndHeaders,
--- a/packages/node/src/tasks/ingress-task.ts
+++ b/packages/node/src/tasks/ingress-task.ts
@@ -1,11 +1,7 @@
 /** Owns the HTTP socket at which callers' requests arrive. */
 
 import {randomUUID} from 'node:crypto';
-import {
-  createServer,
-  type IncomingMessage,
-  type ServerResponse,
-} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 
 import {
@@ -26,6 +22,7 @@
 
 import type {Bus} from '../bus.js';
 import {NO_LOAD, type CallFailure} from '../calls/call-leg.js';
+import {CallerServer} from '../calls/caller-server.js';
 import {CallerExchange} from '../calls/caller-exchange.js';
 import {
   CallStatisticsRecorder,
@@ -67,12 +64,13 @@
     private readonly logger: Logger,
   ) {
     super();
-    this.server = createServer({maxHeaderSize: limits.maxHeaderBytes});
+    this.server = new CallerServer({maxHeaderSize: limits.maxHeaderBytes});
     this.server.maxConnections = limits.maxCallerConnections;
     this.maxCalls = limits.maxCalls;
     this.server.requestTimeout = 0;
     this.server.on('request', (req, res) => void this.serve(req, res));
     this.server.on('checkContinue', (req, res) => {
+      this.server.began(req, res);
       void this.serve(req, res, () => res.writeContinue());
     });
     bus.subscribe('config-in-force', ({table, state}) => {
--- a/packages/sidecar/src/ingress/ingress-server.ts
+++ b/packages/sidecar/src/ingress/ingress-server.ts
@@ -77,7 +77,6 @@
   private table: RouteTable | undefined;
   private limits = FIRST_LIMITS;
   private draining = false;
-  private inFlight = 0;
   private readonly lag: LoopLag;
 
   constructor(private readonly parts: IngressServerParts) {
@@ -94,9 +93,9 @@
     });
   }
 
-  /** Requests of callers that have not ended. */
+  /** Requests whose answer has not left and whose caller is still there. */
   get requestsInFlight(): number {
-    return this.inFlight;
+    return this.server.openResponses;
   }
 
   override async start(): Promise<void> {
@@ -139,14 +138,11 @@
     const arrivedMs = this.parts.clock.now() - this.lag.expectedWaitMs;
     if (this.draining) res.shouldKeepAlive = false;
     const caller = new CallerRequest(req, res);
-    this.inFlight += 1;
     try {
       await this.answer(caller, arrivedMs);
     } catch (err) {
       this.parts.logger.info({err, path: req.url}, 'request broken off');
       caller.cut();
-    } finally {
-      this.inFlight -= 1;
     }
   }
 
--- a/packages/sidecar/src/tasks/http-task.ts
+++ b/packages/sidecar/src/tasks/http-task.ts
@@ -1,27 +1,21 @@
 /** A task that owns one HTTP socket. */
 
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerOptions,
-  type ServerResponse,
-} from 'node:http';
+import type {IncomingMessage, ServerOptions, ServerResponse} from 'node:http';
 
 import type {AddressInfo} from 'node:net';
 
-import {Task} from '@turmericmill/node';
+import {CallerServer, Task} from '@turmericmill/node';
 import type {HostAddress} from '@turmericmill/platform-adapter';
 
 export abstract class HttpTask extends Task {
-  protected readonly server: Server;
+  protected readonly server: CallerServer;
 
   constructor(
     private readonly listen: HostAddress,
     options: ServerOptions = {},
   ) {
     super();
-    this.server = createServer(options, (req, res) => {
+    this.server = new CallerServer(options, (req, res) => {
       void this.serve(req, res);
     });
   }
--- a/packages/sidecar/tests/ingress/ingress-server.test.ts
+++ b/packages/sidecar/tests/ingress/ingress-server.test.ts
@@ -1,5 +1,6 @@
 import {once} from 'node:events';
-import {connect} from 'node:net';
+import {connect, type Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 
 import type {MeshConfig} from '@turmericmill/config';
 import {Bus} from '@turmericmill/node';
@@ -7,6 +8,7 @@
 import bunyan from 'bunyan';
 import {expect} from 'chai';
 
+import type {CallerRequest} from '../../src/ingress/caller-request.js';
 import {IngressServer} from '../../src/ingress/ingress-server.js';
 import type {RequestDispatch} from '../../src/ingress/request-dispatch.js';
 import type {RoutedRequest} from '../../src/ingress/routed-request.js';
@@ -39,9 +41,16 @@
 /** Turns of the event loop after which a request has long been passed on. */
 const TURNS = 20;
 
-/** An ingress that notes which requests it passes on, and answers none. */
+/** Longer than what the sockets of both ends hold. */
+const LONG_ANSWER = Buffer.alloc(32 * 1024 * 1024, 'a');
+/** Time in ms after which an idle connection has long been closed. */
+const CLOSED_MS = 150;
+
+/** An ingress that notes which requests it passes on, and answers as told. */
 class Fixture {
   readonly passedOn: RoutedRequest[] = [];
+  /** Answers a request that was passed on; by default none is. */
+  answer: ((caller: CallerRequest) => void) | undefined;
   readonly server: IngressServer;
 
   constructor() {
@@ -49,7 +58,9 @@
     const dispatch = {
       dispatch: (request: RoutedRequest) => {
         this.passedOn.push(request);
-        return Promise.resolve({kind: 'left', tries: 1});
+        this.answer?.(request.caller);
+        const kind = this.answer ? 'answered' : 'left';
+        return Promise.resolve({kind, status: 200, tries: 1});
       },
     } as unknown as RequestDispatch;
     this.server = new IngressServer({
@@ -83,7 +94,7 @@
 
   afterEach(() => fixture.server.stop());
 
-  async function send(): Promise<ReturnType<typeof connect>> {
+  async function send(): Promise<Socket> {
     const socket = connect(fixture.server.port, '127.0.0.1');
     socket.on('error', () => undefined);
     await once(socket, 'connect');
@@ -107,4 +118,78 @@
       socket.destroy();
     });
   }
+
+  describe('while it finishes', () => {
+    const lengthHeaders = ['content-length', String(LONG_ANSWER.length)];
+
+    function answerAtLength(caller: CallerRequest): void {
+      caller.start(200, lengthHeaders);
+      caller.data(LONG_ANSWER);
+      caller.end();
+    }
+
+    /** Sends a request and reads no answer yet. */
+    async function sendSlowly(): Promise<Socket> {
+      const socket = await send();
+      socket.pause();
+      await turns(TURNS);
+      return socket;
+    }
+
+    async function bytesOf(socket: Socket): Promise<number> {
+      let bytes = 0;
+      socket.on('data', (chunk: Buffer) => (bytes += chunk.length));
+      socket.resume();
+      await once(socket, 'close');
+      return bytes;
+    }
+
+    it('delivers an answer that was ended before', async () => {
+      fixture.answer = answerAtLength;
+      const socket = await sendSlowly();
+      const finished = fixture.server.finish();
+      await sleep(CLOSED_MS);
+      expect(await bytesOf(socket)).to.be.greaterThan(LONG_ANSWER.length);
+      await finished;
+    });
+
+    it('counts a request until its answer has left', async () => {
+      fixture.answer = answerAtLength;
+      const socket = await sendSlowly();
+      expect(fixture.server.requestsInFlight).to.equal(1);
+      const finished = fixture.server.finish();
+      await bytesOf(socket);
+      await finished;
+      expect(fixture.server.requestsInFlight).to.equal(0);
+    });
+
+    it('closes a kept connection that is idle', async () => {
+      fixture.answer = caller => {
+        caller.start(200, ['content-length', '0']);
+        caller.end();
+      };
+      const socket = await send();
+      await once(socket, 'data');
+      const finished = fixture.server.finish();
+      await once(socket, 'close');
+      await finished;
+    });
+
+    it('answers a request of which a part had come', async () => {
+      fixture.answer = caller => {
+        caller.start(200, ['content-length', '0']);
+        caller.end();
+      };
+      const socket = await send();
+      await once(socket, 'data');
+      socket.write(REQUEST.slice(0, 9));
+      await turns(TURNS);
+      const finished = fixture.server.finish();
+      await sleep(CLOSED_MS);
+      socket.write(REQUEST.slice(9));
+      const [answer] = (await once(socket, 'data')) as [Buffer];
+      expect(answer.toString()).to.match(/^HTTP\/1.1 200 /);
+      await finished;
+    });
+  });
 });
