Answers for other nodes leave before a stopping node ends

What callers saw: a call that a node had answered just before its planned end failed at the node that had sent it, as `connection-lost`; where a part of the answer had been passed on, the caller's connection was cut.

Cause: a call counts as ended once its last frame is given to the transport. TransportTask.stop() waited only for connections that the other side had opened, and the host's node gave it 20 ms before it ended its process with what was still in its buffers.

Evidence: with 32 MB of answers queued for a peer that reads slowly, stop() resolved while they were in the process (transport-task.test.ts, 'has sent the answers that were queued', failed before: stop() resolved at once). A message for a peer that had no connection opened one after stop() ('opens no connection any more' failed before: no word that nothing was sent).

Fix: stop() resolves once all that is queued has been sent and the peers have closed on their side, so that no unread bytes reset a connection with the answers on it; at the latest at the deadline that the caller gives, and 300 ms after all was sent for a peer that does not close. A message that needs a new connection is then told as not sent.

--- a/packages/node/src/transport/transport-task.ts
+++ b/packages/node/src/transport/transport-task.ts
@@ -25,6 +25,10 @@
 } from './peer-connection.js';
 
 const DEFAULT_ACCEPTS_PER_SECOND = 200;
+/** Time in ms in which what is queued leaves, if a shutdown sets none. */
+const SEND_REST_MS = 1_000;
+/** Time in ms in which peers read what was sent and close on their side. */
+const LINGER_MS = 300;
 
 /** What the transport needs to know of its node. */
 export interface TransportOptions {
@@ -49,11 +53,13 @@
   port = 0;
   private readonly server = createServer(socket => this.accept(socket));
   private readonly udp: UdpSocket = createSocket('udp4');
+  private readonly sockets = new Set<Socket>();
   private readonly connections = new Set<PeerConnection>();
   private readonly byNode = new Map<string, PeerConnection>();
   private readonly byAddress = new Map<string, PeerConnection>();
   private members = new Map<string, MemberRecord>();
   private readonly accepts: AcceptLimiter;
+  private stopping = false;
   private timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -77,6 +83,7 @@
       this.sendPeer(nodeId, message, incarnation);
     });
     bus.subscribe('send-address', ({address, port, message}) => {
+      if (this.stopping) return;
       this.connectTo(address, port).send(message);
     });
     bus.subscribe('send-datagram', ({address, port, message}) => {
@@ -114,13 +121,35 @@
     this.timer = setInterval(() => this.heartbeat(), HEARTBEAT_INTERVAL_MS);
   }
 
-  override async stop(): Promise<void> {
+  /** Says goodbye; sends what is queued, at the latest until `deadlineMs`. */
+  override async stop(
+    deadlineMs = this.clock.now() + SEND_REST_MS,
+  ): Promise<void> {
     clearInterval(this.timer);
+    this.stopping = true;
+    const closed = new Promise(resolve => this.server.close(resolve));
     for (const connection of [...this.connections]) {
       connection.close('shutdown', 'The node is stopping.');
     }
+    await this.until(deadlineMs, [...this.sockets].map(whenSent));
+    const lingerMs = Math.min(this.clock.now() + LINGER_MS, deadlineMs);
+    await this.until(lingerMs, [...this.sockets].map(whenClosed));
+    for (const socket of this.sockets) socket.destroy();
     await new Promise<void>(resolve => this.udp.close(() => resolve()));
-    await new Promise(resolve => this.server.close(resolve));
+    await closed;
+  }
+
+  private async until(
+    deadlineMs: number,
+    ends: readonly Promise<void>[],
+  ): Promise<void> {
+    let timer: NodeJS.Timeout | undefined;
+    const tooLate = new Promise<void>(resolve => {
+      const leftMs = Math.max(0, deadlineMs - this.clock.now());
+      timer = setTimeout(resolve, leftMs);
+    });
+    await Promise.race([Promise.all(ends), tooLate]);
+    clearTimeout(timer);
   }
 
   opened(connection: PeerConnection): void {
@@ -171,6 +200,7 @@
 
   /** Refuses before any hello, so that the other end knows nothing has run. */
   private accept(socket: Socket): void {
+    this.track(socket);
     if (this.accepts.accept(this.clock.now())) {
       this.adopt(socket);
       return;
@@ -181,6 +211,11 @@
     socket.resume();
   }
 
+  private track(socket: Socket): void {
+    this.sockets.add(socket);
+    socket.once('close', () => this.sockets.delete(socket));
+  }
+
   private adopt(socket: Socket): PeerConnection {
     const {hello} = this.options;
     const connection = new PeerConnection(
@@ -208,7 +243,7 @@
       return;
     }
     const member = this.members.get(nodeId);
-    if (!member) {
+    if (!member || this.stopping) {
       this.bus.publish('peer-lost', {nodeId, opened: false});
       return;
     }
@@ -224,7 +259,9 @@
     const key = `${address}:${port}`;
     const open = this.byAddress.get(key);
     if (open) return open;
-    const connection = this.adopt(connect(port, address));
+    const socket = connect(port, address);
+    this.track(socket);
+    const connection = this.adopt(socket);
     this.byAddress.set(key, connection);
     return connection;
   }
@@ -258,3 +295,16 @@
     for (const connection of [...this.connections]) connection.heartbeat(now);
   }
 }
+
+/** Resolves once all that was written has left the process, or is lost. */
+function whenSent(socket: Socket): Promise<void> {
+  if (socket.writableFinished) return Promise.resolve();
+  return new Promise(resolve => {
+    socket.once('finish', resolve);
+    socket.once('close', () => resolve());
+  });
+}
+
+function whenClosed(socket: Socket): Promise<void> {
+  return new Promise(resolve => socket.once('close', () => resolve()));
+}
--- a/packages/node/tests/transport/transport-task.test.ts
+++ b/packages/node/tests/transport/transport-task.test.ts
@@ -1,5 +1,19 @@
+import {once} from 'node:events';
+import {
+  createServer,
+  type AddressInfo,
+  type Server,
+  type Socket,
+} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+
 import {SystemClock} from '@turmericmill/utils';
-import type {MemberRecord} from '@turmericmill/wire';
+import {
+  encodeFrame,
+  FrameReader,
+  type Hello,
+  type MemberRecord,
+} from '@turmericmill/wire';
 import bunyan from 'bunyan';
 import {expect} from 'chai';
 
@@ -12,14 +26,25 @@
   body: {version: 4, digest: 'd', settled: true, known: 4, ask: false},
 } as const;
 
+/** Answers that are more than what the sockets of both ends hold. */
+const CHUNKS = 64;
+const CHUNK_BYTES = 512 * 1024;
+/** Time in ms in which nothing more happens. */
+const QUIET_MS = 100;
+/** Time in ms in which a peer can read all that was sent to it. */
+const LONG_MS = 5_000;
+
+function helloOf(nodeId: string): Hello {
+  const place = {dataCentre: 'a-1', region: 'a'};
+  return {minVersion: 1, maxVersion: 1, ...place, nodeId, incarnation: 1};
+}
+
 class Endpoint {
   readonly bus = new Bus();
   readonly transport: TransportTask;
 
   constructor(readonly nodeId: string) {
-    const place = {dataCentre: 'a-1', region: 'a'};
-    const versions = {minVersion: 1, maxVersion: 1};
-    const hello = {...versions, ...place, nodeId, incarnation: 1};
+    const hello = helloOf(nodeId);
     const options = {address: '127.0.0.1', port: 0, hello};
     const clock = new SystemClock();
     this.transport = new TransportTask(options, this.bus, clock, SILENT);
@@ -130,4 +155,74 @@
     await again;
     expect(late).to.equal(0);
   });
+
+  describe('when it stops', () => {
+    let leaving: Endpoint;
+    let server: Server;
+    let slow: Socket;
+
+    /** A peer that reads nothing more after the handshake. */
+    beforeEach(async () => {
+      leaving = new Endpoint('leaving');
+      await leaving.transport.start();
+      server = createServer();
+      server.listen(0, '127.0.0.1');
+      await once(server, 'listening');
+      const {port} = server.address() as AddressInfo;
+      const accepted = once(server, 'connection') as Promise<[Socket]>;
+      const members = [{...one.recordAs('slow'), port}];
+      leaving.bus.publish('view-changed', {members});
+      leaving.bus.publish('send-peer', {nodeId: 'slow', message: HAVE});
+      [slow] = await accepted;
+      const body = helloOf('slow');
+      slow.write(encodeFrame({type: 'hello', body}));
+      await once(slow, 'data');
+      slow.pause();
+      await sleep(QUIET_MS);
+      for (let callId = 0; callId < CHUNKS; callId++) {
+        const chunk = Buffer.alloc(CHUNK_BYTES);
+        const answer = {callId, chunk, end: true, trailers: []};
+        const message = {type: 'answerData', body: answer} as const;
+        leaving.bus.publish('send-peer', {nodeId: 'slow', message});
+      }
+    });
+
+    afterEach(() => {
+      slow.destroy();
+      server.close();
+    });
+
+    it('has sent the answers that were queued', async () => {
+      const stopped = leaving.transport.stop(Date.now() + LONG_MS);
+      const first = await Promise.race([stopped, sleep(QUIET_MS, 'waits')]);
+      expect(first).to.equal('waits');
+      const reader = new FrameReader();
+      const types: string[] = [];
+      slow.on('data', (bytes: Buffer) => {
+        const messages = reader.push(bytes);
+        if (messages.isErr()) throw new Error(messages.error.message);
+        types.push(...messages.value.map(({type}) => type));
+      });
+      slow.resume();
+      await stopped;
+      const answers = types.filter(type => type === 'answerData');
+      expect(answers).to.have.length(CHUNKS);
+      expect(types.at(-1)).to.equal('goodbye');
+    });
+
+    it('waits for no peer beyond its deadline', async () => {
+      const startedMs = Date.now();
+      await leaving.transport.stop(startedMs + QUIET_MS);
+      expect(Date.now() - startedMs).to.be.lessThan(LONG_MS);
+    });
+
+    it('opens no connection any more', async () => {
+      const stopped = leaving.transport.stop(Date.now() + QUIET_MS);
+      const lost = leaving.lost();
+      leaving.bus.publish('view-changed', {members: [two.recordAs('two')]});
+      leaving.bus.publish('send-peer', {nodeId: 'two', message: HAVE});
+      expect(await lost).to.deep.equal({nodeId: 'two', opened: false});
+      await stopped;
+    });
+  });
 });
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -49,6 +49,8 @@
 const LEAVE_SERVING_MS = 2_500;
 /** Time in ms kept between the last work and the end of the grace period. */
 const GRACE_RESERVE_MS = 700;
+/** Time in ms kept between the last bytes sent and the end of that period. */
+const EXIT_RESERVE_MS = 200;
 /** Time in ms between looks whether work is left. */
 const IDLE_CHECK_MS = 20;
 
@@ -178,7 +180,8 @@
 
   private async shutDown(): Promise<void> {
     const {shutdownGraceMs} = this.settings;
-    const deadlineMs = this.clock.now() + shutdownGraceMs - GRACE_RESERVE_MS;
+    const killedMs = this.clock.now() + shutdownGraceMs;
+    const deadlineMs = killedMs - GRACE_RESERVE_MS;
     this.leaving = true;
     this.ingress.drain();
     await sleep(LEAVE_SERVING_MS);
@@ -191,7 +194,7 @@
     this.membership.stop();
     this.config.stop();
     await Promise.race([closed, sleep(IDLE_CHECK_MS)]);
-    await Promise.race([this.transport.stop(), sleep(IDLE_CHECK_MS)]);
+    await this.transport.stop(killedMs - EXIT_RESERVE_MS);
     this.server.close();
     this.store.close();
   }
