--- a/packages/sidecar/tests/ingress/ingress-server.test.ts
+++ b/packages/sidecar/tests/ingress/ingress-server.test.ts
@@ -5,7 +5,6 @@
 import type {MeshConfig} from '@turmericmill/config';
 import {Bus} from '@turmericmill/node';
 import {ManualClock, SeededRandom} from '@turmericmill/utils';
-import bunyan from 'bunyan';
 import {expect} from 'chai';
 
 import type {CallerRequest} from '../../src/ingress/caller-request.js';
@@ -70,9 +69,10 @@
       bus,
       clock: new ManualClock(1_000),
       random: new SeededRandom(1),
-      logger: bunyan.createLogger({name: 'test', level: bunyan.FATAL + 1}),
       onEnded: () => undefined,
       onRejected: () => undefined,
+      onBrokenOff: () => undefined,
+      onUndelivered: () => undefined,
     });
     bus.publish('mesh-config', {config: CONFIG});
   }
