--- a/packages/node/src/transport/transport-task.ts
+++ b/packages/node/src/transport/transport-task.ts
@@ -31,6 +31,10 @@
 const DEFAULT_ACCEPTS_PER_SECOND = 200;
 /** Connections to one node beyond which no other is opened to ask it. */
 const MAX_CONNECTIONS = 3;
+/** Time in ms in which what is queued leaves, if a shutdown sets none. */
+const SEND_REST_MS = 1_000;
+/** Time in ms in which peers read what was sent and close on their side. */
+const LINGER_MS = 300;
 
 /** What the transport needs to know of its node. */
 export interface TransportOptions {
@@ -65,9 +69,11 @@
   private readonly server = createServer(socket => this.accept(socket));
   private readonly udp: UdpSocket = createSocket('udp4');
   private readonly connections = new ConnectionTable();
+  private readonly sockets = new Set<Socket>();
   private readonly byAddress = new Map<string, PeerConnection>();
   private members = new Map<string, MemberRecord>();
   private readonly accepts: AcceptLimiter;
+  private stopping = false;
   private timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -91,6 +97,7 @@
       this.sendPeer(nodeId, message, incarnation);
     });
     bus.subscribe('send-address', ({address, port, message}) => {
+      if (this.stopping) return;
       this.connectTo(address, port).send(message);
     });
     bus.subscribe('send-datagram', ({address, port, message}) => {
@@ -131,13 +138,35 @@
     }, HEARTBEAT_INTERVAL_MS);
   }
 
-  override async stop(): Promise<void> {
+  /** Says goodbye; sends what is queued, at the latest until `deadlineMs`. */
+  override async stop(
+    deadlineMs = this.clock.now() + SEND_REST_MS,
+  ): Promise<void> {
     clearInterval(this.timer);
+    this.stopping = true;
+    const closed = new Promise(resolve => this.server.close(resolve));
     for (const connection of this.connections) {
       connection.close('shutdown', 'The node is stopping.');
     }
+    await this.until(deadlineMs, [...this.sockets].map(whenSent));
+    const lingerMs = Math.min(this.clock.now() + LINGER_MS, deadlineMs);
+    await this.until(lingerMs, [...this.sockets].map(whenClosed));
+    for (const socket of this.sockets) socket.destroy();
     await new Promise<void>(resolve => this.udp.close(() => resolve()));
-    await new Promise(resolve => this.server.close(resolve));
+    await closed;
+  }
+
+  private async until(
+    deadlineMs: number,
+    ends: readonly Promise<void>[],
+  ): Promise<void> {
+    let timer: NodeJS.Timeout | undefined;
+    const tooLate = new Promise<void>(resolve => {
+      const leftMs = Math.max(0, deadlineMs - this.clock.now());
+      timer = setTimeout(resolve, leftMs);
+    });
+    await Promise.race([Promise.all(ends), tooLate]);
+    clearTimeout(timer);
   }
 
   opened(connection: PeerConnection): void {
@@ -191,6 +220,7 @@
 
   /** Refuses before any hello, so that the other end knows nothing has run. */
   private accept(socket: Socket): void {
+    this.track(socket);
     if (this.accepts.accept(this.clock.now())) {
       this.adopt(socket);
       return;
@@ -201,6 +231,11 @@
     socket.resume();
   }
 
+  private track(socket: Socket): void {
+    this.sockets.add(socket);
+    socket.once('close', () => this.sockets.delete(socket));
+  }
+
   private adopt(socket: Socket): PeerConnection {
     const {hello} = this.options;
     const connection = new PeerConnection(
@@ -242,7 +277,7 @@
   /** Undefined when the address is unknown or leads to another node. */
   private connectToMember(nodeId: string): PeerConnection | undefined {
     const member = this.members.get(nodeId);
-    if (!member) return undefined;
+    if (!member || this.stopping) return undefined;
     const connection = this.connectTo(member.address, member.port);
     if (connection.nodeId === undefined) connection.expectedNodeId = nodeId;
     return connection.nodeId === nodeId ? connection : undefined;
@@ -252,7 +287,9 @@
     const key = `${address}:${port}`;
     const open = this.byAddress.get(key);
     if (open) return open;
-    const connection = this.adopt(connect(port, address));
+    const socket = connect(port, address);
+    this.track(socket);
+    const connection = this.adopt(socket);
     this.byAddress.set(key, connection);
     return connection;
   }
@@ -305,3 +342,16 @@
     }
   }
 }
+
+/** Resolves once all that was written has left the process, or is lost. */
+function whenSent(socket: Socket): Promise<void> {
+  if (socket.writableFinished) return Promise.resolve();
+  return new Promise(resolve => {
+    socket.once('finish', resolve);
+    socket.once('close', () => resolve());
+  });
+}
+
+function whenClosed(socket: Socket): Promise<void> {
+  return new Promise(resolve => socket.once('close', () => resolve()));
+}
