The test of a stopping transport opens the calls that it answers

The transport drops answers of calls that no connection carries, since the branch that keeps a call on its connection; the test sent answers to calls that nobody had made. What it asserts is as before.

--- a/packages/node/tests/transport/transport-task.test.ts
+++ b/packages/node/tests/transport/transport-task.test.ts
@@ -13,6 +13,7 @@
   FrameReader,
   type Hello,
   type MemberRecord,
+  type Message,
 } from '@turmericmill/wire';
 import bunyan from 'bunyan';
 import {expect} from 'chai';
@@ -34,6 +35,27 @@
 /** Time in ms in which a peer can read all that was sent to it. */
 const LONG_MS = 5_000;
 
+function callOf(callId: number): Message {
+  const body = {
+    callId,
+    serverId: 's1',
+    serverIncarnation: 1,
+    group: 'city/desk',
+    method: 'GET',
+    path: '/',
+    customer: 'c1',
+    class: 'city/class/desk',
+    priority: 'interactive',
+    remainingMs: 500,
+    sentMs: 0,
+    hops: 0,
+    fingerprint: '',
+    end: true,
+    body: Buffer.alloc(0),
+  } as const;
+  return {type: 'callStart', body: {...body, headers: []}};
+}
+
 function helloOf(nodeId: string): Hello {
   const place = {dataCentre: 'a-1', region: 'a'};
   return {minVersion: 1, maxVersion: 1, ...place, nodeId, incarnation: 1};
@@ -176,6 +198,9 @@
       [slow] = await accepted;
       const body = helloOf('slow');
       slow.write(encodeFrame({type: 'hello', body}));
+      for (let callId = 0; callId < CHUNKS; callId++) {
+        slow.write(encodeFrame(callOf(callId)));
+      }
       await once(slow, 'data');
       slow.pause();
       await sleep(QUIET_MS);
