An answer whose connection is destroyed does not pass for delivered

A response also finishes when its socket is destroyed with bytes that were never written: writableFinished is true by the time it closes, so 'answer not delivered' stayed unwritten. The two tests of 32 MiB answers that nobody reads failed with 'Target cannot be null or undefined' (no undelivered answer told), for a reset by the peer and for a close by the node. The response now counts as written only if its socket was open when it finished.

--- a/packages/sidecar/src/ingress/caller-request.ts
+++ b/packages/sidecar/src/ingress/caller-request.ts
@@ -41,6 +41,8 @@
   /** The peer has closed its side, or the connection has failed. */
   private peerEnded = false;
   private closed = false;
+  /** The whole answer has been written to the socket. */
+  private flushed = false;
   private bytes = 0;
   private endedMs: number | undefined;
 
@@ -57,12 +59,15 @@
       this.leave();
     };
     socket.once('end', endOfPeer);
+    // A destroyed socket drops what it holds, and the response finishes too.
+    res.prependOnceListener('finish', () => {
+      this.flushed = !socket.destroyed;
+    });
     res.once('close', () => {
       socket.off('end', endOfPeer);
       this.closed = true;
-      const {writableFinished} = res;
-      if (!writableFinished) this.leave();
-      this.onClosed?.(writableFinished ? undefined : this.undelivered());
+      if (!this.flushed) this.leave();
+      this.onClosed?.(this.flushed ? undefined : this.undelivered());
     });
   }
 
@@ -78,8 +83,7 @@
 
   /** True while bytes of an answer that has ended wait in the process. */
   get isFlushing(): boolean {
-    const {writableEnded, writableFinished} = this.res;
-    return writableEnded && !writableFinished && !this.closed;
+    return this.res.writableEnded && !this.flushed && !this.closed;
   }
 
   private undelivered(): UndeliveredAnswer | undefined {
--- /dev/null
+++ b/packages/sidecar/tests/ingress/caller-request.test.ts
@@ -0,0 +1,73 @@
+import {once} from 'node:events';
+import {createServer, type Server} from 'node:http';
+import {connect, type AddressInfo, type Socket} from 'node:net';
+
+import {SystemClock} from '@turmericmill/utils';
+import {expect} from 'chai';
+
+import {
+  CallerRequest,
+  type UndeliveredAnswer,
+} from '../../src/ingress/caller-request.js';
+
+const REQUEST = 'GET /d/x HTTP/1.1\r\nhost: shop.example\r\n\r\n';
+/** More bytes than the sockets of a connection hold. */
+const LARGE_BYTES = 32 * 1024 * 1024;
+const SMALL_BYTES = 1024;
+
+/** Answers each request with `bytes` and notes how its response closed. */
+async function open(bytes: number) {
+  const server = createServer();
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
+  socket.on('error', () => undefined);
+  const answered = new Promise<{
+    caller: CallerRequest;
+    closed: Promise<UndeliveredAnswer | undefined>;
+  }>(resolve => {
+    server.once('request', (req, res) => {
+      const caller = new CallerRequest(req, res, new SystemClock());
+      const closed = new Promise<UndeliveredAnswer | undefined>(done => {
+        caller.onClosed = done;
+      });
+      caller.start(200, ['content-length', String(bytes)]);
+      caller.data(Buffer.alloc(bytes));
+      caller.end();
+      resolve({caller, closed});
+    });
+  });
+  socket.write(REQUEST);
+  return {server, socket, ...(await answered)};
+}
+
+const CLOSES: Record<string, (server: Server, socket: Socket) => void> = {
+  peer: (server, socket) => socket.resetAndDestroy(),
+  node: server => server.closeAllConnections(),
+};
+
+describe('CallerRequest', () => {
+  for (const [closedBy, close] of Object.entries(CLOSES)) {
+    // An answer counted as answered although its caller saw a cut connection.
+    it(`notices an answer that ${closedBy} kept from its caller`, async () => {
+      const {server, socket, caller, closed} = await open(LARGE_BYTES);
+      expect(caller.isFlushing).to.equal(true);
+      close(server, socket);
+      const undelivered = await closed;
+      expect(undelivered).to.include({bytes: LARGE_BYTES, closedBy});
+      expect(undelivered?.sinceEndMs).to.be.at.least(0);
+      expect(caller.isFlushing).to.equal(false);
+      socket.destroy();
+      server.close();
+    });
+  }
+
+  it('takes an answer that was written as a whole for delivered', async () => {
+    const {server, socket, caller, closed} = await open(SMALL_BYTES);
+    expect(await closed).to.equal(undefined);
+    expect(caller.isFlushing).to.equal(false);
+    expect(caller.bytesPassedOn).to.equal(SMALL_BYTES);
+    socket.destroy();
+    server.close();
+  });
+});
