What a shutdown leaves, event loop delay and memory stand in log and metrics

The lines 'stopping' and 'stopped' tell the requests of callers, the calls of other nodes and the unwritten answers at that moment, and the time taken; 'work ended by shutdown' is written if any are left when the sockets close.

A process that is starved or killed for its memory cannot tell afterwards: 'event loop late' (250 ms and more, one in five seconds after the first five) and 'memory grew' (each 32 MiB never reached before) tell while it lasts, beside turmericmill_event_loop_delay_seconds and turmericmill_resident_memory_bytes.

--- a/packages/sidecar/src/main.ts
+++ b/packages/sidecar/src/main.ts
@@ -37,8 +37,8 @@
     sidecar.reload(changed);
   });
   process.on('SIGHUP', () => file.reload());
-  process.once('SIGTERM', () => void stop(sidecar, file, logger));
-  process.once('SIGINT', () => void stop(sidecar, file, logger));
+  process.once('SIGTERM', () => void stop(sidecar, file));
+  process.once('SIGINT', () => void stop(sidecar, file));
   try {
     await sidecar.start();
     file.watch();
@@ -49,15 +49,9 @@
   }
 }
 
-async function stop(
-  sidecar: Sidecar,
-  file: SettingsFile,
-  logger: bunyan,
-): Promise<void> {
-  logger.info('stopping');
+async function stop(sidecar: Sidecar, file: SettingsFile): Promise<void> {
   file.close();
   await sidecar.stop();
-  logger.info('stopped');
   process.exit(0);
 }
 
--- a/packages/sidecar/src/observe/sidecar-metrics.ts
+++ b/packages/sidecar/src/observe/sidecar-metrics.ts
@@ -9,6 +9,8 @@
 const LATENCY_BUCKETS_S = [
   0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.8, 1, 1.5, 3,
 ];
+/** Upper bounds in seconds of delays: around heartbeats and timeouts. */
+const DELAY_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2];
 const MS_PER_S = 1000;
 
 /** Numbers that are read when somebody asks. */
@@ -17,6 +19,7 @@
   serverInFlight(): number;
   logLinesLeftOut(): number;
   logLinesDropped(): number;
+  residentBytes(): number;
 }
 
 export class SidecarMetrics {
@@ -59,6 +62,12 @@
     labelNames: ['closed_by'],
     registers: [this.registry],
   });
+  private readonly delay = new Histogram({
+    name: 'turmericmill_event_loop_delay_seconds',
+    help: 'Lateness of the event loop at each look.',
+    buckets: DELAY_BUCKETS_S,
+    registers: [this.registry],
+  });
 
   constructor(sources: MetricSources) {
     this.gauge('config_version', 'Version in force.', sources.configVersion);
@@ -77,6 +86,11 @@
       'Lines that the reader of the output held up.',
       sources.logLinesDropped,
     );
+    this.gauge(
+      'resident_memory_bytes',
+      'Resident memory of the process.',
+      sources.residentBytes,
+    );
   }
 
   ended(request: RoutedRequest, end: RequestEnd, latencyMs: number): void {
@@ -92,6 +106,10 @@
     this.rejections.inc({reason});
   }
 
+  loopDelay(delayMs: number): void {
+    this.delay.observe(delayMs / MS_PER_S);
+  }
+
   brokenOff(): void {
     this.broken.inc();
   }
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -22,7 +22,9 @@
 import {RequestDispatch} from './ingress/request-dispatch.js';
 import type {LogDestination} from './observe/log-destination.js';
 import {MetricsServer} from './observe/metrics-server.js';
+import {ProcessWatch} from './observe/process-watch.js';
 import {RequestLog} from './observe/request-log.js';
+import {ShutdownLog, type WorkLeft} from './observe/shutdown-log.js';
 import {SidecarMetrics} from './observe/sidecar-metrics.js';
 import {ServerRunner} from './server/server-runner.js';
 import {ReadinessServer} from './tasks/readiness-server.js';
@@ -70,6 +72,7 @@
   private readonly requestLog: RequestLog;
   private readonly metrics: SidecarMetrics;
   private readonly metricsServer: MetricsServer;
+  private readonly watch: ProcessWatch;
   private candidates = new CandidateIndex();
   private hasPeers = false;
   private leaving = false;
@@ -111,6 +114,13 @@
       serverInFlight: () => this.server.inFlight,
       logLinesLeftOut: () => this.requestLog.budget.leftOutTotal,
       logLinesDropped: () => destination.dropped,
+      residentBytes: () => process.memoryUsage.rss(),
+    });
+    this.watch = new ProcessWatch({
+      clock,
+      logger,
+      residentBytes: () => process.memoryUsage.rss(),
+      onDelay: delayMs => this.metrics.loopDelay(delayMs),
     });
     this.metricsServer = new MetricsServer(settings.ip, this.metrics);
     this.ingress = this.makeIngress();
@@ -133,6 +143,7 @@
     await this.ingress.start();
     await this.readiness.start();
     await this.startMetrics();
+    this.watch.start();
   }
 
   /** Requests are served whether or not anybody can watch. */
@@ -158,6 +169,7 @@
   /** Closes all sockets at once, as a crash would. */
   async abandon(): Promise<void> {
     this.leaving = true;
+    this.watch.stop();
     this.membership.abandon();
     this.config.stop();
     this.store.close();
@@ -179,6 +191,8 @@
   private async shutDown(): Promise<void> {
     const {shutdownGraceMs} = this.settings;
     const deadlineMs = this.clock.now() + shutdownGraceMs - GRACE_RESERVE_MS;
+    const log = new ShutdownLog(this.clock, this.logger, () => this.workLeft);
+    log.stopping(deadlineMs);
     this.leaving = true;
     this.ingress.drain();
     await sleep(LEAVE_SERVING_MS);
@@ -188,12 +202,23 @@
     while (isBusy() && this.clock.now() < deadlineMs) {
       await sleep(IDLE_CHECK_MS);
     }
+    log.closing();
     this.membership.stop();
     this.config.stop();
     await Promise.race([closed, sleep(IDLE_CHECK_MS)]);
     await Promise.race([this.transport.stop(), sleep(IDLE_CHECK_MS)]);
     this.server.close();
     this.store.close();
+    this.watch.stop();
+    log.stopped();
+  }
+
+  private get workLeft(): WorkLeft {
+    return {
+      requests: this.ingress.requestsInFlight,
+      peerCalls: this.incoming.size,
+      answersUnflushed: this.ingress.answersUnflushed,
+    };
   }
 
   private makeTransport(): TransportTask {
--- /dev/null
+++ b/packages/sidecar/tests/observe/lines.ts
@@ -0,0 +1,17 @@
+/** A logger whose lines a test can read. */
+
+import bunyan from 'bunyan';
+
+export function linesOf(): {
+  logger: bunyan;
+  lines: Record<string, unknown>[];
+} {
+  const lines: Record<string, unknown>[] = [];
+  const stream = {
+    write: (text: string) => {
+      lines.push(JSON.parse(text) as Record<string, unknown>);
+    },
+  };
+  const logger = bunyan.createLogger({name: 'test', stream: stream as never});
+  return {logger, lines};
+}
--- /dev/null
+++ b/packages/sidecar/tests/observe/sidecar-metrics.test.ts
@@ -0,0 +1,60 @@
+import type {PrefixRoute} from '@turmericmill/config';
+import {NO_LOAD} from '@turmericmill/node';
+import {expect} from 'chai';
+
+import type {RoutedRequest} from '../../src/ingress/routed-request.js';
+import {SidecarMetrics} from '../../src/observe/sidecar-metrics.js';
+
+const REQUEST = {
+  route: {name: 'r-1', kind: 'download'} as PrefixRoute,
+  service: 'desk',
+} as RoutedRequest;
+const LABELS = 'kind="download",service="desk"';
+
+function open(): SidecarMetrics {
+  return new SidecarMetrics({
+    configVersion: () => 1,
+    serverInFlight: () => 2,
+    logLinesLeftOut: () => 3,
+    logLinesDropped: () => 4,
+    residentBytes: () => 5,
+  });
+}
+
+describe('SidecarMetrics', () => {
+  it('counts cut and left requests by their reason', async () => {
+    const metrics = open();
+    const failure = {
+      outcome: 'unknown' as const,
+      reason: 'connection-lost' as const,
+      detail: '',
+      load: {...NO_LOAD},
+    };
+    const asked = {nodeId: 'n-2', serverId: 's-2'};
+    const cut = {kind: 'cut' as const, failure, tries: 1, bytes: 9, asked};
+    const left = {kind: 'left' as const, tries: 1, bytes: 9};
+    metrics.ended(REQUEST, cut, 10);
+    metrics.ended(REQUEST, {...left, closedBy: 'peer'}, 10);
+    const page = await metrics.page();
+    const name = 'turmericmill_requests_total';
+    expect(page)
+      .to.include(`${name}{${LABELS},end="cut",reason="connection-lost"} 1`)
+      .and.include(`${name}{${LABELS},end="left",reason="closed-by-peer"} 1`);
+  });
+
+  it('counts what goes wrong apart from the end of a request', async () => {
+    const metrics = open();
+    const closed = {closedBy: 'node' as const, code: undefined};
+    metrics.undelivered({bytes: 9, sinceEndMs: 1, ...closed});
+    metrics.brokenOff();
+    metrics.loopDelay(300);
+    const page = await metrics.page();
+    expect(page)
+      .to.include(
+        'turmericmill_answers_not_delivered_total{closed_by="node"} 1',
+      )
+      .and.include('turmericmill_requests_broken_off_total 1')
+      .and.include('turmericmill_event_loop_delay_seconds_bucket{le="0.5"} 1')
+      .and.include('turmericmill_resident_memory_bytes 5');
+  });
+});
