--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -23,7 +23,9 @@
 import {RequestDispatch} from './ingress/request-dispatch.js';
 import type {LogDestination} from './observe/log-destination.js';
 import {MetricsServer} from './observe/metrics-server.js';
+import {ProcessWatch} from './observe/process-watch.js';
 import {RequestLog} from './observe/request-log.js';
+import {ShutdownLog, type WorkLeft} from './observe/shutdown-log.js';
 import {SidecarMetrics} from './observe/sidecar-metrics.js';
 import {ServerRunner} from './server/server-runner.js';
 import {ReadinessServer} from './tasks/readiness-server.js';
@@ -74,6 +76,7 @@
   private readonly requestLog: RequestLog;
   private readonly metrics: SidecarMetrics;
   private readonly metricsServer: MetricsServer;
+  private readonly watch: ProcessWatch;
   private candidates = new CandidateIndex();
   private hasPeers = false;
   private leaving = false;
@@ -118,6 +121,13 @@
       logLinesLeftOut: () => this.requestLog.budget.leftOutTotal,
       logLinesDropped: () => destination.dropped,
       connectionsClosed: () => this.transport.closedCounts,
+      residentBytes: () => process.memoryUsage.rss(),
+    });
+    this.watch = new ProcessWatch({
+      clock,
+      logger,
+      residentBytes: () => process.memoryUsage.rss(),
+      onDelay: delayMs => this.metrics.loopDelay(delayMs),
     });
     this.metricsServer = new MetricsServer(settings.ip, this.metrics);
     this.ingress = this.makeIngress();
@@ -140,6 +150,7 @@
     await this.ingress.start();
     await this.readiness.start();
     await this.startMetrics();
+    this.watch.start();
   }
 
   /** Requests are served whether or not anybody can watch. */
@@ -165,6 +176,7 @@
   /** Closes all sockets at once, as a crash would. */
   async abandon(): Promise<void> {
     this.leaving = true;
+    this.watch.stop();
     this.membership.abandon();
     this.config.stop();
     this.store.close();
@@ -187,6 +199,8 @@
     const {shutdownGraceMs} = this.settings;
     const killedMs = this.clock.now() + shutdownGraceMs;
     const deadlineMs = killedMs - GRACE_RESERVE_MS;
+    const log = new ShutdownLog(this.clock, this.logger, () => this.workLeft);
+    log.stopping(deadlineMs);
     this.leaving = true;
     this.ingress.drain();
     await sleep(LEAVE_SERVING_MS);
@@ -196,12 +210,23 @@
     while (isBusy() && this.clock.now() < deadlineMs) {
       await sleep(IDLE_CHECK_MS);
     }
+    log.closing();
     this.membership.stop();
     this.config.stop();
     await Promise.race([closed, sleep(IDLE_CHECK_MS)]);
     await this.transport.stop(killedMs - EXIT_RESERVE_MS);
     this.server.close();
     this.store.close();
+    this.watch.stop();
+    log.stopped();
+  }
+
+  private get workLeft(): WorkLeft {
+    return {
+      requests: this.ingress.requestsInFlight,
+      peerCalls: this.incoming.size,
+      answersUnflushed: this.ingress.answersUnflushed,
+    };
   }
 
   private makeTransport(): TransportTask {
