--- a/packages/sidecar/src/ingress/ingress-server.ts
+++ b/packages/sidecar/src/ingress/ingress-server.ts
@@ -35,8 +35,6 @@
   headerTimeoutMs: 3_000,
   idleTimeoutMs: 15_000,
 };
-/** Time in ms between looks for requests that arrive too slowly. */
-const CONNECTION_CHECK_MS = 1_000;
 /** Time in ms between looks for connections that became idle in a shutdown. */
 const IDLE_CLOSE_INTERVAL_MS = 50;
 /** Largest header section in bytes that the parser takes; limits may be less. */
@@ -89,10 +87,7 @@
   private readonly lag: LoopLag;
 
   constructor(private readonly parts: IngressServerParts) {
-    super(parts.listen, {
-      maxHeaderSize: MAX_HEADER_BYTES,
-      connectionsCheckingInterval: CONNECTION_CHECK_MS,
-    });
+    super(parts.listen, {maxHeaderSize: MAX_HEADER_BYTES});
     this.lag = new LoopLag(parts.clock);
     this.server.requestTimeout = 0;
     this.applyLimits(FIRST_LIMITS);
--- a/packages/sidecar/src/tasks/http-task.ts
+++ b/packages/sidecar/src/tasks/http-task.ts
@@ -13,6 +13,9 @@
 import {Task} from '@turmericmill/node';
 import type {HostAddress} from '@turmericmill/platform-adapter';
 
+/** Time in ms between looks for requests that arrive too slowly. */
+const CONNECTION_CHECK_MS = 1_000;
+
 export abstract class HttpTask extends Task {
   protected readonly server: Server;
 
@@ -21,9 +24,11 @@
     options: ServerOptions = {},
   ) {
     super();
-    this.server = createServer(options, (req, res) => {
-      void this.serve(req, res);
-    });
+    const connectionsCheckingInterval = CONNECTION_CHECK_MS;
+    this.server = createServer(
+      {connectionsCheckingInterval, ...options},
+      (req, res) => void this.serve(req, res),
+    );
   }
 
   /** The port in use, once started. */
