--- /dev/null
+++ b/packages/node/tests/transport/silent-peers.test.ts
@@ -0,0 +1,196 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+
+import {expect} from 'chai';
+
+import {
+  HEARTBEAT_INTERVAL_MS,
+  HEARTBEAT_TIMES,
+} from '../../src/transport/peer-connection.js';
+import {answer, MeshPair} from './mesh-pair.js';
+
+const ANSWER = Buffer.from(
+  Array.from({length: 200 * 1024}, (unused, at) => at % 251),
+);
+
+/** Bound in ms of `docs/routing.md` for a peer that cannot be reached. */
+const GONE_MS = 1_500;
+/** Bound in ms for a connection that is silent while new ones work. */
+const FORGOTTEN_MS =
+  HEARTBEAT_TIMES.busyQuietMs +
+  2 * HEARTBEAT_TIMES.pongMs +
+  3 * HEARTBEAT_INTERVAL_MS;
+
+describe('calls over a connection that seems silent', () => {
+  let pair: MeshPair;
+
+  beforeEach(async () => {
+    pair = new MeshPair();
+    await pair.start();
+  });
+
+  afterEach(() => pair.stop());
+
+  it('are answered whole over a link that takes 1 s for a frame', async () => {
+    const {relay} = pair;
+    const {result, events} = await pair.begin();
+    relay.bytesPerSecond = 60_000;
+    answer(events, ANSWER);
+    const {end, body} = await result;
+    expect(end).to.equal('answered');
+    expect(body.equals(ANSWER)).to.equal(true);
+  }).timeout(15_000);
+
+  it('are answered while another answer fills the link the other way', async () => {
+    const {relay, caller, server} = pair;
+    const first = await pair.begin();
+    relay.bytesPerSecond = 60_000;
+    const arrived = caller.calls.next();
+    const back = server.call('caller');
+    answer(await arrived, ANSWER);
+    await sleep(50);
+    const second = pair.begin();
+    const {events} = await second;
+    answer(first.events);
+    answer(events);
+    const results = [
+      await back,
+      await first.result,
+      await (await second).result,
+    ];
+    expect(results.map(({end}) => end)).to.deep.equal([
+      'answered',
+      'answered',
+      'answered',
+    ]);
+    expect(results[0]?.body.equals(ANSWER)).to.equal(true);
+  }).timeout(15_000);
+
+  it('outlive a peer that stands still for a second', async () => {
+    const {relay} = pair;
+    const {result, events} = await pair.begin();
+    relay.paused = true;
+    answer(events);
+    await sleep(1_000);
+    relay.paused = false;
+    const {end, body} = await result;
+    expect(end).to.equal('answered');
+    expect(body.toString()).to.equal('done');
+  });
+
+  it('fail soon when the network has forgotten the connection', async () => {
+    const {relay} = pair;
+    const {result} = await pair.begin();
+    relay.forgetOpen();
+    const forgottenMs = Date.now();
+    expect(await result).to.include({end: 'unknown connection-lost'});
+    expect(Date.now() - forgottenMs).to.be.below(FORGOTTEN_MS);
+    const next = await pair.begin();
+    answer(next.events);
+    expect(await next.result).to.include({end: 'answered'});
+  });
+
+  it('do not hold up new calls to the same peer', async () => {
+    const {relay} = pair;
+    const first = await pair.begin();
+    relay.forgetOpen();
+    await sleep(HEARTBEAT_TIMES.busyQuietMs + HEARTBEAT_TIMES.pongMs + 150);
+    const second = await pair.begin();
+    answer(second.events);
+    const {end, afterMs} = await second.result;
+    expect(end).to.equal('answered');
+    expect(afterMs).to.be.below(100);
+    expect(await first.result).to.include({end: 'unknown connection-lost'});
+  });
+
+  it('take few connections to a peer that stands still often', async () => {
+    const {relay} = pair;
+    for (let pause = 0; pause < 3; pause += 1) {
+      const {result, events} = await pair.begin();
+      relay.paused = true;
+      await sleep(900);
+      relay.paused = false;
+      answer(events);
+      expect(await result).to.include({end: 'answered'});
+    }
+    expect(relay.connections).to.be.within(1, 3);
+  });
+
+  it('fail soon when all connections to the peer were forgotten', async () => {
+    const {relay} = pair;
+    const first = await pair.begin();
+    relay.paused = true;
+    await sleep(900);
+    relay.paused = false;
+    answer(first.events);
+    await first.result;
+    const {result} = await pair.begin();
+    relay.forgetOpen();
+    const {end, afterMs} = await result;
+    expect(end).to.equal('unknown connection-lost');
+    expect(afterMs).to.be.below(GONE_MS);
+    const next = await pair.begin();
+    answer(next.events);
+    expect(await next.result).to.include({end: 'answered'});
+  });
+
+  it('fail within a bound when the peer is gone', async () => {
+    const {relay} = pair;
+    const {result} = await pair.begin();
+    relay.swallowsNew = true;
+    relay.forgetOpen();
+    const {end, afterMs} = await result;
+    expect(end).to.equal('unknown connection-lost');
+    expect(afterMs).to.be.below(GONE_MS + 2 * HEARTBEAT_INTERVAL_MS);
+  });
+});
+
+describe('calls over two connections between the same nodes', () => {
+  let pair: MeshPair;
+
+  beforeEach(async () => {
+    pair = new MeshPair();
+    await pair.start();
+  });
+
+  afterEach(() => pair.stop());
+
+  /** The server opens another connection, which is then the newer one. */
+  async function connectBack(): Promise<void> {
+    const {caller, server} = pair;
+    const {port} = caller.transport;
+    const body = {version: 1, digest: 'd', settled: true, known: 1, ask: false};
+    const message = {type: 'configHave', body} as const;
+    const heard = new Promise(resolve =>
+      caller.bus.onPeerMessage('configHave', resolve),
+    );
+    server.bus.publish('send-address', {address: '127.0.0.1', port, message});
+    await heard;
+  }
+
+  it('fail with their own connection only', async () => {
+    const {relay} = pair;
+    const first = await pair.begin();
+    await connectBack();
+    const second = await pair.begin();
+    relay.reset();
+    expect(await first.result).to.include({end: 'unknown connection-lost'});
+    await sleep(50);
+    answer(second.events);
+    expect(await second.result).to.include({end: 'answered'});
+  });
+
+  it('get their answers in order when a newer connection is faster', async () => {
+    const {relay} = pair;
+    const {result, events} = await pair.begin();
+    relay.bytesPerSecond = 400_000;
+    events.answerStart(200, [], {inFlight: 0, queued: 0, limit: 1});
+    events.answerData(ANSWER.subarray(0, 100_000));
+    await sleep(20);
+    await connectBack();
+    events.answerData(ANSWER.subarray(100_000));
+    events.answerEnd([]);
+    const {end, body} = await result;
+    expect(end).to.equal('answered');
+    expect(body.equals(ANSWER)).to.equal(true);
+  });
+});
--- a/packages/sidecar/src/ingress/ingress-server.ts
+++ b/packages/sidecar/src/ingress/ingress-server.ts
@@ -81,7 +81,6 @@
   private table: RouteTable | undefined;
   private limits = FIRST_LIMITS;
   private draining = false;
-  private inFlight = 0;
   /** Those whose response is not closed. */
   private readonly open = new Set<CallerRequest>();
   private readonly lag: LoopLag;
@@ -97,9 +96,9 @@
     });
   }
 
-  /** Requests of callers that have not ended. */
+  /** Requests whose answer has not left and whose caller is still there. */
   get requestsInFlight(): number {
-    return this.inFlight;
+    return this.server.openResponses;
   }
 
   /** Answers that have ended and wait to be written to their callers. */
@@ -147,14 +146,11 @@
     const arrivedMs = this.parts.clock.now() - this.lag.expectedWaitMs;
     if (this.draining) res.shouldKeepAlive = false;
     const caller = this.opened(req, res);
-    this.inFlight += 1;
     try {
       await this.answer(caller, arrivedMs);
     } catch (err) {
       this.parts.onBrokenOff(caller, err);
       caller.cut();
-    } finally {
-      this.inFlight -= 1;
     }
   }
 
--- a/packages/sidecar/src/tasks/http-task.ts
+++ b/packages/sidecar/src/tasks/http-task.ts
@@ -1,23 +1,17 @@
 /** A task that owns one HTTP socket. */
 
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerOptions,
-  type ServerResponse,
-} from 'node:http';
+import type {IncomingMessage, ServerOptions, ServerResponse} from 'node:http';
 
 import type {AddressInfo} from 'node:net';
 
-import {Task} from '@turmericmill/node';
+import {CallerServer, Task} from '@turmericmill/node';
 import type {HostAddress} from '@turmericmill/platform-adapter';
 
 /** Time in ms between looks for requests that arrive too slowly. */
 const CONNECTION_CHECK_MS = 1_000;
 
 export abstract class HttpTask extends Task {
-  protected readonly server: Server;
+  protected readonly server: CallerServer;
 
   constructor(
     private readonly listen: HostAddress,
@@ -25,7 +19,7 @@
   ) {
     super();
     const connectionsCheckingInterval = CONNECTION_CHECK_MS;
-    this.server = createServer(
+    this.server = new CallerServer(
       {connectionsCheckingInterval, ...options},
       (req, res) => void this.serve(req, res),
     );
