Bodies of requests share a budget of the process's memory

What callers would see: the node's process killed with all that it had accepted, when several send long bodies at once.

A body without room is read to its end, dropped and answered 503, which is true as it has not run. It is the one that arrives, not the largest: a body that was passed on cannot be taken back. The first 64 KiB of each body are free, so that short requests go on beside long ones. In ingress-server.test.ts the limit of a body rises from 1 KB to 1 MB; none of its checks used it.

--- a/packages/sidecar/src/ingress/caller-request.ts
+++ b/packages/sidecar/src/ingress/caller-request.ts
@@ -7,6 +7,8 @@
 import type {Clock} from '@turmericmill/utils';
 import type {FlatHeaders} from '@turmericmill/wire';
 
+import type {BodyBudget} from './body-budget.js';
+
 const MS_PER_S = 1000;
 
 /** How an answer of the node itself reads. */
@@ -38,6 +40,8 @@
   /** Called once the response is closed, with what was not delivered of it. */
   onClosed: ((undelivered: UndeliveredAnswer | undefined) => void) | undefined;
   private left = false;
+  /** Bytes of the request's body for which room was taken. */
+  private bodyBytes = 0;
   /** The peer has closed its side, or the connection has failed. */
   private peerEnded = false;
   private closed = false;
@@ -101,16 +105,35 @@
     return this.left;
   }
 
-  /** The whole body; undefined if it is longer than `maxBytes`. */
-  async readBody(maxBytes: number): Promise<Buffer | undefined> {
-    const chunks: Buffer[] = [];
+  /**
+   * The whole body, or what forbids it: a limit or the node's memory. A body
+   * without room is read to its end and dropped, so that its caller can be told.
+   */
+  async readBody(
+    maxBytes: number,
+    budget: BodyBudget,
+  ): Promise<Buffer | 'too-large' | 'no-room'> {
+    let chunks: Buffer[] | undefined = [];
     let bytes = 0;
     for await (const chunk of this.req) {
+      const wasBytes = bytes;
       bytes += (chunk as Buffer).length;
-      if (bytes > maxBytes) return undefined;
-      chunks.push(chunk as Buffer);
+      if (bytes > maxBytes) return 'too-large';
+      if (chunks && budget.grow(wasBytes, bytes)) {
+        this.bodyBytes = bytes;
+        chunks.push(chunk as Buffer);
+      } else {
+        chunks = undefined;
+        this.releaseBody(budget);
+      }
     }
-    return Buffer.concat(chunks);
+    return chunks ? Buffer.concat(chunks) : 'no-room';
+  }
+
+  /** The body is not needed any more. */
+  releaseBody(budget: BodyBudget): void {
+    budget.release(this.bodyBytes);
+    this.bodyBytes = 0;
   }
 
   start(status: number, headers: FlatHeaders): void {
--- a/packages/sidecar/src/ingress/ingress-server.ts
+++ b/packages/sidecar/src/ingress/ingress-server.ts
@@ -19,6 +19,7 @@
 
 import {HttpTask} from '../tasks/http-task.js';
 import type {RequestContext} from '../observe/request-log.js';
+import type {BodyBudget} from './body-budget.js';
 import {
   CallerRequest,
   type OwnAnswer,
@@ -46,12 +47,15 @@
 const LEAST_TARGET_SHARE = 0.25;
 /** Time in ms after which a caller may come back to a node without config. */
 const NO_CONFIG_RETURN_MS = 200;
+/** Time in ms after which a caller may come back whose body had no room. */
+const NO_ROOM_RETURN_MS = 200;
 
 export interface IngressServerParts {
   listen: HostAddress;
   /** Service beside which requests to this socket begin. */
   callerService: string;
   dispatch: RequestDispatch;
+  bodies: BodyBudget;
   bus: Bus;
   clock: Clock;
   random: RandomSource;
@@ -151,6 +155,8 @@
     } catch (err) {
       this.parts.onBrokenOff(caller, err);
       caller.cut();
+    } finally {
+      caller.releaseBody(this.parts.bodies);
     }
   }
 
@@ -184,11 +190,16 @@
       this.reject(caller, {status: 431, reason: 'headers too large'});
       return;
     }
-    const body = await caller.readBody(limits.maxBodyBytes);
-    if (!body) {
+    const body = await caller.readBody(limits.maxBodyBytes, this.parts.bodies);
+    if (body === 'too-large') {
       this.reject(caller, {status: 413, reason: 'body too large'});
       return;
     }
+    if (body === 'no-room') {
+      const answer = {status: 503, reason: 'no room for the body'};
+      this.reject(caller, {...answer, returnAfterMs: NO_ROOM_RETURN_MS});
+      return;
+    }
     await closesAreRead();
     if (caller.hasLeft) return;
     const request = this.routed(caller, route, body, arrivedMs);
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -19,6 +19,7 @@
 import {ConfigFollower} from './config/config-follower.js';
 import {ReportServer} from './control/report-server.js';
 import {AnswerSizes} from './ingress/answer-sizes.js';
+import {BodyBudget} from './ingress/body-budget.js';
 import {IngressServer} from './ingress/ingress-server.js';
 import {RequestDispatch} from './ingress/request-dispatch.js';
 import type {LogDestination} from './observe/log-destination.js';
@@ -258,6 +259,7 @@
       listen: listen.callers,
       callerService: service,
       dispatch,
+      bodies: BodyBudget.ofProcess(this.settings.memoryMb),
       bus,
       clock,
       random,
--- a/packages/sidecar/tests/ingress/entry-mesh.ts
+++ b/packages/sidecar/tests/ingress/entry-mesh.ts
@@ -30,6 +30,7 @@
 import bunyan from 'bunyan';
 
 import {AnswerSizes} from '../../src/ingress/answer-sizes.js';
+import {BodyBudget} from '../../src/ingress/body-budget.js';
 import {IngressServer} from '../../src/ingress/ingress-server.js';
 import {RequestDispatch} from '../../src/ingress/request-dispatch.js';
 
@@ -266,6 +267,7 @@
       listen: {address: '127.0.0.1', port: 0},
       callerService: 'desk',
       dispatch,
+      bodies: new BodyBudget(heldBytes),
       bus,
       clock,
       random,
--- a/packages/sidecar/tests/ingress/ingress-server.test.ts
+++ b/packages/sidecar/tests/ingress/ingress-server.test.ts
@@ -8,6 +8,7 @@
 import {expect} from 'chai';
 
 import type {CallerRequest} from '../../src/ingress/caller-request.js';
+import {BodyBudget} from '../../src/ingress/body-budget.js';
 import {IngressServer} from '../../src/ingress/ingress-server.js';
 import type {RequestDispatch} from '../../src/ingress/request-dispatch.js';
 import type {RoutedRequest} from '../../src/ingress/routed-request.js';
@@ -30,13 +31,15 @@
   services: [{name: 'desk', healthCheckPath: '/health', maxConnections: 9}],
   limits: {
     maxHeaderBytes: 16_384,
-    maxBodyBytes: 1_000,
+    maxBodyBytes: 1_000_000,
     headerTimeoutMs: 3_000,
     idleTimeoutMs: 15_000,
   },
 };
 
 const REQUEST = 'GET /d/x HTTP/1.1\r\nhost: shop.example\r\n\r\n';
+/** Bytes of bodies that the node has room for, beside the free ones. */
+const MAX_HELD_BYTES = 300_000;
 /** Turns of the event loop after which a request has long been passed on. */
 const TURNS = 20;
 
@@ -51,12 +54,16 @@
   /** Answers a request that was passed on; by default none is. */
   answer: ((caller: CallerRequest) => void) | undefined;
   readonly server: IngressServer;
+  /** True if requests do not end. */
+  waits = false;
+  readonly bodies = new BodyBudget(MAX_HELD_BYTES);
 
   constructor() {
     const bus = new Bus();
     const dispatch = {
       dispatch: (request: RoutedRequest) => {
         this.passedOn.push(request);
+        if (this.waits) return new Promise(() => undefined);
         this.answer?.(request.caller);
         const kind = this.answer ? 'answered' : 'left';
         return Promise.resolve({kind, status: 200, tries: 1});
@@ -66,6 +73,7 @@
       listen: {address: '127.0.0.1', port: 0},
       callerService: 'desk',
       dispatch,
+      bodies: this.bodies,
       bus,
       clock: new ManualClock(1_000),
       random: new SeededRandom(1),
@@ -192,4 +200,38 @@
       await finished;
     });
   });
+
+  async function post(bodyBytes: number): Promise<string> {
+    const socket = connect(fixture.server.port, '127.0.0.1');
+    socket.on('error', () => undefined);
+    await once(socket, 'connect');
+    const answer = new Promise<string>(resolve => {
+      socket.once('data', chunk => resolve(chunk.toString()));
+      socket.once('close', () => resolve('closed'));
+    });
+    socket.write(
+      `POST /d/x HTTP/1.1\r\nhost: shop.example\r\nconnection: close\r\ncontent-length: ${bodyBytes}\r\n\r\n`,
+    );
+    socket.write(Buffer.alloc(bodyBytes));
+    const text = await Promise.race([answer, sleep(100)]);
+    return text ?? 'passed on';
+  }
+
+  it('refuses bodies for which it has no room, unrun', async () => {
+    fixture.waits = true;
+    expect(await post(350_000)).to.equal('passed on');
+    const refused = await post(200_000);
+    expect(refused).to.match(/^HTTP\/1.1 503 /);
+    expect(refused.toLowerCase()).to.include('retry-after: 0.200');
+    expect(await post(60_000)).to.equal('passed on');
+    expect(fixture.passedOn).to.have.length(2);
+  });
+
+  it('has room for bodies again once their requests have ended', async () => {
+    for (let i = 0; i < 3; i++) {
+      expect(await post(350_000)).to.equal('passed on');
+    }
+    expect(fixture.passedOn).to.have.length(3);
+    expect(fixture.bodies.heldBytes).to.equal(0);
+  });
 });
