Bodies go to the server in the pieces in which they came

The node beside the server joined the pieces of a body before it wrote them, which took as much memory again. The tests of the pool pass bodies as lists; their checks are the same.

--- a/packages/sidecar/src/server/server-call.ts
+++ b/packages/sidecar/src/server/server-call.ts
@@ -15,7 +15,8 @@
 export class ServerCall implements CallLeg {
   /** Set while the call runs on the server. */
   exchange: PoolExchange | undefined;
-  private readonly chunks: Uint8Array[] = [];
+  /** The bytes of the body in order; all of them once it is whole. */
+  readonly body: Uint8Array[] = [];
 
   constructor(
     readonly head: CallHead,
@@ -23,18 +24,11 @@
     readonly events: CallEvents,
     private readonly hooks: {whole: () => void; left: () => void},
   ) {
-    if (first.chunk.length > 0) this.chunks.push(first.chunk);
-  }
-
-  /** The body, once it is whole. */
-  get body(): Uint8Array {
-    const [only] = this.chunks;
-    if (this.chunks.length === 1 && only) return only;
-    return Buffer.concat(this.chunks);
+    if (first.chunk.length > 0) this.body.push(first.chunk);
   }
 
   data(chunk: Uint8Array): void {
-    this.chunks.push(chunk);
+    this.body.push(chunk);
     this.events.credit(chunk.length);
   }
 
--- a/packages/sidecar/src/server/server-connection.ts
+++ b/packages/sidecar/src/server/server-connection.ts
@@ -15,7 +15,8 @@
 /** A request as it goes on the wire. */
 export interface WireRequest {
   head: Buffer;
-  body: Uint8Array;
+  /** The bytes of the body in order. */
+  body: readonly Uint8Array[];
   requestId: string | undefined;
   /** True for HEAD, whose answer has no body. */
   bodyless: boolean;
@@ -137,7 +138,7 @@
     this.parser.begin(req.bodyless);
     this.socket.cork();
     this.socket.write(req.head);
-    if (req.body.length > 0) this.socket.write(req.body);
+    for (const chunk of req.body) this.socket.write(chunk);
     this.socket.uncork();
   }
 
--- a/packages/sidecar/src/server/server-request.ts
+++ b/packages/sidecar/src/server/server-request.ts
@@ -21,7 +21,7 @@
 /** Serializes a request for the server with id `serverId`. */
 export function serializeRequest(
   head: CallHead,
-  body: Uint8Array,
+  body: readonly Uint8Array[],
   serverId: string,
   nowMs: number,
 ): WireRequest {
@@ -37,8 +37,9 @@
     if (FRAMING.has(name.toLowerCase())) continue;
     lines.push(`${name}: ${headers[i + 1] as string}`);
   }
-  if (body.length > 0 || !BODYLESS.has(head.method)) {
-    lines.push(`Content-Length: ${body.length}`);
+  const bodyBytes = body.reduce((sum, chunk) => sum + chunk.length, 0);
+  if (bodyBytes > 0 || !BODYLESS.has(head.method)) {
+    lines.push(`Content-Length: ${bodyBytes}`);
   }
   return {
     head: Buffer.from(`${lines.join('\r\n')}\r\n\r\n`, 'latin1'),
--- a/packages/sidecar/tests/server/endless-answers.test.ts
+++ b/packages/sidecar/tests/server/endless-answers.test.ts
@@ -67,7 +67,7 @@
   const requestId = 'id-1';
   const head = `${method} /x HTTP/1.1\r\n${ID}: ${requestId}\r\nContent-Length: ${body.length}\r\n\r\n`;
   const bodyless = method === 'HEAD';
-  return {head: Buffer.from(head), body, requestId, bodyless};
+  return {head: Buffer.from(head), body: [body], requestId, bodyless};
 }
 
 function exchange(pool: ServerPool, req = request()): Promise<ExchangeEnd> {
--- a/packages/sidecar/tests/server/server-pool.test.ts
+++ b/packages/sidecar/tests/server/server-pool.test.ts
@@ -70,7 +70,7 @@
 
 function request(requestId: string): WireRequest {
   const head = Buffer.from(`GET /x HTTP/1.1\r\n${ID}: ${requestId}\r\n\r\n`);
-  return {head, body: Buffer.alloc(0), requestId, bodyless: false};
+  return {head, body: [], requestId, bodyless: false};
 }
 
 function textOf(end: ExchangeEnd): string {
