--- a/packages/node/tests/transport/transport-task.test.ts
+++ b/packages/node/tests/transport/transport-task.test.ts
@@ -13,6 +13,7 @@
   FrameReader,
   type Hello,
   type MemberRecord,
+  type Message,
 } from '@turmericmill/wire';
 import bunyan from 'bunyan';
 import {expect} from 'chai';
@@ -39,6 +40,24 @@
   return {minVersion: 1, maxVersion: 1, ...place, nodeId, incarnation: 1};
 }
 
+function callOf(callId: number): Message {
+  const request = {
+    serverId: 's1',
+    serverIncarnation: 1,
+    group: 'g',
+    method: 'GET',
+    path: '/',
+    customer: 'c1',
+    class: 'g/class/all',
+    priority: 'interactive',
+    hops: 0,
+    fingerprint: '',
+  } as const;
+  const rest = {headers: [], remainingMs: 1_000, sentMs: 0, end: true};
+  const body = {...request, ...rest, callId, body: Buffer.alloc(0)};
+  return {type: 'callStart', body};
+}
+
 class Endpoint {
   readonly bus = new Bus();
   readonly transport: TransportTask;
@@ -178,6 +197,10 @@
       slow.write(encodeFrame({type: 'hello', body}));
       await once(slow, 'data');
       slow.pause();
+      // Answers go only where their calls came from.
+      for (let callId = 0; callId < CHUNKS; callId++) {
+        slow.write(encodeFrame(callOf(callId)));
+      }
       await sleep(QUIET_MS);
       for (let callId = 0; callId < CHUNKS; callId++) {
         const chunk = Buffer.alloc(CHUNK_BYTES);
