One idle moment does not end a stopping node

What callers saw: requests sent to a leaving node on a connection that was still open were read, partly passed on, and ended with the process, without an answer. Calls of other nodes that had not learned of its leaving ended as `connection-lost`, of unknown outcome.

Cause: 2.5 s after SIGTERM the node looked for work every 20 ms, and ended at the first look that found none. Nothing stopped requests and calls from being taken between that look and the end, nor those that could not end in time.

Fix: the course of a shutdown is a function of its phase, its times and what is at work (shutdown-phase.ts). From 2.5 s on it takes only requests and calls whose deadline lies before the end of its work, and answers the others at once that they have not run; as soon as it is done, or the work has to end, it takes none. The loop's lag is measured until the ingress has closed: it counted from the moment that finish() was called, so that requests read later seemed old.

--- a/packages/node/src/calls/incoming-calls.ts
+++ b/packages/node/src/calls/incoming-calls.ts
@@ -11,12 +11,13 @@
 } from '@turmericmill/wire';
 
 import type {Bus, Peer} from '../bus.js';
-import type {
-  CallEvents,
-  CallFailure,
-  CallHead,
-  CallLeg,
-  CallRunner,
+import {
+  NO_LOAD,
+  type CallEvents,
+  type CallFailure,
+  type CallHead,
+  type CallLeg,
+  type CallRunner,
 } from './call-leg.js';
 
 import {DeferredLeg} from './deferred-leg.js';
@@ -32,6 +33,8 @@
 export class IncomingCalls {
   private readonly legs = new Map<string, Map<number, CallLeg>>();
   private readonly delays = new Map<string, TransitDelay>();
+  /** Calls that may end later are not taken. */
+  private lastAnswerMs = Infinity;
 
   constructor(
     private readonly bus: Bus,
@@ -68,6 +71,11 @@
     return sum;
   }
 
+  /** From now on refuses calls that may end after `lastAnswerMs`. */
+  takeUntil(lastAnswerMs: number): void {
+    this.lastAnswerMs = lastAnswerMs;
+  }
+
   private start(peer: Peer, start: CallStart): void {
     const now = this.clock.now();
     const {sentMs, ...call} = start;
@@ -77,11 +85,15 @@
       delayMs,
     );
     const head: CallHead = {...rest, deadlineMs: now + remainingMs};
-    const leg = new DeferredLeg();
-    this.legsOf(peer).set(callId, leg);
     const events = new AnswerFrames(this.bus, peer, callId, () => {
       this.forget(peer, callId);
     });
+    if (head.deadlineMs > this.lastAnswerMs) {
+      events.failed(draining());
+      return;
+    }
+    const leg = new DeferredLeg();
+    this.legsOf(peer).set(callId, leg);
     // By then a cancellation that was read together with the call is known.
     setImmediate(() => {
       leg.start(() => this.runner.run(head, {chunk: body, end}, events));
@@ -130,6 +142,15 @@
   }
 }
 
+function draining(): CallFailure {
+  return {
+    outcome: 'not-run',
+    reason: 'draining',
+    detail: 'The node is leaving.',
+    load: {...NO_LOAD},
+  };
+}
+
 function peerKey(peer: Peer): string {
   return `${peer.nodeId}#${peer.incarnation}`;
 }
--- a/packages/node/src/transport/transport-task.ts
+++ b/packages/node/src/transport/transport-task.ts
@@ -68,7 +68,7 @@
   private readonly byAddress = new Map<string, PeerConnection>();
   private members = new Map<string, MemberRecord>();
   private readonly accepts: AcceptLimiter;
-  private stopping = false;
+  private stopped: Promise<void> | undefined;
   private timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -92,7 +92,7 @@
       this.sendPeer(nodeId, message, incarnation);
     });
     bus.subscribe('send-address', ({address, port, message}) => {
-      if (this.stopping) return;
+      if (this.stopped) return;
       this.connectTo(address, port).send(message);
     });
     bus.subscribe('send-datagram', ({address, port, message}) => {
@@ -131,11 +131,13 @@
   }
 
   /** Says goodbye; sends what is queued, at the latest until `deadlineMs`. */
-  override async stop(
-    deadlineMs = this.clock.now() + SEND_REST_MS,
-  ): Promise<void> {
+  override stop(deadlineMs = this.clock.now() + SEND_REST_MS): Promise<void> {
+    this.stopped ??= this.sendRest(deadlineMs);
+    return this.stopped;
+  }
+
+  private async sendRest(deadlineMs: number): Promise<void> {
     clearInterval(this.timer);
-    this.stopping = true;
     const closed = new Promise(resolve => this.server.close(resolve));
     for (const connection of [...this.connections]) {
       connection.close('shutdown', 'The node is stopping.');
@@ -253,7 +255,7 @@
       return;
     }
     const member = this.members.get(nodeId);
-    if (!member || this.stopping) {
+    if (!member || this.stopped) {
       this.bus.publish('peer-lost', {nodeId, opened: false});
       return;
     }
--- a/packages/node/tests/calls/incoming-calls.test.ts
+++ b/packages/node/tests/calls/incoming-calls.test.ts
@@ -113,4 +113,22 @@
     const {notes} = await play([[CALL], [CANCEL]]);
     expect(notes).to.deep.equal(['run a', 'cancel']);
   });
+
+  it('refuses as not run what may end after the node has', async () => {
+    const bus = new Bus();
+    const runner = new NotingRunner();
+    const calls = new IncomingCalls(bus, runner, new ManualClock(1_000));
+    const answers: Message[] = [];
+    bus.subscribe('send-peer', ({message}) => answers.push(message));
+    calls.takeUntil(1_000 + START.remainingMs);
+    const late = {...START, callId: 8, remainingMs: START.remainingMs + 1};
+    bus.publishPeerMessage(PEER, CALL);
+    bus.publishPeerMessage(PEER, {type: 'callStart', body: late});
+    await new Promise(resolve => setImmediate(resolve));
+    expect(runner.notes).to.deep.equal(['run a']);
+    expect(calls.size).to.equal(1);
+    expect(answers.map(({type}) => type)).to.deep.equal(['answerFailed']);
+    const body = {callId: 8, outcome: 'not-run', reason: 'draining'};
+    expect(answers[0]?.body).to.deep.include(body);
+  });
 });
--- a/packages/sidecar/src/ingress/ingress-server.ts
+++ b/packages/sidecar/src/ingress/ingress-server.ts
@@ -15,7 +15,7 @@
   returnAfterMs,
   SplitRotation,
 } from '@turmericmill/routing';
-import type {Clock, RandomSource} from '@turmericmill/utils';
+import {turnsOfLoop, type Clock, type RandomSource} from '@turmericmill/utils';
 
 import {HttpTask} from '../tasks/http-task.js';
 import type {RequestContext} from '../observe/request-log.js';
@@ -83,6 +83,8 @@
   private table: RouteTable | undefined;
   private limits = FIRST_LIMITS;
   private draining = false;
+  /** Requests that may end later are not taken. */
+  private lastAnswerMs = Infinity;
   /** Those whose response is not closed. */
   private readonly open = new Set<CallerRequest>();
   private readonly lag: LoopLag;
@@ -126,10 +128,13 @@
     this.draining = true;
   }
 
-  /** Takes no new connections; each one closes once it carries no request. */
-  async finish(): Promise<void> {
+  /**
+   * Takes no new connections, and no request that may end after
+   * `lastAnswerMs`; each connection closes once it carries no request.
+   */
+  async finish(lastAnswerMs: number): Promise<void> {
+    this.lastAnswerMs = lastAnswerMs;
     const closed = new Promise(resolve => this.server.close(resolve));
-    this.lag.stop();
     this.server.closeIdleConnections();
     const timer = setInterval(() => {
       this.server.closeIdleConnections();
@@ -138,6 +143,11 @@
     clearInterval(timer);
   }
 
+  /** Takes no request any more; those that were taken go on. */
+  refuseAll(): void {
+    this.lastAnswerMs = -Infinity;
+  }
+
   private applyLimits(limits: CallerLimits): void {
     this.limits = limits;
     this.server.headersTimeout = limits.headerTimeoutMs;
@@ -197,6 +207,12 @@
     await closesAreRead();
     if (caller.hasLeft) return;
     const request = this.routed(caller, route, body, arrivedMs);
+    if (request.deadlineMs > this.lastAnswerMs) {
+      const awayMs = this.returnAfterMs(request, 0);
+      const answer = {status: 503, reason: 'draining', returnAfterMs: awayMs};
+      this.reject(caller, answer);
+      return;
+    }
     const end = await this.parts.dispatch.dispatch(request);
     const own = end.kind === 'failed' ? this.refusal(request, end) : undefined;
     if (own) caller.refuse(own);
@@ -257,12 +273,14 @@
     if (mayHaveRun) {
       return {status: reason === 'deadline' ? 504 : 502, reason};
     }
-    const {clock, random} = this.parts;
-    const leftMs = request.deadlineMs - clock.now();
-    const waitMs = failure.load.waitMs ?? 0;
-    const awayMs = returnAfterMs(waitMs, leftMs, random);
+    const awayMs = this.returnAfterMs(request, failure.load.waitMs ?? 0);
     return {status: 503, reason, returnAfterMs: awayMs};
   }
+
+  private returnAfterMs(request: RoutedRequest, waitMs: number): number {
+    const {clock, random} = this.parts;
+    return returnAfterMs(waitMs, request.deadlineMs - clock.now(), random);
+  }
 }
 
 /**
@@ -270,9 +288,7 @@
  * caller that left while its request waited to be read comes one turn later.
  */
 async function closesAreRead(): Promise<void> {
-  for (let turns = 0; turns < 2; turns++) {
-    await new Promise(resolve => setImmediate(resolve));
-  }
+  await turnsOfLoop(2);
 }
 
 /** Time in ms that the caller waits; without bound if it does not say. */
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -11,7 +11,12 @@
 } from '@turmericmill/node';
 import {HttpStore, type HostSettings} from '@turmericmill/platform-adapter';
 import {LeastExpectedCostBalancer} from '@turmericmill/routing';
-import {sleep, SystemClock, SystemRandom} from '@turmericmill/utils';
+import {
+  sleep,
+  SystemClock,
+  SystemRandom,
+  turnsOfLoop,
+} from '@turmericmill/utils';
 import {MAX_PROTOCOL_VERSION, MIN_PROTOCOL_VERSION} from '@turmericmill/wire';
 import type Logger from 'bunyan';
 
@@ -25,6 +30,12 @@
 import {RequestLog} from './observe/request-log.js';
 import {SidecarMetrics} from './observe/sidecar-metrics.js';
 import {ServerRunner} from './server/server-runner.js';
+import {
+  nextPhase,
+  shutdownTimes,
+  type ShutdownPhase,
+  type ShutdownTimes,
+} from './shutdown-phase.js';
 import {ReadinessServer} from './tasks/readiness-server.js';
 import {StoreSeeds} from './tasks/store-seeds.js';
 
@@ -42,17 +53,8 @@
 const EXTRA_RETRIES = 1;
 /** Time in ms after which a node that knows no other one serves by itself. */
 const JOIN_PATIENCE_MS = 3_000;
-/**
- * Time in ms after SIGTERM in which callers are still served in full: the
- * platform needs two readiness questions, a second apart, to stop sending.
- */
-const LEAVE_SERVING_MS = 2_500;
-/** Time in ms kept between the last work and the end of the grace period. */
-const GRACE_RESERVE_MS = 700;
-/** Time in ms kept between the last bytes sent and the end of that period. */
-const EXIT_RESERVE_MS = 200;
-/** Time in ms between looks whether work is left. */
-const IDLE_CHECK_MS = 20;
+/** Time in ms between looks at how far a shutdown has come. */
+const SHUTDOWN_CHECK_MS = 20;
 
 export class Sidecar {
   private readonly bus = new Bus();
@@ -180,26 +182,51 @@
   }
 
   private async shutDown(): Promise<void> {
+    const {clock} = this;
     const {shutdownGraceMs} = this.settings;
-    const killedMs = this.clock.now() + shutdownGraceMs;
-    const deadlineMs = killedMs - GRACE_RESERVE_MS;
-    this.leaving = true;
-    this.ingress.drain();
-    await sleep(LEAVE_SERVING_MS);
-    this.server.stopTaking();
-    const closed = this.ingress.finish();
-    const isBusy = () => this.ingress.requestsInFlight + this.incoming.size > 0;
-    while (isBusy() && this.clock.now() < deadlineMs) {
-      await sleep(IDLE_CHECK_MS);
+    const times = shutdownTimes(clock.now(), shutdownGraceMs);
+    let phase: ShutdownPhase = 'serving';
+    let lastBusyMs = clock.now();
+    this.enter(phase, times);
+    while (phase !== 'over') {
+      await sleep(SHUTDOWN_CHECK_MS);
+      await turnsOfLoop(2);
+      const busy = this.ingress.requestsInFlight + this.incoming.size > 0;
+      if (busy) lastBusyMs = clock.now();
+      const activity = {busy, lastBusyMs};
+      const next = nextPhase(phase, times, activity, clock.now());
+      if (next !== phase) this.enter(next, times);
+      phase = next;
     }
-    this.membership.stop();
-    this.config.stop();
-    await Promise.race([closed, sleep(IDLE_CHECK_MS)]);
-    await this.transport.stop(killedMs - EXIT_RESERVE_MS);
+    await this.ingress.stop();
+    await this.transport.stop(times.exitMs);
     this.server.close();
     this.store.close();
   }
 
+  private enter(phase: ShutdownPhase, {workEndMs}: ShutdownTimes): void {
+    this.logger.info({phase}, 'shutdown');
+    switch (phase) {
+      case 'serving':
+        this.leaving = true;
+        this.ingress.drain();
+        break;
+      case 'finishing':
+        this.server.stopTaking();
+        this.incoming.takeUntil(workEndMs);
+        void this.ingress.finish(workEndMs);
+        break;
+      case 'refusing':
+        this.incoming.takeUntil(-Infinity);
+        this.ingress.refuseAll();
+        break;
+      case 'over':
+        this.membership.stop();
+        this.config.stop();
+        break;
+    }
+  }
+
   private makeTransport(): TransportTask {
     const {nodeId, dataCentre, region, ip, meshPorts} = this.settings;
     const hello = {
--- a/packages/sidecar/tests/ingress/ingress-server.test.ts
+++ b/packages/sidecar/tests/ingress/ingress-server.test.ts
@@ -128,6 +128,11 @@
       caller.end();
     }
 
+    function answerShortly(caller: CallerRequest): void {
+      caller.start(200, ['content-length', '0']);
+      caller.end();
+    }
+
     /** Sends a request and reads no answer yet. */
     async function sendSlowly(): Promise<Socket> {
       const socket = await send();
@@ -147,7 +152,7 @@
     it('delivers an answer that was ended before', async () => {
       fixture.answer = answerAtLength;
       const socket = await sendSlowly();
-      const finished = fixture.server.finish();
+      const finished = fixture.server.finish(Infinity);
       await sleep(CLOSED_MS);
       expect(await bytesOf(socket)).to.be.greaterThan(LONG_ANSWER.length);
       await finished;
@@ -157,39 +162,62 @@
       fixture.answer = answerAtLength;
       const socket = await sendSlowly();
       expect(fixture.server.requestsInFlight).to.equal(1);
-      const finished = fixture.server.finish();
+      const finished = fixture.server.finish(Infinity);
       await bytesOf(socket);
       await finished;
       expect(fixture.server.requestsInFlight).to.equal(0);
     });
 
     it('closes a kept connection that is idle', async () => {
-      fixture.answer = caller => {
-        caller.start(200, ['content-length', '0']);
-        caller.end();
-      };
+      fixture.answer = answerShortly;
       const socket = await send();
       await once(socket, 'data');
-      const finished = fixture.server.finish();
+      const finished = fixture.server.finish(Infinity);
       await once(socket, 'close');
       await finished;
     });
 
     it('answers a request of which a part had come', async () => {
-      fixture.answer = caller => {
-        caller.start(200, ['content-length', '0']);
-        caller.end();
-      };
+      fixture.answer = answerShortly;
       const socket = await send();
       await once(socket, 'data');
       socket.write(REQUEST.slice(0, 9));
       await turns(TURNS);
-      const finished = fixture.server.finish();
+      const finished = fixture.server.finish(Infinity);
       await sleep(CLOSED_MS);
       socket.write(REQUEST.slice(9));
       const [answer] = (await once(socket, 'data')) as [Buffer];
       expect(answer.toString()).to.match(/^HTTP\/1.1 200 /);
       await finished;
     });
+
+    describe('a request that comes on a connection still open', () => {
+      // The clock stands at 1 s, and the route's time budget is 800 ms.
+      const cases = [
+        {name: 'serves one that ends in time', lastMs: 1_800, status: 200},
+        {name: 'refuses one that may not', lastMs: 1_799, status: 503},
+      ];
+      for (const {name, lastMs, status} of cases) {
+        it(name, async () => {
+          fixture.answer = answerShortly;
+          const socket = connect(fixture.server.port, '127.0.0.1');
+          await once(socket, 'connect');
+          await turns(TURNS);
+          fixture.server.drain();
+          const finished = fixture.server.finish(lastMs);
+          socket.write(REQUEST);
+          const [answer] = (await once(socket, 'data')) as [Buffer];
+          expect(answer.toString()).to.match(
+            new RegExp(`^HTTP/1.1 ${status} `),
+          );
+          expect(answer.toString().toLowerCase()).to.include(
+            'connection: close',
+          );
+          const wasRun = status === 200 ? 1 : 0;
+          expect(fixture.passedOn).to.have.length(wasRun);
+          await finished;
+        });
+      }
+    });
   });
 });
--- a/packages/testkit/src/platform/app-server.ts
+++ b/packages/testkit/src/platform/app-server.ts
@@ -32,11 +32,15 @@
   readonly runs: AppRun[] = [];
   /** Requests whose connection closed while they ran. */
   cancelled = 0;
+  /** Time in ms that each request takes from now on. */
+  workMs: number;
   private sequence = 0;
   private readonly bornMs = Date.now();
   private readonly server = createServer((req, res) => this.serve(req, res));
 
-  constructor(private readonly options: AppServerOptions) {}
+  constructor(private readonly options: AppServerOptions) {
+    this.workMs = options.workMs;
+  }
 
   async listen(): Promise<void> {
     const {address, port} = this.options;
@@ -89,7 +93,8 @@
   }
 
   private serve(req: IncomingMessage, res: ServerResponse): void {
-    const {id, workMs} = this.options;
+    const {id} = this.options;
+    const {workMs} = this;
     const header = (name: string) =>
       String(req.headers[`x-turmericmill-${name}`] ?? '');
     if (header('expected-instance') !== id) {
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -19,5 +19,5 @@
   type ChartEvent,
   type ChartGuard,
 } from './state-chart.js';
-export {sleep} from './sleep.js';
+export {sleep, turnsOfLoop} from './sleep.js';
 export {suggestName} from './suggestion.js';
--- a/packages/utils/src/sleep.ts
+++ b/packages/utils/src/sleep.ts
@@ -4,3 +4,10 @@
 export function sleep(ms: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, ms));
 }
+
+/** Resolves once the event loop has read the sockets `count` times. */
+export async function turnsOfLoop(count: number): Promise<void> {
+  for (let turns = 0; turns < count; turns++) {
+    await new Promise(resolve => setImmediate(resolve));
+  }
+}
