A request at work when a node has to end gets an answer

What callers saw: a request whose server was still at work at the end of the grace period ended with its connection, without any answer.

Cause: at the deadline of the shutdown the node closed its connections to other nodes and ended, whatever requests it still held.

Evidence: sidecar-shutdown.test.ts, 'answers a request that is at work when the time is up': no answer had come when stop() resolved; on the code before that, 502 from the teardown itself, which a process of its own does not live to send.

Fix: when the work has to end, which is in the last sixth of a grace period of 6 s, each try that runs is cancelled and its caller gets 504, as it may have run; 300 ms are left for these answers and those that had begun.

--- a/packages/sidecar/src/ingress/caller-request.ts
+++ b/packages/sidecar/src/ingress/caller-request.ts
@@ -38,6 +38,7 @@
   /** Called once the response is closed, with what was not delivered of it. */
   onClosed: ((undelivered: UndeliveredAnswer | undefined) => void) | undefined;
   private left = false;
+  private givenUp = false;
   /** The peer has closed its side, or the connection has failed. */
   private peerEnded = false;
   private closed = false;
@@ -101,6 +102,18 @@
     return this.left;
   }
 
+  /** True if the node has ended the try that ran. */
+  get isGivenUp(): boolean {
+    return this.givenUp;
+  }
+
+  /** Ends the try that runs, unless its answer has begun. */
+  giveUp(): void {
+    if (this.left || this.res.headersSent) return;
+    this.givenUp = true;
+    this.onLeft?.();
+  }
+
   /** The whole body; undefined if it is longer than `maxBytes`. */
   async readBody(maxBytes: number): Promise<Buffer | undefined> {
     const chunks: Buffer[] = [];
--- a/packages/sidecar/src/ingress/ingress-server.ts
+++ b/packages/sidecar/src/ingress/ingress-server.ts
@@ -3,7 +3,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
 import type {CallerLimits, MeshConfig, PrefixRoute} from '@turmericmill/config';
-import type {Bus} from '@turmericmill/node';
+import {deadlinePassed, type Bus} from '@turmericmill/node';
 import {
   REMAINING_TIME_HEADER,
   type HostAddress,
@@ -143,9 +143,10 @@
     clearInterval(timer);
   }
 
-  /** Takes no request any more; those that were taken go on. */
+  /** Takes no request any more, and gives up those that no server answers. */
   refuseAll(): void {
     this.lastAnswerMs = -Infinity;
+    for (const caller of this.open) caller.giveUp();
   }
 
   private applyLimits(limits: CallerLimits): void {
@@ -213,7 +214,7 @@
       this.reject(caller, answer);
       return;
     }
-    const end = await this.parts.dispatch.dispatch(request);
+    const end = givenUp(request, await this.parts.dispatch.dispatch(request));
     const own = end.kind === 'failed' ? this.refusal(request, end) : undefined;
     if (own) caller.refuse(own);
     const latencyMs = this.parts.clock.now() - arrivedMs;
@@ -291,6 +292,15 @@
   await turnsOfLoop(2);
 }
 
+/** How a request ended whose last try the node may have ended itself. */
+function givenUp({caller}: RoutedRequest, end: RequestEnd): RequestEnd {
+  if (end.kind !== 'left' || caller.hasLeft || !caller.isGivenUp) return end;
+  const detail = 'The node ended before an answer came.';
+  const failure = {...deadlinePassed(), detail};
+  const {tries} = end;
+  return {kind: 'failed', failure, tries, mayHaveRun: true, asked: undefined};
+}
+
 /** Time in ms that the caller waits; without bound if it does not say. */
 function remainingTimeMs(req: IncomingMessage): number {
   const value = req.headers[REMAINING_TIME_HEADER];
--- a/packages/testkit/tests/platform/sidecar-shutdown.test.ts
+++ b/packages/testkit/tests/platform/sidecar-shutdown.test.ts
@@ -126,4 +126,14 @@
     const statuses = callers.map(caller => caller.statuses);
     expect(statuses).to.deep.equal([[200], [200], [200]]);
   });
+
+  it('answers a request that is at work when the time is up', async () => {
+    const [, entry] = await start(300);
+    for (const {app} of mesh.hosts) app.workMs = 20_000;
+    const caller = await Caller.connect(entry!);
+    caller.send(9_000);
+    await sleep(100);
+    await entry!.node.stop();
+    expect(caller.statuses).to.deep.equal([504]);
+  });
 });
