A draining node says with each answer that the connection ends

What callers saw: a request that was read before the drain began was answered as on a kept connection; the next request on it met its close.

Cause: whether a connection is kept was decided when a request was read, not when its answer begins.

Evidence: ingress-server.test.ts, 'tells a caller whose request was read before that it closes' failed before: the answer said `Connection: keep-alive`.

Fix: CallerServer.drain() marks open responses that have not begun, and those that follow, as the last ones of their connections; for the node on the platform's hosts and the product's own. Connections whose answer had begun still close once idle.

--- a/packages/node/src/calls/caller-server.ts
+++ b/packages/node/src/calls/caller-server.ts
@@ -9,8 +9,8 @@
 import type {Socket} from 'node:net';
 
 interface ConnectionUse {
-  /** Responses that have not left, or whose caller is still there. */
-  responses: number;
+  /** Those that have not left, and whose callers are still there. */
+  responses: Set<ServerResponse>;
   /** Bytes read when the last response had left. */
   readBytes: number;
 }
@@ -21,6 +21,7 @@
  */
 export class CallerServer extends Server {
   private readonly uses = new Map<Socket, ConnectionUse>();
+  private draining = false;
 
   constructor(
     options: ServerOptions,
@@ -28,7 +29,7 @@
   ) {
     super(options);
     this.on('connection', (socket: Socket) => {
-      this.uses.set(socket, {responses: 0, readBytes: 0});
+      this.uses.set(socket, {responses: new Set(), readBytes: 0});
       socket.once('close', () => this.uses.delete(socket));
     });
     this.on('request', (req, res) => this.began(req, res));
@@ -38,7 +39,7 @@
   /** Responses that have not left, and whose callers are still there. */
   get openResponses(): number {
     let sum = 0;
-    for (const {responses} of this.uses.values()) sum += responses;
+    for (const {responses} of this.uses.values()) sum += responses.size;
     return sum;
   }
 
@@ -46,18 +47,29 @@
   began({socket}: IncomingMessage, res: ServerResponse): void {
     const use = this.uses.get(socket);
     if (!use) return;
-    use.responses += 1;
+    if (this.draining) res.shouldKeepAlive = false;
+    use.responses.add(res);
     res.once('close', () => {
-      use.responses -= 1;
+      use.responses.delete(res);
       use.readBytes = socket.bytesRead;
     });
   }
 
+  /** From now on each connection ends with its answer, if not begun yet. */
+  drain(): void {
+    this.draining = true;
+    for (const {responses} of this.uses.values()) {
+      for (const res of responses) {
+        if (!res.headersSent) res.shouldKeepAlive = false;
+      }
+    }
+  }
+
   /** Closes connections that have sent all and read no part of a request. */
   override closeIdleConnections(): void {
     for (const [socket, {responses, readBytes}] of this.uses) {
       const isUsed = readBytes > 0;
-      const isIdle = responses === 0 && socket.bytesRead === readBytes;
+      const isIdle = responses.size === 0 && socket.bytesRead === readBytes;
       if (isUsed && isIdle) socket.destroy();
     }
   }
--- a/packages/node/src/tasks/ingress-task.ts
+++ b/packages/node/src/tasks/ingress-task.ts
@@ -99,6 +99,7 @@
    */
   async drain(deadlineMs: number): Promise<void> {
     this.draining = true;
+    this.server.drain();
     this.closed = new Promise(resolve => {
       this.server.close(() => resolve());
     });
@@ -132,7 +133,6 @@
     askForBody?: () => void,
   ): Promise<void> {
     const startedMs = performance.now();
-    if (this.draining) res.shouldKeepAlive = false;
     res.once('close', () => this.closeIdle());
     const exchange = new CallerExchange(req, res);
     const route = this.matchRoute(req);
--- a/packages/node/tests/calls/caller-server.test.ts
+++ b/packages/node/tests/calls/caller-server.test.ts
@@ -57,6 +57,28 @@
     expect(bytes).to.be.greaterThan(LONG_ANSWER.length);
   });
 
+  it('ends the connection with an answer that had not begun', async () => {
+    const asked = new Promise<ServerResponse>(resolve => {
+      answer = (unusedReq, res) => resolve(res);
+    });
+    socket.write(REQUEST);
+    const res = await asked;
+    server.drain();
+    res.end('a');
+    const [text] = (await once(socket, 'data')) as [Buffer];
+    expect(text.toString()).to.match(/\r\nconnection: close\r\n/i);
+    await once(socket, 'close');
+  });
+
+  it('ends the connection with each answer that follows', async () => {
+    answer = (unusedReq, res) => void res.end('a');
+    server.drain();
+    socket.write(REQUEST);
+    const [text] = (await once(socket, 'data')) as [Buffer];
+    expect(text.toString()).to.match(/\r\nconnection: close\r\n/i);
+    await once(socket, 'close');
+  });
+
   it('forgets the queued responses of a caller that left', async () => {
     answer = () => undefined;
     socket.write(REQUEST.repeat(3));
--- a/packages/sidecar/src/ingress/ingress-server.ts
+++ b/packages/sidecar/src/ingress/ingress-server.ts
@@ -82,7 +82,6 @@
   private readonly patience = new CallerPatience();
   private table: RouteTable | undefined;
   private limits = FIRST_LIMITS;
-  private draining = false;
   /** Requests that may end later are not taken. */
   private lastAnswerMs = Infinity;
   /** Those whose response is not closed. */
@@ -125,7 +124,7 @@
 
   /** From now on each connection ends with its answer. */
   drain(): void {
-    this.draining = true;
+    this.server.drain();
   }
 
   /**
@@ -160,7 +159,6 @@
     res: ServerResponse,
   ): Promise<void> {
     const arrivedMs = this.parts.clock.now() - this.lag.expectedWaitMs;
-    if (this.draining) res.shouldKeepAlive = false;
     const caller = this.opened(req, res);
     try {
       await this.answer(caller, arrivedMs);
--- a/packages/sidecar/tests/ingress/ingress-server.test.ts
+++ b/packages/sidecar/tests/ingress/ingress-server.test.ts
@@ -168,6 +168,18 @@
       expect(fixture.server.requestsInFlight).to.equal(0);
     });
 
+    it('tells a caller whose request was read before that it closes', async () => {
+      const asked = new Promise<CallerRequest>(resolve => {
+        fixture.answer = resolve;
+      });
+      const socket = await send();
+      const caller = await asked;
+      fixture.server.drain();
+      answerShortly(caller);
+      const [answer] = (await once(socket, 'data')) as [Buffer];
+      expect(answer.toString()).to.match(/\r\nconnection: close\r\n/i);
+    });
+
     it('closes a kept connection that is idle', async () => {
       fixture.answer = answerShortly;
       const socket = await send();
