--- a/packages/node/src/transport/transport-task.ts
+++ b/packages/node/src/transport/transport-task.ts
@@ -73,7 +73,7 @@
   private readonly byAddress = new Map<string, PeerConnection>();
   private members = new Map<string, MemberRecord>();
   private readonly accepts: AcceptLimiter;
-  private stopping = false;
+  private stopped: Promise<void> | undefined;
   private timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -97,7 +97,7 @@
       this.sendPeer(nodeId, message, incarnation);
     });
     bus.subscribe('send-address', ({address, port, message}) => {
-      if (this.stopping) return;
+      if (this.stopped) return;
       this.connectTo(address, port).send(message);
     });
     bus.subscribe('send-datagram', ({address, port, message}) => {
@@ -139,11 +139,13 @@
   }
 
   /** Says goodbye; sends what is queued, at the latest until `deadlineMs`. */
-  override async stop(
-    deadlineMs = this.clock.now() + SEND_REST_MS,
-  ): Promise<void> {
+  override stop(deadlineMs = this.clock.now() + SEND_REST_MS): Promise<void> {
+    this.stopped ??= this.sendRest(deadlineMs);
+    return this.stopped;
+  }
+
+  private async sendRest(deadlineMs: number): Promise<void> {
     clearInterval(this.timer);
-    this.stopping = true;
     const closed = new Promise(resolve => this.server.close(resolve));
     for (const connection of this.connections) {
       connection.close('shutdown', 'The node is stopping.');
@@ -277,7 +279,7 @@
   /** Undefined when the address is unknown or leads to another node. */
   private connectToMember(nodeId: string): PeerConnection | undefined {
     const member = this.members.get(nodeId);
-    if (!member || this.stopping) return undefined;
+    if (!member || this.stopped) return undefined;
     const connection = this.connectTo(member.address, member.port);
     if (connection.nodeId === undefined) connection.expectedNodeId = nodeId;
     return connection.nodeId === nodeId ? connection : undefined;
--- a/packages/sidecar/src/ingress/caller-request.ts
+++ b/packages/sidecar/src/ingress/caller-request.ts
@@ -42,6 +42,7 @@
   private left = false;
   /** Bytes of the request's body for which room was taken. */
   private bodyBytes = 0;
+  private givenUp = false;
   /** The peer has closed its side, or the connection has failed. */
   private peerEnded = false;
   private closed = false;
@@ -109,6 +110,18 @@
     return this.left;
   }
 
+  /** True if the node has ended the try that ran. */
+  get isGivenUp(): boolean {
+    return this.givenUp;
+  }
+
+  /** Ends the try that runs, unless its answer has begun. */
+  giveUp(): void {
+    if (this.left || this.res.headersSent) return;
+    this.givenUp = true;
+    this.onLeft?.();
+  }
+
   /**
    * The whole body, or what forbids it: a limit or the node's memory. A body
    * without room is read to its end and dropped, so that its caller can be told.
--- a/packages/sidecar/src/ingress/ingress-server.ts
+++ b/packages/sidecar/src/ingress/ingress-server.ts
@@ -3,7 +3,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
 import type {CallerLimits, MeshConfig, PrefixRoute} from '@turmericmill/config';
-import type {Bus} from '@turmericmill/node';
+import {deadlinePassed, type Bus} from '@turmericmill/node';
 import {
   REMAINING_TIME_HEADER,
   type HostAddress,
@@ -15,7 +15,7 @@
   returnAfterMs,
   SplitRotation,
 } from '@turmericmill/routing';
-import type {Clock, RandomSource} from '@turmericmill/utils';
+import {turnsOfLoop, type Clock, type RandomSource} from '@turmericmill/utils';
 
 import {HttpTask} from '../tasks/http-task.js';
 import type {RequestContext} from '../observe/request-log.js';
@@ -84,7 +84,8 @@
   private readonly patience = new CallerPatience();
   private table: RouteTable | undefined;
   private limits = FIRST_LIMITS;
-  private draining = false;
+  /** Requests that may end later are not taken. */
+  private lastAnswerMs = Infinity;
   /** Those whose response is not closed. */
   private readonly open = new Set<CallerRequest>();
   private readonly lag: LoopLag;
@@ -122,13 +123,16 @@
 
   /** From now on each connection ends with its answer. */
   drain(): void {
-    this.draining = true;
+    this.server.drain();
   }
 
-  /** Takes no new connections; each one closes once it carries no request. */
-  async finish(): Promise<void> {
+  /**
+   * Takes no new connections, and no request that may end after
+   * `lastAnswerMs`; each connection closes once it carries no request.
+   */
+  async finish(lastAnswerMs: number): Promise<void> {
+    this.lastAnswerMs = lastAnswerMs;
     const closed = new Promise(resolve => this.server.close(resolve));
-    this.lag.stop();
     this.server.closeIdleConnections();
     const timer = setInterval(() => {
       this.server.closeIdleConnections();
@@ -137,6 +141,12 @@
     clearInterval(timer);
   }
 
+  /** Takes no request any more, and gives up those that no server answers. */
+  refuseAll(): void {
+    this.lastAnswerMs = -Infinity;
+    for (const caller of this.open) caller.giveUp();
+  }
+
   private applyLimits(limits: CallerLimits): void {
     this.limits = limits;
     this.server.headersTimeout = limits.headerTimeoutMs;
@@ -148,7 +158,6 @@
     res: ServerResponse,
   ): Promise<void> {
     const arrivedMs = this.parts.clock.now() - this.lag.expectedWaitMs;
-    if (this.draining) res.shouldKeepAlive = false;
     const caller = this.opened(req, res);
     try {
       await this.answer(caller, arrivedMs);
@@ -203,7 +212,13 @@
     await closesAreRead();
     if (caller.hasLeft) return;
     const request = this.routed(caller, route, body, arrivedMs);
-    const end = await this.parts.dispatch.dispatch(request);
+    if (request.deadlineMs > this.lastAnswerMs) {
+      const awayMs = this.returnAfterMs(request, 0);
+      const answer = {status: 503, reason: 'draining', returnAfterMs: awayMs};
+      this.reject(caller, answer);
+      return;
+    }
+    const end = givenUp(request, await this.parts.dispatch.dispatch(request));
     const own = end.kind === 'failed' ? this.refusal(request, end) : undefined;
     if (own) caller.refuse(own);
     const latencyMs = this.parts.clock.now() - arrivedMs;
@@ -263,12 +278,14 @@
     if (mayHaveRun) {
       return {status: reason === 'deadline' ? 504 : 502, reason};
     }
-    const {clock, random} = this.parts;
-    const leftMs = request.deadlineMs - clock.now();
-    const waitMs = failure.load.waitMs ?? 0;
-    const awayMs = returnAfterMs(waitMs, leftMs, random);
+    const awayMs = this.returnAfterMs(request, failure.load.waitMs ?? 0);
     return {status: 503, reason, returnAfterMs: awayMs};
   }
+
+  private returnAfterMs(request: RoutedRequest, waitMs: number): number {
+    const {clock, random} = this.parts;
+    return returnAfterMs(waitMs, request.deadlineMs - clock.now(), random);
+  }
 }
 
 /**
@@ -276,9 +293,16 @@
  * caller that left while its request waited to be read comes one turn later.
  */
 async function closesAreRead(): Promise<void> {
-  for (let turns = 0; turns < 2; turns++) {
-    await new Promise(resolve => setImmediate(resolve));
-  }
+  await turnsOfLoop(2);
+}
+
+/** How a request ended whose last try the node may have ended itself. */
+function givenUp({caller}: RoutedRequest, end: RequestEnd): RequestEnd {
+  if (end.kind !== 'left' || caller.hasLeft || !caller.isGivenUp) return end;
+  const detail = 'The node ended before an answer came.';
+  const failure = {...deadlinePassed(), detail};
+  const {tries} = end;
+  return {kind: 'failed', failure, tries, mayHaveRun: true, asked: undefined};
 }
 
 /** Time in ms that the caller waits; without bound if it does not say. */
