--- a/packages/node/tests/transport/peer-connection.test.ts
+++ b/packages/node/tests/transport/peer-connection.test.ts
@@ -216,6 +216,20 @@
     });
   }
 
+  it('gives a peer that greets late the time to answer a call', () => {
+    const {socket, connection, receive, clock, log} = open();
+    connection.send(CALL);
+    for (let beats = 0; beats < 5; beats++) {
+      connection.heartbeat(clock.advance(HEARTBEAT_INTERVAL_MS));
+    }
+    receive(encodeFrame({type: 'hello', body: OTHER}));
+    for (let beats = 0; beats < 4; beats++) {
+      connection.heartbeat(clock.advance(HEARTBEAT_INTERVAL_MS));
+    }
+    expect(socket.destroyed).to.equal(false);
+    expect(log).to.deep.equal(['opened']);
+  });
+
   it('keeps a connection while a long frame arrives in pieces', () => {
     const {socket, connection, receive, clock, log} = open();
     receive(encodeFrame({type: 'hello', body: OTHER}));
