A second SIGTERM does not cut a shutdown short

What callers saw: all requests in flight ended without an answer when a node got SIGTERM again while it was shutting down.

Cause: the handler was registered for one signal; the next one took the default action, which ends the process at once.

Evidence: sidecar-shutdown.test.ts, 'is not cut short by a second signal', with the program as a process of its own: before, it ended by SIGTERM, and the request at work got no answer.

Fix: the handler stays; stop() gives all its callers the same shutdown. The same for the product's own node. A second SIGINT still ends both, as is usual at a terminal.

--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -70,7 +70,7 @@
     nodeId,
   });
   const node = new Node(settings.value, logger);
-  process.once('SIGTERM', () => void stop(node, logger));
+  process.on('SIGTERM', () => void stop(node, logger));
   process.once('SIGINT', () => void stop(node, logger));
   try {
     const ports = await node.start();
--- a/packages/sidecar/src/main.ts
+++ b/packages/sidecar/src/main.ts
@@ -37,7 +37,7 @@
     sidecar.reload(changed);
   });
   process.on('SIGHUP', () => file.reload());
-  process.once('SIGTERM', () => void stop(sidecar, file, logger));
+  process.on('SIGTERM', () => void stop(sidecar, file, logger));
   process.once('SIGINT', () => void stop(sidecar, file, logger));
   try {
     await sidecar.start();
--- a/packages/testkit/tests/platform/sidecar-shutdown.test.ts
+++ b/packages/testkit/tests/platform/sidecar-shutdown.test.ts
@@ -8,6 +8,7 @@
   SidecarMesh,
   type SidecarHost,
 } from '../../src/platform/sidecar-mesh.js';
+import {SidecarProcess} from '../../src/platform/sidecar-process.js';
 import {waitUntil} from '../../src/mesh/wait-until.js';
 
 const CONFIG = JSON.stringify({
@@ -87,29 +88,52 @@
   }
 }
 
+function isOk(status: number): boolean {
+  return status === 200;
+}
+
 describe('planned shutdown of a sidecar', function () {
   this.timeout(30_000);
   let mesh: SidecarMesh;
+  let child: SidecarProcess | undefined;
 
   async function start(workMs: number): Promise<SidecarHost[]> {
     mesh = new SidecarMesh(workMs);
     await mesh.start(PLANS);
     mesh.store.put('keyed.op', 'config', CONFIG);
     for (const {app} of mesh.hosts) await app.report('ready');
-    for (const host of mesh.hosts) {
-      const caller = await Caller.connect(host);
-      const elapsedMs = await waitUntil(async () => {
-        caller.send(workMs + 1_000);
-        await sleep(workMs + 100);
-        return caller.statuses.includes(200);
-      }, START_MS);
-      expect(elapsedMs, 'served').to.not.equal(undefined);
-      caller.socket.destroy();
-    }
+    for (const host of mesh.hosts) await served(host, workMs);
     return mesh.hosts;
   }
 
-  afterEach(() => mesh.stop());
+  async function served(host: SidecarHost, workMs: number): Promise<void> {
+    const caller = await Caller.connect(host);
+    const elapsedMs = await waitUntil(async () => {
+      caller.send(workMs + 1_000);
+      await sleep(workMs + 100);
+      return caller.statuses.includes(200);
+    }, START_MS);
+    expect(elapsedMs, 'served').to.not.equal(undefined);
+    caller.socket.destroy();
+  }
+
+  /** Has a process of its own take the place of the node. */
+  async function launch(host: SidecarHost): Promise<SidecarProcess> {
+    await host.node.abandon();
+    child = new SidecarProcess(host.settings);
+    const elapsedMs = await waitUntil(
+      () => host.app.report('ready').then(isOk, () => false),
+      START_MS,
+    );
+    expect(elapsedMs, 'started').to.not.equal(undefined);
+    return child;
+  }
+
+  afterEach(async () => {
+    await child?.kill();
+    child = undefined;
+    await mesh.stop();
+  });
 
   it('is not ended by one idle moment', async () => {
     const [, entry] = await start(600);
@@ -136,4 +160,35 @@
     await entry!.node.stop();
     expect(caller.statuses).to.deep.equal([504]);
   });
+
+  it('is not cut short by a second signal', async () => {
+    const [, entry] = await start(300);
+    const node = await launch(entry!);
+    await served(entry!, 300);
+    for (const {app} of mesh.hosts) app.workMs = 1_000;
+    const caller = await Caller.connect(entry!);
+    caller.send(3_000);
+    await sleep(200);
+    node.signal('SIGTERM');
+    await sleep(200);
+    node.signal('SIGTERM');
+    expect(await node.ended).to.deep.equal({code: 0, signal: null});
+    expect(caller.statuses).to.deep.equal([200]);
+  });
+
+  it('ends its process after the last answer has left it', async () => {
+    const [, entry] = await start(300);
+    const node = await launch(entry!);
+    await served(entry!, 300);
+    for (const {app} of mesh.hosts) app.workMs = 20_000;
+    const caller = await Caller.connect(entry!);
+    caller.send(9_000);
+    await sleep(200);
+    const termMs = performance.now();
+    node.signal('SIGTERM');
+    expect(await node.ended).to.deep.equal({code: 0, signal: null});
+    const graceMs = entry!.settings.shutdownGraceMs;
+    expect(performance.now() - termMs).to.be.below(graceMs);
+    expect(caller.statuses).to.deep.equal([504]);
+  });
 });
