--- a/packages/node/src/transport/peer-connection.ts
+++ b/packages/node/src/transport/peer-connection.ts
@@ -19,6 +19,7 @@
 import {withoutTime} from '../calls/time-left.js';
 import {
   ConnectionActivity,
+  type CarriedCalls,
   type ConnectionEvidence,
 } from './connection-activity.js';
 
@@ -33,14 +34,25 @@
 /** Frames kept in bytes until the handshake is done. */
 const MAX_UNSENT_BYTES = 16 * 1024 * 1024;
 
-/** `silent`: given up by its heartbeat. `goodbye`: from either end. */
-export type CloseCause = 'silent' | 'goodbye' | 'error' | 'ended';
+/**
+ * Given up by its heartbeat as `forgotten` if the peer answers on another
+ * connection, as `unreachable` if it does not, as `silent` if it was not asked.
+ * `goodbye`: from either end.
+ */
+export type CloseCause =
+  'silent' | 'forgotten' | 'unreachable' | 'goodbye' | 'error' | 'ended';
 
 /** How a connection ended, and what it had carried until then. */
 export interface ConnectionEnd extends ConnectionEvidence {
   cause: CloseCause;
 }
 
+/**
+ * Nonce of a pong that answers no ping. A peer that sends a long message can't
+ * be heard asking, as its ping waits behind that message.
+ */
+const UNASKED_NONCE = 0;
+
 /** What a connection tells its owner. */
 export interface ConnectionEvents {
   opened(connection: PeerConnection): void;
@@ -77,8 +89,6 @@
   peer: Peer | undefined;
   /** The node that was meant; another one is refused. */
   expectedNodeId: string | undefined;
-  /** Called when the connection ends before the handshake was done. */
-  onceFailed: (() => void) | undefined;
   private readonly reader = new FrameReader();
   private unsent: Unsent[] = [];
   private unsentBytes = 0;
@@ -87,6 +97,11 @@
   private readonly beat: Heartbeat;
   private readonly activity: ConnectionActivity;
   private nonce = 0;
+  /** Times in ms at which pings were sent that have no answer, by nonce. */
+  private readonly pings = new Map<number, number>();
+  /** Time in ms at which the latest ping that was answered was sent. */
+  private answeredPingMs = -Infinity;
+  private silentSinceMs = Infinity;
 
   constructor(
     private readonly socket: Socket,
@@ -105,6 +120,57 @@
     this.write(encodeFrame({type: 'hello', body: own}));
   }
 
+  /** The node at the other end, or the one that is meant. */
+  get nodeId(): string | undefined {
+    return this.peer?.nodeId ?? this.expectedNodeId;
+  }
+
+  /** Calls that have begun here and have not ended. */
+  get calls(): CarriedCalls {
+    return this.activity.calls;
+  }
+
+  /** True if the call of a message that is to be sent began here. */
+  carries(message: Message): boolean {
+    return this.activity.carries(message);
+  }
+
+  /** True while new calls may go over the connection. */
+  get usable(): boolean {
+    return this.beat.usable;
+  }
+
+  /** True if two pings are out and the peer has not been asked elsewhere. */
+  get needsWitness(): boolean {
+    return this.peer !== undefined && this.beat.state === 'silent';
+  }
+
+  /** The peer is asked over another connection. */
+  askedElsewhere(nowMs: number): void {
+    this.beat.askedElsewhere(nowMs);
+  }
+
+  /** Asks the peer at once, as another connection to it is silent. */
+  challenge(nowMs: number): void {
+    if (!this.peer) return;
+    this.beat.challenge(nowMs);
+    this.ping(nowMs);
+  }
+
+  /**
+   * Another connection to the node has brought something. The node is sure not
+   * to read this one if it has read there what was sent later, or if it is
+   * another incarnation of it.
+   */
+  witnessed(other: PeerConnection, nowMs: number): void {
+    const {peer} = other;
+    if (!this.peer || !peer) return;
+    const isLater = peer.incarnation > this.peer.incarnation;
+    const isSame = peer.incarnation === this.peer.incarnation;
+    const hasRead = isSame && other.answeredPingMs >= this.silentSinceMs;
+    if (isLater || hasRead) this.beat.answeredElsewhere(nowMs);
+  }
+
   /** Queues a message until the handshake is done, then sends it. */
   send(message: Message): void {
     if (this.closed) return;
@@ -139,20 +205,31 @@
 
   /** Sends a ping when one is due; gives up when none was answered. */
   heartbeat(nowMs: number): void {
-    this.activity.beat(nowMs);
+    this.beat.held(this.activity.beat(nowMs));
+    if (this.peer && this.activity.isOneWay) {
+      this.send({type: 'pong', body: {nonce: UNASKED_NONCE}});
+    }
     if (this.activity.busy) this.beat.sent(nowMs);
+    const {state} = this.beat;
     const effect = this.beat.tick(nowMs);
     if (effect === 'replace') {
       this.socket.destroy();
-      this.finish('silent', 'silent');
+      const isJudged = state === 'forgotten' || state === 'unreachable';
+      this.finish(isJudged ? state : 'silent', 'silent');
       return;
     }
     if (effect !== 'ping' || !this.peer) return;
+    if (this.beat.state === 'silent') this.silentSinceMs = nowMs;
+    this.ping(nowMs);
+  }
+
+  private ping(nowMs: number): void {
     this.nonce += 1;
+    this.pings.set(this.nonce, nowMs);
     this.send({type: 'ping', body: {nonce: this.nonce}});
   }
 
-  /** Notes that something arrived, by the owner's clock. */
+  /** Notes that bytes have arrived; they need not make a whole message. */
   heard(nowMs: number): void {
     this.beat.received(this.activity.busy, nowMs);
   }
@@ -167,7 +244,9 @@
 
   private receive(chunk: Buffer): void {
     if (this.closed) return;
-    this.activity.bytesReceived(this.clock.now());
+    const now = this.clock.now();
+    this.activity.bytesReceived(chunk.length, now);
+    this.heard(now);
     const messages = this.reader.push(chunk);
     if (messages.isErr()) {
       this.close('malformed', messages.error.message);
@@ -184,6 +263,9 @@
     } else if (message.type === 'ping') {
       this.send({type: 'pong', body: message.body});
       this.events.message(this, message);
+    } else if (message.type === 'pong') {
+      this.takePong(message.body.nonce);
+      this.events.message(this, message);
     } else if (message.type === 'goodbye') {
       this.socket.end();
       const {reason, detail} = message.body;
@@ -193,6 +275,17 @@
     }
   }
 
+  private takePong(nonce: number): void {
+    const sentMs = this.pings.get(nonce);
+    if (sentMs === undefined) return;
+    for (const other of [...this.pings.keys()]) {
+      if (other <= nonce) this.pings.delete(other);
+    }
+    this.answeredPingMs = sentMs;
+    const now = this.clock.now();
+    this.beat.answered(now - sentMs, now);
+  }
+
   private greet(message: Message): void {
     if (message.type === 'goodbye') {
       this.socket.end();
@@ -257,7 +350,6 @@
       this.clock.now(),
     );
     this.events.closed(this, reason, {cause, ...evidence});
-    if (!this.peer) this.onceFailed?.();
   }
 }
 
--- a/packages/node/src/transport/transport-task.ts
+++ b/packages/node/src/transport/transport-task.ts
@@ -15,8 +15,10 @@
 } from '@turmericmill/wire';
 import type Logger from 'bunyan';
 
-import type {Bus, Peer} from '../bus.js';
+import type {Bus, LostCalls} from '../bus.js';
 import {Task} from '../task.js';
+import {continuesCall} from './connection-activity.js';
+import {ConnectionTable} from './connection-table.js';
 import {
   HEARTBEAT_INTERVAL_MS,
   PeerConnection,
@@ -27,6 +29,8 @@
 } from './peer-connection.js';
 
 const DEFAULT_ACCEPTS_PER_SECOND = 200;
+/** Connections to one node beyond which no other is opened to ask it. */
+const MAX_CONNECTIONS = 3;
 /** Time in ms in which what is queued leaves, if a shutdown sets none. */
 const SEND_REST_MS = 1_000;
 /** Time in ms in which peers read what was sent and close on their side. */
@@ -44,7 +48,7 @@
   maxConnections?: number;
 }
 
-/** Sends and receives messages; one connection for each other node. */
+/** Sends and receives messages, as a rule over one connection a node. */
 export class TransportTask extends Task implements ConnectionEvents {
   readonly counts: TrafficCounts = {
     controlBytesOut: 0,
@@ -54,6 +58,8 @@
   /** Connections to known nodes that have ended. */
   readonly closedCounts: Record<CloseCause, number> = {
     silent: 0,
+    forgotten: 0,
+    unreachable: 0,
     goodbye: 0,
     error: 0,
     ended: 0,
@@ -62,9 +68,8 @@
   port = 0;
   private readonly server = createServer(socket => this.accept(socket));
   private readonly udp: UdpSocket = createSocket('udp4');
+  private readonly connections = new ConnectionTable();
   private readonly sockets = new Set<Socket>();
-  private readonly connections = new Set<PeerConnection>();
-  private readonly byNode = new Map<string, PeerConnection>();
   private readonly byAddress = new Map<string, PeerConnection>();
   private members = new Map<string, MemberRecord>();
   private readonly accepts: AcceptLimiter;
@@ -127,7 +132,10 @@
         message: message.value,
       });
     });
-    this.timer = setInterval(() => this.heartbeat(), HEARTBEAT_INTERVAL_MS);
+    // Immediates run after reads: what has arrived by then is heard first.
+    this.timer = setInterval(() => {
+      setImmediate(() => this.heartbeat());
+    }, HEARTBEAT_INTERVAL_MS);
   }
 
   /** Says goodbye; sends what is queued, at the latest until `deadlineMs`. */
@@ -139,7 +147,7 @@
   private async sendRest(deadlineMs: number): Promise<void> {
     clearInterval(this.timer);
     const closed = new Promise(resolve => this.server.close(resolve));
-    for (const connection of [...this.connections]) {
+    for (const connection of this.connections) {
       connection.close('shutdown', 'The node is stopping.');
     }
     await this.until(deadlineMs, [...this.sockets].map(whenSent));
@@ -166,48 +174,50 @@
   opened(connection: PeerConnection): void {
     const {peer} = connection;
     if (!peer) return;
-    const known = this.byNode.get(peer.nodeId)?.peer;
+    const known = this.connections.latestTo(peer.nodeId)?.peer;
     if (known && known.incarnation > peer.incarnation) {
       connection.close('unexpected', 'A later incarnation is connected.');
       return;
     }
-    this.byNode.set(peer.nodeId, connection);
+    this.connections.prefer(peer.nodeId, connection);
     this.logger.debug({peer}, 'peer connected');
+    const others = this.connections.toNode(peer.nodeId);
+    if (others.every(({usable}) => usable)) return;
+    connection.challenge(this.clock.now());
+    this.witness(connection);
   }
 
   message(connection: PeerConnection, message: Message): void {
-    connection.heard(this.clock.now());
+    if (message.type === 'pong') this.witness(connection);
     if (connection.peer) this.bus.publishPeerMessage(connection.peer, message);
   }
 
   closed(connection: PeerConnection, reason: string, end: ConnectionEnd): void {
-    this.connections.delete(connection);
+    this.connections.remove(connection);
+    this.forgetAddress(connection);
+    const {nodeId, peer, calls} = connection;
+    if (nodeId === undefined) return;
+    if (peer) {
+      this.closedCounts[end.cause] += 1;
+      this.logger.info({nodeId, reason, ...end}, 'peer connection closed');
+    }
+    const {incarnation} = peer ?? {};
+    const lost = {...calls, ...(incarnation !== undefined && {incarnation})};
+    this.publishLost(nodeId, peer !== undefined, lost);
+  }
+
+  /** Another connection is opened when the address is used next. */
+  private forgetAddress(connection: PeerConnection): void {
     for (const [key, value] of this.byAddress) {
       if (value === connection) this.byAddress.delete(key);
     }
-    const {peer} = connection;
-    if (!peer) return;
-    const {nodeId} = peer;
-    this.closedCounts[end.cause] += 1;
-    this.logger.info({nodeId, reason, ...end}, 'peer connection closed');
-    this.closeTwins(peer);
-    const current = this.byNode.get(nodeId)?.peer;
-    if (current?.incarnation === peer.incarnation) this.byNode.delete(nodeId);
-    this.bus.publish('peer-lost', {nodeId, opened: true});
   }
 
-  /**
-   * Two nodes that connect to each other at once hold two connections, and
-   * calls may have gone over either: they end together, so that no call waits
-   * for an answer that cannot come.
-   */
-  private closeTwins(lost: Peer): void {
-    for (const connection of [...this.connections]) {
-      const {peer} = connection;
-      if (peer?.nodeId !== lost.nodeId) continue;
-      if (peer.incarnation !== lost.incarnation) continue;
-      connection.close('unexpected', 'Its twin connection was lost.');
-    }
+  /** Calls that go over other connections to the node are not touched. */
+  private publishLost(nodeId: string, opened: boolean, calls: LostCalls): void {
+    const isLast = this.connections.toNode(nodeId).length === 0;
+    const lost = {nodeId, opened, ...(!isLast && {calls})};
+    this.bus.publish('peer-lost', lost);
   }
 
   /** Refuses before any hello, so that the other end knows nothing has run. */
@@ -246,25 +256,33 @@
     message: Message,
     incarnation?: number,
   ): void {
-    const open = this.byNode.get(nodeId);
-    if (incarnation !== undefined && open?.peer?.incarnation !== incarnation) {
+    if (continuesCall(message)) {
+      // Without a connection the call has been reported as lost.
+      this.connections.carrying(nodeId, message, incarnation)?.send(message);
       return;
     }
-    if (open) {
-      open.send(message);
+    const open = this.connections.usableTo(nodeId);
+    if (incarnation !== undefined && open?.peer?.incarnation !== incarnation) {
       return;
     }
-    const member = this.members.get(nodeId);
-    if (!member || this.stopped) {
-      this.bus.publish('peer-lost', {nodeId, opened: false});
+    const connection =
+      open ?? this.connectToMember(nodeId) ?? this.connections.latestTo(nodeId);
+    if (connection) {
+      connection.send(message);
       return;
     }
+    const {type, body} = message;
+    const own = new Set(type === 'callStart' ? [body.callId] : []);
+    this.publishLost(nodeId, false, {own, theirs: new Set()});
+  }
+
+  /** Undefined when the address is unknown or leads to another node. */
+  private connectToMember(nodeId: string): PeerConnection | undefined {
+    const member = this.members.get(nodeId);
+    if (!member || this.stopped) return undefined;
     const connection = this.connectTo(member.address, member.port);
-    if (this.expectPeer(connection, nodeId)) {
-      connection.send(message);
-    } else {
-      this.bus.publish('peer-lost', {nodeId, opened: false});
-    }
+    if (connection.nodeId === undefined) connection.expectedNodeId = nodeId;
+    return connection.nodeId === nodeId ? connection : undefined;
   }
 
   private connectTo(address: string, port: number): PeerConnection {
@@ -278,23 +296,6 @@
     return connection;
   }
 
-  /**
-   * Ties a connection to the node that is meant. Returns false when it leads to
-   * another one, as after a host has taken over an address. A connection that
-   * fails before its hello is lost for its node, too.
-   */
-  private expectPeer(connection: PeerConnection, nodeId: string): boolean {
-    const other = connection.peer?.nodeId ?? connection.expectedNodeId;
-    if (other !== undefined) return other === nodeId;
-    connection.expectedNodeId = nodeId;
-    // Calls may have gone over a connection that the peer opened meanwhile.
-    connection.onceFailed = () => {
-      const opened = this.byNode.has(nodeId);
-      this.bus.publish('peer-lost', {nodeId, opened});
-    };
-    return true;
-  }
-
   private sendDatagram(address: string, port: number, message: Message): void {
     const payload = encodeMessage(message);
     this.counts.messagesOut += 1;
@@ -304,7 +305,43 @@
 
   private heartbeat(): void {
     const now = this.clock.now();
-    for (const connection of [...this.connections]) connection.heartbeat(now);
+    for (const connection of this.connections) {
+      connection.heartbeat(now);
+      if (connection.needsWitness) this.askElsewhere(connection, now);
+    }
+  }
+
+  /**
+   * A silent connection tells nothing of its peer, which may be starved, and a
+   * peer that lives tells nothing of the connection: the peer is asked again
+   * over another one.
+   */
+  private askElsewhere(silent: PeerConnection, nowMs: number): void {
+    const {nodeId, peer} = silent;
+    if (nodeId === undefined || !peer) return;
+    const others = this.connections.toNode(nodeId);
+    const open = others.find(
+      other =>
+        other.usable &&
+        other.peer !== undefined &&
+        other.peer.incarnation >= peer.incarnation,
+    );
+    this.forgetAddress(silent);
+    silent.askedElsewhere(nowMs);
+    if (open) {
+      open.challenge(nowMs);
+      silent.witnessed(open, nowMs);
+    } else if (others.length < MAX_CONNECTIONS) {
+      this.connectToMember(nodeId);
+    }
+  }
+
+  /** Tells the other connections to the node what came over this one. */
+  private witness(connection: PeerConnection): void {
+    const now = this.clock.now();
+    for (const other of this.connections.toNode(connection.nodeId ?? '')) {
+      if (other !== connection) other.witnessed(connection, now);
+    }
   }
 }
 
--- a/packages/node/tests/transport/peer-connection.test.ts
+++ b/packages/node/tests/transport/peer-connection.test.ts
@@ -216,6 +216,54 @@
     });
   }
 
+  it('keeps a connection while a long frame arrives in pieces', () => {
+    const {socket, connection, receive, clock, log} = open();
+    receive(encodeFrame({type: 'hello', body: OTHER}));
+    connection.send(CALL);
+    const chunk = Buffer.alloc(64 * 1024);
+    const body = {callId: 1, chunk, end: true, trailers: []};
+    const frame = encodeFrame({type: 'answerData', body});
+    const pieceBytes = Math.ceil(frame.length / 20);
+    for (let at = 0; at < frame.length; at += pieceBytes) {
+      connection.heartbeat(clock.advance(HEARTBEAT_INTERVAL_MS));
+      receive(frame.subarray(at, at + pieceBytes));
+    }
+    expect(socket.destroyed).to.equal(false);
+    expect(log).to.deep.equal(['opened', 'answerData']);
+  });
+
+  it('is not given up for a time in which its own process stood still', () => {
+    const {socket, connection, receive, clock} = open();
+    receive(encodeFrame({type: 'hello', body: OTHER}));
+    connection.send(CALL);
+    while (clock.now() < 700) {
+      connection.heartbeat(clock.advance(HEARTBEAT_INTERVAL_MS));
+    }
+    connection.heartbeat(clock.advance(1_000));
+    expect(socket.destroyed).to.equal(false);
+  });
+
+  it('waits for a peer that has answered slowly before', () => {
+    const {socket, connection, receive, clock} = open();
+    receive(encodeFrame({type: 'hello', body: OTHER}));
+    connection.send(CALL);
+    for (const pongMs of [400, 800]) {
+      let answerAtMs = Infinity;
+      const sent = socket.written.length;
+      while (clock.now() < answerAtMs) {
+        connection.heartbeat(clock.advance(HEARTBEAT_INTERVAL_MS));
+        const isAsked = socket.written.length > sent;
+        if (isAsked && answerAtMs === Infinity) {
+          answerAtMs = clock.now() + pongMs;
+        }
+      }
+      const ping = socket.written[sent];
+      const nonce = ping?.type === 'ping' ? ping.body.nonce : -1;
+      receive(encodeFrame({type: 'pong', body: {nonce}}));
+    }
+    expect(socket.destroyed).to.equal(false);
+  });
+
   it('keeps a connection that answers its pings', () => {
     const {socket, connection, receive} = open();
     receive(encodeFrame({type: 'hello', body: OTHER}));
--- a/packages/sidecar/src/ingress/caller-request.ts
+++ b/packages/sidecar/src/ingress/caller-request.ts
@@ -7,6 +7,8 @@
 import type {Clock} from '@turmericmill/utils';
 import type {FlatHeaders} from '@turmericmill/wire';
 
+import type {BodyBudget} from './body-budget.js';
+
 const MS_PER_S = 1000;
 
 /** How an answer of the node itself reads. */
@@ -38,10 +40,14 @@
   /** Called once the response is closed, with what was not delivered of it. */
   onClosed: ((undelivered: UndeliveredAnswer | undefined) => void) | undefined;
   private left = false;
+  /** Bytes of the request's body for which room was taken. */
+  private bodyBytes = 0;
   private givenUp = false;
   /** The peer has closed its side, or the connection has failed. */
   private peerEnded = false;
   private closed = false;
+  /** The whole answer has been written to the socket. */
+  private flushed = false;
   private bytes = 0;
   private endedMs: number | undefined;
 
@@ -58,12 +64,15 @@
       this.leave();
     };
     socket.once('end', endOfPeer);
+    // A destroyed socket drops what it holds, and the response finishes too.
+    res.prependOnceListener('finish', () => {
+      this.flushed = !socket.destroyed;
+    });
     res.once('close', () => {
       socket.off('end', endOfPeer);
       this.closed = true;
-      const {writableFinished} = res;
-      if (!writableFinished) this.leave();
-      this.onClosed?.(writableFinished ? undefined : this.undelivered());
+      if (!this.flushed) this.leave();
+      this.onClosed?.(this.flushed ? undefined : this.undelivered());
     });
   }
 
@@ -79,8 +88,7 @@
 
   /** True while bytes of an answer that has ended wait in the process. */
   get isFlushing(): boolean {
-    const {writableEnded, writableFinished} = this.res;
-    return writableEnded && !writableFinished && !this.closed;
+    return this.res.writableEnded && !this.flushed && !this.closed;
   }
 
   private undelivered(): UndeliveredAnswer | undefined {
@@ -114,16 +122,35 @@
     this.onLeft?.();
   }
 
-  /** The whole body; undefined if it is longer than `maxBytes`. */
-  async readBody(maxBytes: number): Promise<Buffer | undefined> {
-    const chunks: Buffer[] = [];
+  /**
+   * The whole body, or what forbids it: a limit or the node's memory. A body
+   * without room is read to its end and dropped, so that its caller can be told.
+   */
+  async readBody(
+    maxBytes: number,
+    budget: BodyBudget,
+  ): Promise<Buffer | 'too-large' | 'no-room'> {
+    let chunks: Buffer[] | undefined = [];
     let bytes = 0;
     for await (const chunk of this.req) {
+      const wasBytes = bytes;
       bytes += (chunk as Buffer).length;
-      if (bytes > maxBytes) return undefined;
-      chunks.push(chunk as Buffer);
+      if (bytes > maxBytes) return 'too-large';
+      if (chunks && budget.grow(wasBytes, bytes)) {
+        this.bodyBytes = bytes;
+        chunks.push(chunk as Buffer);
+      } else {
+        chunks = undefined;
+        this.releaseBody(budget);
+      }
     }
-    return Buffer.concat(chunks);
+    return chunks ? Buffer.concat(chunks) : 'no-room';
+  }
+
+  /** The body is not needed any more. */
+  releaseBody(budget: BodyBudget): void {
+    budget.release(this.bodyBytes);
+    this.bodyBytes = 0;
   }
 
   start(status: number, headers: FlatHeaders): void {
@@ -144,6 +171,9 @@
 
   /** Ends the connection: part of an answer must not pass for the whole. */
   cut(): void {
+    const {httpVersion, socket} = this.req;
+    // Without chunks, a body may end where its connection ends in order.
+    if (httpVersion === '1.0') socket.resetAndDestroy();
     this.res.destroy();
   }
 
--- a/packages/sidecar/src/ingress/ingress-server.ts
+++ b/packages/sidecar/src/ingress/ingress-server.ts
@@ -19,6 +19,7 @@
 
 import {HttpTask} from '../tasks/http-task.js';
 import type {RequestContext} from '../observe/request-log.js';
+import type {BodyBudget} from './body-budget.js';
 import {
   CallerRequest,
   type OwnAnswer,
@@ -35,8 +36,6 @@
   headerTimeoutMs: 3_000,
   idleTimeoutMs: 15_000,
 };
-/** Time in ms between looks for requests that arrive too slowly. */
-const CONNECTION_CHECK_MS = 1_000;
 /** Time in ms between looks for connections that became idle in a shutdown. */
 const IDLE_CLOSE_INTERVAL_MS = 50;
 /** Largest header section in bytes that the parser takes; limits may be less. */
@@ -48,12 +47,15 @@
 const LEAST_TARGET_SHARE = 0.25;
 /** Time in ms after which a caller may come back to a node without config. */
 const NO_CONFIG_RETURN_MS = 200;
+/** Time in ms after which a caller may come back whose body had no room. */
+const NO_ROOM_RETURN_MS = 200;
 
 export interface IngressServerParts {
   listen: HostAddress;
   /** Service beside which requests to this socket begin. */
   callerService: string;
   dispatch: RequestDispatch;
+  bodies: BodyBudget;
   bus: Bus;
   clock: Clock;
   random: RandomSource;
@@ -89,10 +91,7 @@
   private readonly lag: LoopLag;
 
   constructor(private readonly parts: IngressServerParts) {
-    super(parts.listen, {
-      maxHeaderSize: MAX_HEADER_BYTES,
-      connectionsCheckingInterval: CONNECTION_CHECK_MS,
-    });
+    super(parts.listen, {maxHeaderSize: MAX_HEADER_BYTES});
     this.lag = new LoopLag(parts.clock);
     this.server.requestTimeout = 0;
     this.applyLimits(FIRST_LIMITS);
@@ -165,6 +164,8 @@
     } catch (err) {
       this.parts.onBrokenOff(caller, err);
       caller.cut();
+    } finally {
+      caller.releaseBody(this.parts.bodies);
     }
   }
 
@@ -198,11 +199,16 @@
       this.reject(caller, {status: 431, reason: 'headers too large'});
       return;
     }
-    const body = await caller.readBody(limits.maxBodyBytes);
-    if (!body) {
+    const body = await caller.readBody(limits.maxBodyBytes, this.parts.bodies);
+    if (body === 'too-large') {
       this.reject(caller, {status: 413, reason: 'body too large'});
       return;
     }
+    if (body === 'no-room') {
+      const answer = {status: 503, reason: 'no room for the body'};
+      this.reject(caller, {...answer, returnAfterMs: NO_ROOM_RETURN_MS});
+      return;
+    }
     await closesAreRead();
     if (caller.hasLeft) return;
     const request = this.routed(caller, route, body, arrivedMs);
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -20,14 +20,18 @@
 import {MAX_PROTOCOL_VERSION, MIN_PROTOCOL_VERSION} from '@turmericmill/wire';
 import type Logger from 'bunyan';
 
+import {answerBudget, type AnswerBudget} from './answer-budget.js';
 import {ConfigFollower} from './config/config-follower.js';
 import {ReportServer} from './control/report-server.js';
 import {AnswerSizes} from './ingress/answer-sizes.js';
+import {BodyBudget} from './ingress/body-budget.js';
 import {IngressServer} from './ingress/ingress-server.js';
 import {RequestDispatch} from './ingress/request-dispatch.js';
 import type {LogDestination} from './observe/log-destination.js';
 import {MetricsServer} from './observe/metrics-server.js';
+import {ProcessWatch} from './observe/process-watch.js';
 import {RequestLog} from './observe/request-log.js';
+import {ShutdownLog, type WorkLeft} from './observe/shutdown-log.js';
 import {SidecarMetrics} from './observe/sidecar-metrics.js';
 import {ServerRunner} from './server/server-runner.js';
 import {
@@ -65,6 +69,7 @@
   private readonly store: HttpStore;
   private readonly transport: TransportTask;
   private readonly membership: MembershipTask;
+  private readonly heldAnswers: AnswerBudget;
   private readonly config: ConfigFollower;
   private readonly server: ServerRunner;
   private readonly incoming: IncomingCalls;
@@ -74,6 +79,7 @@
   private readonly requestLog: RequestLog;
   private readonly metrics: SidecarMetrics;
   private readonly metricsServer: MetricsServer;
+  private readonly watch: ProcessWatch;
   private candidates = new CandidateIndex();
   private hasPeers = false;
   private leaving = false;
@@ -85,7 +91,8 @@
     destination: LogDestination,
   ) {
     const {bus, clock, random} = this;
-    const {nodeId, dataCentre} = settings;
+    const {nodeId, dataCentre, memoryMb} = settings;
+    this.heldAnswers = answerBudget(memoryMb);
     this.store = new HttpStore(() => this.settings.store);
     this.transport = this.makeTransport();
     this.membership = this.makeMembership();
@@ -105,6 +112,7 @@
       clock,
       logger,
       quarantine,
+      answers: this.heldAnswers,
       address,
       port,
     });
@@ -116,6 +124,13 @@
       logLinesLeftOut: () => this.requestLog.budget.leftOutTotal,
       logLinesDropped: () => destination.dropped,
       connectionsClosed: () => this.transport.closedCounts,
+      residentBytes: () => process.memoryUsage.rss(),
+    });
+    this.watch = new ProcessWatch({
+      clock,
+      logger,
+      residentBytes: () => process.memoryUsage.rss(),
+      onDelay: delayMs => this.metrics.loopDelay(delayMs),
     });
     this.metricsServer = new MetricsServer(settings.ip, this.metrics);
     this.ingress = this.makeIngress();
@@ -138,6 +153,7 @@
     await this.ingress.start();
     await this.readiness.start();
     await this.startMetrics();
+    this.watch.start();
   }
 
   /** Requests are served whether or not anybody can watch. */
@@ -163,6 +179,7 @@
   /** Closes all sockets at once, as a crash would. */
   async abandon(): Promise<void> {
     this.leaving = true;
+    this.watch.stop();
     this.membership.abandon();
     this.config.stop();
     this.store.close();
@@ -185,6 +202,8 @@
     const {clock} = this;
     const {shutdownGraceMs} = this.settings;
     const times = shutdownTimes(clock.now(), shutdownGraceMs);
+    const log = new ShutdownLog(clock, this.logger, () => this.workLeft);
+    log.stopping(times.workEndMs);
     let phase: ShutdownPhase = 'serving';
     let lastBusyMs = clock.now();
     this.enter(phase, times);
@@ -195,6 +214,7 @@
       if (busy) lastBusyMs = clock.now();
       const activity = {busy, lastBusyMs};
       const next = nextPhase(phase, times, activity, clock.now());
+      if (next === 'refusing' && phase !== next) log.closing();
       if (next !== phase) this.enter(next, times);
       phase = next;
     }
@@ -202,6 +222,16 @@
     await this.transport.stop(times.exitMs);
     this.server.close();
     this.store.close();
+    this.watch.stop();
+    log.stopped();
+  }
+
+  private get workLeft(): WorkLeft {
+    return {
+      requests: this.ingress.requestsInFlight,
+      peerCalls: this.incoming.size,
+      answersUnflushed: this.ingress.answersUnflushed,
+    };
   }
 
   private enter(phase: ShutdownPhase, {workEndMs}: ShutdownTimes): void {
@@ -268,6 +298,7 @@
       clock,
       random,
       sizes: new AnswerSizes(),
+      heldAnswers: this.heldAnswers,
       dataCentre,
       retries: {
         share: retries.share * RETRY_SHARE_USED,
@@ -280,6 +311,7 @@
       listen: listen.callers,
       callerService: service,
       dispatch,
+      bodies: BodyBudget.ofProcess(this.settings.memoryMb),
       bus,
       clock,
       random,
