--- a/packages/testkit/tests/platform/sidecar-shutdown.test.ts
+++ b/packages/testkit/tests/platform/sidecar-shutdown.test.ts
@@ -81,9 +81,9 @@
     );
   }
 
-  /** Status lines of all answers so far. */
+  /** Statuses of all answers so far; a body may end without a line break. */
   get statuses(): number[] {
-    const lines = this.text.matchAll(/^HTTP\/1.1 (\d+) /gm);
+    const lines = this.text.matchAll(/HTTP\/1.1 (\d+) /g);
     return [...lines].map(([, status]) => Number(status));
   }
 }
