--- a/packages/sidecar/src/main.ts
+++ b/packages/sidecar/src/main.ts
@@ -37,7 +37,7 @@
     sidecar.reload(changed);
   });
   process.on('SIGHUP', () => file.reload());
-  process.once('SIGTERM', () => void stop(sidecar, file));
+  process.on('SIGTERM', () => void stop(sidecar, file));
   process.once('SIGINT', () => void stop(sidecar, file));
   try {
     await sidecar.start();
