Calls in a standstill open no connection beyond the bound

Seen by callers: nothing yet; each standstill of a peer (all connections to it silent) in which a call was made left one more connection open for good. The bound of three held for the witness connection only, and connections that hear their peer again are never closed.

Evidence: the new test made one call in each of six standstills and found 7 connections ("expected 7 to be within 1..3"); with the fix it passes.

The bound now holds wherever a connection is opened. A call for which all connections are silent and none may be opened fails at once as not run, which is true, as it is sent nowhere, and is offered to another server. It does not fall back to a silent connection, on which it would end as unknown.

Ruled out: closing connections that are not needed, as a call of the peer may be on its way over them.

--- a/packages/node/src/transport/transport-task.ts
+++ b/packages/node/src/transport/transport-task.ts
@@ -29,7 +29,7 @@
 } from './peer-connection.js';
 
 const DEFAULT_ACCEPTS_PER_SECOND = 200;
-/** Connections to one node beyond which no other is opened to ask it. */
+/** Connections to one node beyond which no other is opened. */
 const MAX_CONNECTIONS = 3;
 /** Time in ms in which what is queued leaves, if a shutdown sets none. */
 const SEND_REST_MS = 1_000;
@@ -265,28 +265,38 @@
     if (incarnation !== undefined && open?.peer?.incarnation !== incarnation) {
       return;
     }
-    const connection =
-      open ?? this.connectToMember(nodeId) ?? this.connections.latestTo(nodeId);
+    const {type, body} = message;
+    const isCall = type === 'callStart';
+    // Calls that a silent connection took might have run when it is given up.
+    const silent = isCall ? undefined : this.connections.latestTo(nodeId);
+    const connection = open ?? this.connectToMember(nodeId) ?? silent;
     if (connection) {
       connection.send(message);
       return;
     }
-    const {type, body} = message;
-    const own = new Set(type === 'callStart' ? [body.callId] : []);
+    const own = new Set(isCall ? [body.callId] : []);
     this.publishLost(nodeId, false, {own, theirs: new Set()});
   }
 
-  /** Undefined when the address is unknown or leads to another node. */
+  /**
+   * Undefined when the address is unknown or leads to another node, or when too
+   * many connections to the node are open.
+   */
   private connectToMember(nodeId: string): PeerConnection | undefined {
     const member = this.members.get(nodeId);
     if (!member || this.stopped) return undefined;
-    const connection = this.connectTo(member.address, member.port);
+    const {address, port} = member;
+    const isFull = this.connections.toNode(nodeId).length >= MAX_CONNECTIONS;
+    if (isFull && !this.byAddress.has(addressKey(address, port))) {
+      return undefined;
+    }
+    const connection = this.connectTo(address, port);
     if (connection.nodeId === undefined) connection.expectedNodeId = nodeId;
     return connection.nodeId === nodeId ? connection : undefined;
   }
 
   private connectTo(address: string, port: number): PeerConnection {
-    const key = `${address}:${port}`;
+    const key = addressKey(address, port);
     const open = this.byAddress.get(key);
     if (open) return open;
     const socket = connect(port, address);
@@ -331,7 +341,7 @@
     if (open) {
       open.challenge(nowMs);
       silent.witnessed(open, nowMs);
-    } else if (others.length < MAX_CONNECTIONS) {
+    } else {
       this.connectToMember(nodeId);
     }
   }
@@ -345,6 +355,10 @@
   }
 }
 
+function addressKey(address: string, port: number): string {
+  return `${address}:${port}`;
+}
+
 /** Resolves once all that was written has left the process, or is lost. */
 function whenSent(socket: Socket): Promise<void> {
   if (socket.writableFinished) return Promise.resolve();
--- a/packages/node/tests/transport/silent-peers.test.ts
+++ b/packages/node/tests/transport/silent-peers.test.ts
@@ -115,6 +115,27 @@
     expect(relay.connections).to.be.within(1, 3);
   });
 
+  // Each call while all were silent left one more connection open for good.
+  it('open no connection beyond the bound when made in each standstill', async () => {
+    const {relay, caller} = pair;
+    const {result, events} = await pair.begin();
+    const calls = [];
+    for (let pause = 0; pause < 6; pause += 1) {
+      relay.paused = true;
+      await sleep(700);
+      calls.push(caller.call('server'));
+      await sleep(200);
+      relay.paused = false;
+      await sleep(150);
+    }
+    answer(events);
+    expect(await result).to.include({end: 'answered'});
+    const open = relay.connections;
+    for (const held of pair.server.calls.events) answer(held);
+    await Promise.all(calls);
+    expect(open).to.be.within(1, 3);
+  }).timeout(15_000);
+
   it('fail soon when all connections to the peer were forgotten', async () => {
     const {relay} = pair;
     const first = await pair.begin();
