A second signal does not end a node that shuts down

Seen by callers: a request at work was cut when SIGTERM (or SIGINT) came twice, as from a supervisor that repeats it. Cause: the listeners were taken off with the first signal, after which the default action ended the process at once.

The shutdown itself already runs once however often it is asked for, and is bounded by its grace period. The core's node had the same listeners; changed alike, it has no test of its own.

The means to run the node as a process move from the test of endless answers to a file beside it, unchanged.

--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -70,8 +70,9 @@
     nodeId,
   });
   const node = new Node(settings.value, logger);
-  process.once('SIGTERM', () => void stop(node, logger));
-  process.once('SIGINT', () => void stop(node, logger));
+  // Without a listener, a second signal would end the process at once.
+  process.on('SIGTERM', () => void stop(node, logger));
+  process.on('SIGINT', () => void stop(node, logger));
   try {
     const ports = await node.start();
     logger.info({ports}, 'ready');
--- a/packages/sidecar/src/main.ts
+++ b/packages/sidecar/src/main.ts
@@ -37,8 +37,9 @@
     sidecar.reload(changed);
   });
   process.on('SIGHUP', () => file.reload());
-  process.once('SIGTERM', () => void stop(sidecar, file));
-  process.once('SIGINT', () => void stop(sidecar, file));
+  // Without a listener, a second signal would end the process at once.
+  process.on('SIGTERM', () => void stop(sidecar, file));
+  process.on('SIGINT', () => void stop(sidecar, file));
   try {
     await sidecar.start();
     file.watch();
--- a/packages/testkit/tests/platform/endless-answers.test.ts
+++ b/packages/testkit/tests/platform/endless-answers.test.ts
@@ -1,7 +1,5 @@
-import {spawn, type ChildProcess} from 'node:child_process';
+import type {ChildProcess} from 'node:child_process';
 import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
-import {request} from 'node:http';
-import {createRequire} from 'node:module';
 import {createServer, type Server, type Socket} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
@@ -12,9 +10,8 @@
 import {waitUntil} from '../../src/mesh/wait-until.js';
 import {AppServer} from '../../src/platform/app-server.js';
 import {StoreServer} from '../../src/platform/store-server.js';
+import {CONFIG, get, launch, MEMORY_MB, settings} from './sidecar-process.js';
 
-/** Memory of the process on the smallest hosts, in MB. */
-const MEMORY_MB = 250;
 const SLOTS = 13;
 /** How often each answer without end is asked for. */
 const ROUNDS = 5;
@@ -34,48 +31,6 @@
   ['', 'HTTP/1.1 103 Early Hints\r\n\r\n'.repeat(2_000)],
 ];
 
-const CONFIG = JSON.stringify({
-  version: 'r1',
-  routes: {
-    columns: [
-      'name',
-      'host',
-      'path_prefix',
-      'kind',
-      'timeout',
-      'target_latency',
-      'priority',
-      'service',
-      'max_attempts',
-      'traffic_split',
-    ],
-    rows: [
-      [
-        'r',
-        'shop.example',
-        '/d/',
-        'unsafe',
-        '3000ms',
-        '2000ms',
-        1,
-        'desk',
-        1,
-        null,
-      ],
-    ],
-  },
-  services: {
-    columns: ['name', 'health_check_path', 'max_connections'],
-    rows: [['desk', '/health', 100]],
-  },
-  limits: {
-    max_header_bytes: 16_384,
-    max_body_bytes: 100_000,
-    header_timeout: '3000ms',
-    idle_timeout: '15000ms',
-  },
-});
-
 /** Answers `/d/whole`, and without end the path `/d/N` with the Nth bytes. */
 function serve(socket: Socket): void {
   socket.on('error', () => socket.destroy());
@@ -92,55 +47,6 @@
   });
 }
 
-function settings(ip: string, storePort: number): string {
-  return JSON.stringify({
-    self: {
-      node: 'node-1',
-      ip,
-      zone: 'a',
-      region: 'r',
-      limits: {cpu_share: 0.27, memory_mb: MEMORY_MB, link_mbps: 7},
-      app_address: `${ip}:8147`,
-      service: 'desk',
-    },
-    network: {
-      listen: {
-        outbound: `${ip}:8141`,
-        ready: `${ip}:8140`,
-        control: `${ip}:8146`,
-      },
-      internal_ports: [7660, 7675],
-    },
-    platform: {
-      heartbeat_interval: '1500ms',
-      platform: {address: `127.0.0.1:${storePort}`},
-    },
-    terms: {
-      bounds: {
-        drain: '2000ms',
-        grace: '6s',
-        budget_ratio: 0.2,
-        budget_window: '10s',
-        budget_extra_tries: 62,
-      },
-    },
-  });
-}
-
-/** Starts the node with the flags that it has on the platform's hosts. */
-function launch(settingsPath: string): ChildProcess {
-  const deploy = new URL('../../../../../deploy/system.toml', import.meta.url);
-  const [, flags] =
-    /^run = "node (.*) \S+"$/m.exec(readFileSync(deploy, 'utf8')) ?? [];
-  if (flags === undefined) throw new Error('deploy/system.toml runs no node');
-  const index = createRequire(import.meta.url).resolve('@turmericmill/sidecar');
-  const program = index.replace(/index\.js$/, 'main.js');
-  return spawn(process.execPath, [...flags.split(' '), program], {
-    env: {PATH: process.env['PATH'], TURMERICMILL_BOOT: settingsPath},
-    stdio: ['ignore', 'ignore', 'inherit'],
-  });
-}
-
 /** Most memory in MB that a process has had in use. */
 function peakMemoryMb({pid}: ChildProcess): number {
   const status = readFileSync(`/proc/${String(pid)}/status`, 'utf8');
@@ -148,25 +54,6 @@
   return Number(kib) / 1024;
 }
 
-function get(ip: string, path: string): Promise<number> {
-  return new Promise(resolve => {
-    const headers = {
-      host: 'shop.example',
-      'x-turmericmill-request-id': `q-${path}`,
-      'x-turmericmill-request-deadline': '3000',
-    };
-    const options = {host: ip, port: 8141, path, headers, agent: false};
-    const req = request(options, res => {
-      res.resume();
-      res.once('close', () =>
-        resolve(res.complete ? (res.statusCode ?? 0) : 0),
-      );
-    });
-    req.once('error', () => resolve(0));
-    req.end();
-  });
-}
-
 describe('a node beside a server whose answers have no end', function () {
   this.timeout(20_000);
   const ip = `127.${220 + (process.pid % 30)}.0.1`;
--- /dev/null
+++ b/packages/testkit/tests/platform/sidecar-process.ts
@@ -0,0 +1,122 @@
+/** Runs the node as its own process, as on the platform's hosts. */
+
+import {spawn, type ChildProcess} from 'node:child_process';
+import {readFileSync} from 'node:fs';
+import {request} from 'node:http';
+import {createRequire} from 'node:module';
+
+/** Memory of the process on the smallest hosts, in MB. */
+export const MEMORY_MB = 250;
+
+/** One route: `/d/` of `shop.example` to the service `desk`. */
+export const CONFIG = JSON.stringify({
+  version: 'r1',
+  routes: {
+    columns: [
+      'name',
+      'host',
+      'path_prefix',
+      'kind',
+      'timeout',
+      'target_latency',
+      'priority',
+      'service',
+      'max_attempts',
+      'traffic_split',
+    ],
+    rows: [
+      [
+        'r',
+        'shop.example',
+        '/d/',
+        'unsafe',
+        '3000ms',
+        '2000ms',
+        1,
+        'desk',
+        1,
+        null,
+      ],
+    ],
+  },
+  services: {
+    columns: ['name', 'health_check_path', 'max_connections'],
+    rows: [['desk', '/health', 100]],
+  },
+  limits: {
+    max_header_bytes: 16_384,
+    max_body_bytes: 100_000,
+    header_timeout: '3000ms',
+    idle_timeout: '15000ms',
+  },
+});
+
+/** Settings of the only node, at `ip`. */
+export function settings(ip: string, storePort: number): string {
+  return JSON.stringify({
+    self: {
+      node: 'node-1',
+      ip,
+      zone: 'a',
+      region: 'r',
+      limits: {cpu_share: 0.27, memory_mb: MEMORY_MB, link_mbps: 7},
+      app_address: `${ip}:8147`,
+      service: 'desk',
+    },
+    network: {
+      listen: {
+        outbound: `${ip}:8141`,
+        ready: `${ip}:8140`,
+        control: `${ip}:8146`,
+      },
+      internal_ports: [7660, 7675],
+    },
+    platform: {
+      heartbeat_interval: '1500ms',
+      platform: {address: `127.0.0.1:${storePort}`},
+    },
+    terms: {
+      bounds: {
+        drain: '2000ms',
+        grace: '6s',
+        budget_ratio: 0.2,
+        budget_window: '10s',
+        budget_extra_tries: 62,
+      },
+    },
+  });
+}
+
+/** Starts the node with the flags that it has on the platform's hosts. */
+export function launch(settingsPath: string): ChildProcess {
+  const deploy = new URL('../../../../../deploy/system.toml', import.meta.url);
+  const [, flags] =
+    /^run = "node (.*) \S+"$/m.exec(readFileSync(deploy, 'utf8')) ?? [];
+  if (flags === undefined) throw new Error('deploy/system.toml runs no node');
+  const index = createRequire(import.meta.url).resolve('@turmericmill/sidecar');
+  const program = index.replace(/index\.js$/, 'main.js');
+  return spawn(process.execPath, [...flags.split(' '), program], {
+    env: {PATH: process.env['PATH'], TURMERICMILL_BOOT: settingsPath},
+    stdio: ['ignore', 'ignore', 'inherit'],
+  });
+}
+
+/** Asks the node at `ip`; resolves with the status, 0 if there is no answer. */
+export function get(ip: string, path: string): Promise<number> {
+  return new Promise(resolve => {
+    const headers = {
+      host: 'shop.example',
+      'x-turmericmill-request-id': `q-${path}`,
+      'x-turmericmill-request-deadline': '3000',
+    };
+    const options = {host: ip, port: 8141, path, headers, agent: false};
+    const req = request(options, res => {
+      res.resume();
+      res.once('close', () =>
+        resolve(res.complete ? (res.statusCode ?? 0) : 0),
+      );
+    });
+    req.once('error', () => resolve(0));
+    req.end();
+  });
+}
