A pipelined request ends with its caller's connection

Seen: a response that waits behind an unanswered one is told of no close of its connection. After a reset, such a request was never taken for left: it ran on at its server, and the set of open requests, which is new, kept it and its body for good and counted its answer as unflushed.

The close of the connection itself now counts as well.

--- a/packages/sidecar/src/ingress/caller-request.ts
+++ b/packages/sidecar/src/ingress/caller-request.ts
@@ -68,12 +68,17 @@
     res.prependOnceListener('finish', () => {
       this.flushed = !socket.destroyed;
     });
-    res.once('close', () => {
+    const close = () => {
+      if (this.closed) return;
       socket.off('end', endOfPeer);
+      socket.off('close', close);
       this.closed = true;
       if (!this.flushed) this.leave();
       this.onClosed?.(this.flushed ? undefined : this.undelivered());
-    });
+    };
+    res.once('close', close);
+    // A response that waits behind another one does not tell of it.
+    socket.once('close', close);
   }
 
   /** Which side closed the connection, once it is closed. */
--- a/packages/sidecar/tests/ingress/caller-request.test.ts
+++ b/packages/sidecar/tests/ingress/caller-request.test.ts
@@ -62,6 +62,29 @@
     });
   }
 
+  // Requests behind an unanswered one were kept for good, and ran on.
+  it('notices that the caller of a pipelined request has left', async () => {
+    const server = createServer();
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
+    socket.on('error', () => undefined);
+    const callers: CallerRequest[] = [];
+    const closed = new Promise<void>(resolve => {
+      server.on('request', (req, res) => {
+        const caller = new CallerRequest(req, res, new SystemClock());
+        callers.push(caller);
+        if (callers.length < 2) return;
+        caller.onClosed = () => resolve();
+        socket.resetAndDestroy();
+      });
+    });
+    socket.write(REQUEST + REQUEST);
+    await closed;
+    expect(callers.map(({hasLeft}) => hasLeft)).to.deep.equal([true, true]);
+    server.close();
+  });
+
   it('takes an answer that was written as a whole for delivered', async () => {
     const {server, socket, caller, closed} = await open(SMALL_BYTES);
     expect(await closed).to.equal(undefined);
