The loss of an answer to a long body ends no process

A request whose body is over the limit is not read to its end; Node.js takes its reference to the socket away. If the answer to it, 413, is then lost on the way, the line about the undelivered answer read that reference and threw in an event listener: the process ended, with all its requests.

Evidence: the new test loses such an answer (made long, so that it waits in the process); before, "Uncaught TypeError: Cannot read properties of null (reading 'errored')", now the close is told. The socket is kept from the start.

--- a/packages/sidecar/src/ingress/caller-request.ts
+++ b/packages/sidecar/src/ingress/caller-request.ts
@@ -1,6 +1,7 @@
 /** One request of a caller: its body in, one answer out. */
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 
 import {endToEndHeaders} from '@turmericmill/node';
 import {REQUEST_ID_HEADER} from '@turmericmill/platform-adapter';
@@ -50,6 +51,8 @@
   private flushed = false;
   private bytes = 0;
   private endedMs: number | undefined;
+  /** A request whose body is not read to its end loses its own reference. */
+  private readonly socket: Socket;
 
   constructor(
     readonly req: IncomingMessage,
@@ -59,6 +62,7 @@
     // The end of the connection is read some turns of the event loop before
     // the response closes; on a starved node these may last a second.
     const {socket} = req;
+    this.socket = socket;
     const endOfPeer = () => {
       this.peerEnded = true;
       this.leave();
@@ -83,7 +87,7 @@
 
   /** Which side closed the connection, once it is closed. */
   get closedBy(): ClosedBy {
-    return this.peerEnded || this.req.socket.errored ? 'peer' : 'node';
+    return this.peerEnded || this.socket.errored ? 'peer' : 'node';
   }
 
   /** Bytes of the answer's body given to the connection so far. */
@@ -100,7 +104,7 @@
     if (this.endedMs === undefined) return undefined;
     const {bytes, closedBy} = this;
     const sinceEndMs = this.clock.now() - this.endedMs;
-    const error = this.req.socket.errored as NodeJS.ErrnoException | null;
+    const error = this.socket.errored as NodeJS.ErrnoException | null;
     return {bytes, sinceEndMs, closedBy, code: error?.code};
   }
 
@@ -176,9 +180,8 @@
 
   /** Ends the connection: part of an answer must not pass for the whole. */
   cut(): void {
-    const {httpVersion, socket} = this.req;
     // Without chunks, a body may end where its connection ends in order.
-    if (httpVersion === '1.0') socket.resetAndDestroy();
+    if (this.req.httpVersion === '1.0') this.socket.resetAndDestroy();
     this.res.destroy();
   }
 
--- a/packages/sidecar/tests/ingress/caller-request.test.ts
+++ b/packages/sidecar/tests/ingress/caller-request.test.ts
@@ -1,16 +1,23 @@
 import {once} from 'node:events';
-import {createServer, type Server} from 'node:http';
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
 import {connect, type AddressInfo, type Socket} from 'node:net';
 
 import {SystemClock} from '@turmericmill/utils';
 import {expect} from 'chai';
 
+import {BodyBudget} from '../../src/ingress/body-budget.js';
 import {
   CallerRequest,
   type UndeliveredAnswer,
 } from '../../src/ingress/caller-request.js';
 
 const REQUEST = 'GET /d/x HTTP/1.1\r\nhost: shop.example\r\n\r\n';
+const LONG_POST = `POST /d/x HTTP/1.1\r\nhost: shop.example\r\ncontent-length: 4000\r\n\r\n${'a'.repeat(2_000)}`;
 /** More bytes than the sockets of a connection hold. */
 const LARGE_BYTES = 32 * 1024 * 1024;
 const SMALL_BYTES = 1024;
@@ -85,6 +92,30 @@
     server.close();
   });
 
+  // Telling of the close threw, which ended the process.
+  it('tells how an answer to a body over the limit was lost', async () => {
+    const server = createServer();
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
+    socket.on('error', () => undefined);
+    socket.write(LONG_POST);
+    const [req, res] = (await once(server, 'request')) as [
+      IncomingMessage,
+      ServerResponse,
+    ];
+    const caller = new CallerRequest(req, res, new SystemClock());
+    const closed = new Promise(resolve => (caller.onClosed = resolve));
+    const body = await caller.readBody(1_000, new BodyBudget(0));
+    expect(body).to.equal('too-large');
+    caller.start(413, ['content-length', String(LARGE_BYTES)]);
+    caller.data(Buffer.alloc(LARGE_BYTES));
+    caller.end();
+    socket.resetAndDestroy();
+    expect(await closed).to.include({closedBy: 'peer'});
+    server.close();
+  });
+
   it('takes an answer that was written as a whole for delivered', async () => {
     const {server, socket, caller, closed} = await open(SMALL_BYTES);
     expect(await closed).to.equal(undefined);
