An answer that lies in the socket at its deadline is taken

Callers could get 504 for requests whose answer had arrived: after a standstill of the process, which has a fraction of a core on small hosts, the event loop runs late timers before it reads sockets. The try was given up and its answer dropped unread.

DeadlineTimer runs its callback as an immediate, after the reads of that turn, as the heartbeat between nodes does. ServerTry uses it: its decision is as before, made with what has arrived.

--- a/packages/sidecar/src/ingress/server-try.ts
+++ b/packages/sidecar/src/ingress/server-try.ts
@@ -8,7 +8,7 @@
   type CallLeg,
   type TryEnd,
 } from '@turmericmill/node';
-import type {Clock} from '@turmericmill/utils';
+import {DeadlineTimer, type Clock} from '@turmericmill/utils';
 import type {FlatHeaders, ServerLoad} from '@turmericmill/wire';
 
 import type {HeldAnswer} from './held-answer.js';
@@ -19,7 +19,7 @@
 export class ServerTry implements CallEvents {
   private leg: CallLeg | undefined;
   private settle: ((end: TryEnd) => void) | undefined;
-  private timer: NodeJS.Timeout | undefined;
+  private readonly timer = new DeadlineTimer();
   private lastFrameMs: number | undefined;
   private load: ServerLoad = NO_LOAD;
 
@@ -104,10 +104,10 @@
       answer.stream();
     } else {
       const {untilMs} = step;
-      this.timer = setTimeout(() => {
+      this.timer.set(untilMs - nowMs, () => {
         // Timers may fire a little early.
         this.look(Math.max(untilMs, this.clock.now()));
-      }, untilMs - nowMs);
+      });
     }
   }
 
@@ -119,7 +119,7 @@
   private finish(end: TryEnd): void {
     const {settle} = this;
     this.settle = undefined;
-    clearTimeout(this.timer);
+    this.timer.clear();
     this.request.caller.onLeft = undefined;
     this.answer.drop();
     settle?.(end);
--- a/packages/sidecar/tests/ingress/server-try.test.ts
+++ b/packages/sidecar/tests/ingress/server-try.test.ts
@@ -1,5 +1,7 @@
+import {connect, createServer, type AddressInfo, type Socket} from 'node:net';
+
 import {NO_LOAD, type CallLeg, type TryEnd} from '@turmericmill/node';
-import {ByteBudget, ManualClock} from '@turmericmill/utils';
+import {ByteBudget, ManualClock, standStill} from '@turmericmill/utils';
 import {expect} from 'chai';
 
 import type {AnswerHolder} from '../../src/answer-budget.js';
@@ -99,6 +101,33 @@
     expect(fixture.seen).to.deep.equal([]);
   });
 
+  // Timers ran before reads after a standstill of the process.
+  it('takes an answer that was there when its time was over', async () => {
+    const server = createServer();
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+    const accepted = new Promise<Socket>(resolve => {
+      server.once('connection', resolve);
+    });
+    const {port} = server.address() as AddressInfo;
+    const socket = connect(port, '127.0.0.1');
+    const peer = await accepted;
+    const fixture = new Fixture(0);
+    const {serverTry, end} = fixture;
+    socket.on('data', chunk => {
+      serverTry.answerStart(200, [], {...NO_LOAD});
+      serverTry.answerData(chunk);
+      serverTry.answerEnd();
+    });
+    peer.write('whole');
+    standStill(ALL_TIMERS_MS);
+    const {kind} = await end;
+    socket.destroy();
+    peer.destroy();
+    server.close();
+    expect(kind).to.equal('answered');
+    expect(fixture.cancelled).to.equal(0);
+  });
+
   it('is cancelled when the caller leaves during the answer', async () => {
     const fixture = new Fixture(500);
     fixture.begin();
--- /dev/null
+++ b/packages/utils/src/deadline-timer.ts
@@ -0,0 +1,24 @@
+/** Deadlines that something which has arrived in time still meets. */
+
+/**
+ * A timer that runs after the sockets were read. A process that stood still has
+ * late timers and unread bytes at once, and the event loop runs timers first.
+ */
+export class DeadlineTimer {
+  private timer: NodeJS.Timeout | undefined;
+  private immediate: NodeJS.Immediate | undefined;
+
+  /** Calls `callback` once after `delayMs`, unless set or cleared before. */
+  set(delayMs: number, callback: () => void): void {
+    this.clear();
+    this.timer = setTimeout(() => {
+      // Immediates run after reads.
+      this.immediate = setImmediate(callback);
+    }, delayMs);
+  }
+
+  clear(): void {
+    clearTimeout(this.timer);
+    clearImmediate(this.immediate);
+  }
+}
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -2,6 +2,7 @@
 export {boundedCache, type BoundedCache} from './bounded-cache.js';
 export {ByteBudget} from './byte-budget.js';
 export {ManualClock, SystemClock, type Clock} from './clock.js';
+export {DeadlineTimer} from './deadline-timer.js';
 export {
   compareFindings,
   formatFinding,
@@ -20,5 +21,5 @@
   type ChartEvent,
   type ChartGuard,
 } from './state-chart.js';
-export {sleep, turnsOfLoop} from './sleep.js';
+export {sleep, standStill, turnsOfLoop} from './sleep.js';
 export {suggestName} from './suggestion.js';
--- /dev/null
+++ b/packages/utils/tests/deadline-timer.test.ts
@@ -0,0 +1,61 @@
+import {connect, createServer, type AddressInfo, type Socket} from 'node:net';
+
+import {expect} from 'chai';
+
+import {DeadlineTimer, sleep, standStill} from '../src/index.js';
+
+const DELAY_MS = 20;
+
+describe('DeadlineTimer', () => {
+  it('runs after the reads of a process that stood still', async () => {
+    const server = createServer();
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+    const {port} = server.address() as AddressInfo;
+    const accepted = new Promise<Socket>(resolve => {
+      server.once('connection', resolve);
+    });
+    const client = connect(port, '127.0.0.1');
+    const peer = await accepted;
+    const seen: string[] = [];
+    client.on('data', () => seen.push('read'));
+    const over = new Promise<void>(resolve => {
+      new DeadlineTimer().set(DELAY_MS, () => {
+        seen.push('timer');
+        resolve();
+      });
+    });
+    peer.write('x');
+    standStill(2 * DELAY_MS);
+    await over;
+    expect(seen).to.deep.equal(['read', 'timer']);
+    client.destroy();
+    peer.destroy();
+    server.close();
+  });
+
+  const CHANGES: {name: string; change: (timer: DeadlineTimer) => void}[] = [
+    {name: 'cleared before its time', change: timer => timer.clear()},
+    {
+      name: 'cleared between its time and its turn',
+      // Timers of one delay run in one go, without a turn between.
+      change: timer => void setTimeout(() => timer.clear(), DELAY_MS),
+    },
+    {
+      name: 'set again',
+      change: timer => timer.set(1_000_000, () => undefined),
+    },
+  ];
+  for (const {name, change} of CHANGES) {
+    it(`is not run when ${name}`, async () => {
+      const timer = new DeadlineTimer();
+      let runs = 0;
+      timer.set(DELAY_MS, () => {
+        runs += 1;
+      });
+      change(timer);
+      await sleep(3 * DELAY_MS);
+      timer.clear();
+      expect(runs).to.equal(0);
+    });
+  }
+});
