--- a/packages/sidecar/src/server/server-session.ts
+++ b/packages/sidecar/src/server/server-session.ts
@@ -9,6 +9,7 @@
   FirstBody,
 } from '@turmericmill/node';
 import {CrashWatch, SlotQueue, type SlotEffect} from '@turmericmill/routing';
+import {DeadlineTimer} from '@turmericmill/utils';
 import type {FailureReason, ServerLoad, ServerState} from '@turmericmill/wire';
 
 import {checkAnswer} from './answer-check.js';
@@ -43,7 +44,7 @@
   private readonly pool: ServerPool;
   private readonly calls = new Map<number, ServerCall>();
   private readonly watch = new CrashWatch();
-  private sweepTimer: NodeJS.Timeout | undefined;
+  private readonly sweepTimer = new DeadlineTimer();
   private probeTimer: NodeJS.Timeout | undefined;
   private crashTimer: NodeJS.Timeout | undefined;
   private nextId = 1;
@@ -93,7 +94,7 @@
   retire(): void {
     if (this.retired) return;
     this.retired = true;
-    clearTimeout(this.sweepTimer);
+    this.sweepTimer.clear();
     clearTimeout(this.probeTimer);
     this.apply(this.queue.close('server-failed'));
     this.pool.destroy('The server has been started again.');
@@ -251,10 +252,10 @@
   private sweepLater(): void {
     const waits = this.queue.queued > 0;
     const delayMs = waits ? WAITING_SWEEP_MS : RUNNING_SWEEP_MS;
-    this.sweepTimer = setTimeout(() => {
+    this.sweepTimer.set(delayMs, () => {
       this.expire();
       if (!this.retired) this.sweepLater();
-    }, delayMs);
+    });
   }
 
   private noteLoss({head}: ServerCall): void {
--- a/packages/sidecar/tests/server/server-session.test.ts
+++ b/packages/sidecar/tests/server/server-session.test.ts
@@ -2,7 +2,8 @@
 
 import type {CurrentServer} from '@turmericmill/membership';
 import type {CallFailure, CallHead, QuarantineTask} from '@turmericmill/node';
-import {ByteBudget, SystemClock} from '@turmericmill/utils';
+import {ANSWER_PROOF_HEADER} from '@turmericmill/platform-adapter';
+import {ByteBudget, standStill, SystemClock} from '@turmericmill/utils';
 import bunyan from 'bunyan';
 import {expect} from 'chai';
 
@@ -33,6 +34,8 @@
   trailers: {prefix: `${CHUNKED}0\r\n`, byte: 'X: y\r\n'},
 };
 
+const WHOLE_ANSWER = `HTTP/1.1 200 OK\r\n${ANSWER_PROOF_HEADER}: proof\r\nContent-Length: 0\r\n\r\n`;
+
 const HEAD: CallHead = {
   serverId: 'i-1',
   serverIncarnation: 1,
@@ -60,6 +63,8 @@
 describe('ServerSession', () => {
   const sockets = new Set<Socket>();
   let trickle = TRICKLES['nothing'];
+  /** Time in ms for which the process stands still after an answer. */
+  let standstillMs = 0;
   let session: ServerSession;
   const server = createServer(socket => {
     sockets.add(socket);
@@ -70,10 +75,12 @@
       socket.write(prefix);
       const timer = setInterval(() => socket.write(byte), TRICKLE_MS);
       socket.on('close', () => clearInterval(timer));
+      standStill(standstillMs);
     });
   });
 
   beforeEach(async () => {
+    standstillMs = 0;
     await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
     const {port} = server.address() as AddressInfo;
     const quarantine = {
@@ -128,4 +135,23 @@
       });
     }
   }
+
+  // Timers ran before reads after a standstill of the process.
+  it('delivers an answer that was there at the deadline', async () => {
+    trickle = {prefix: WHOLE_ANSWER, byte: ''};
+    standstillMs = 2 * DEADLINE_MS;
+    const deadlineMs = new SystemClock().now() + DEADLINE_MS;
+    const end = await new Promise<number | string>(resolve => {
+      const first = {chunk: new Uint8Array(), end: true};
+      session.run({...HEAD, deadlineMs}, first, {
+        credit: () => undefined,
+        answerStart: resolve,
+        answerData: () => undefined,
+        answerEnd: () => undefined,
+        failed: ({reason}) => resolve(reason),
+      });
+    });
+    expect(end).to.equal(200);
+    expect(session.inFlight).to.equal(0);
+  });
 });
