A connection to the server that was open in time is used

What callers could see: refusals as `server-failed` of all that waited for a server, and none offered to it for 300 ms or more, while the server was well. After a standstill of the sidecar the timer of a connection that was being opened ran before the sockets were polled. The open connection was destroyed as 'connect timeout', and one such failure counts as the loss of the server.

The timer now runs after the poll.

Evidence, before: `uses a connection that was open when its time was over` got "not-sent" in place of the answer, with a standstill of 400 ms.

--- a/packages/sidecar/src/server/server-connection.ts
+++ b/packages/sidecar/src/server/server-connection.ts
@@ -4,6 +4,7 @@
 
 import {REQUEST_ID_HEADER} from '@turmericmill/platform-adapter';
 import {headerOf} from '@turmericmill/node';
+import {DeadlineTimer} from '@turmericmill/utils';
 
 import {
   holdBytes,
@@ -101,15 +102,16 @@
         allowHalfOpen: true,
         onread: {buffer: READ_BUFFER, callback},
       });
-      const timer = setTimeout(() => {
+      const timer = new DeadlineTimer();
+      timer.set(timeoutMs, () => {
         socket.destroy(new Error('connect timeout'));
-      }, timeoutMs);
+      });
       socket.once('error', err => {
-        clearTimeout(timer);
+        timer.clear();
         reject(err);
       });
       socket.once('connect', () => {
-        clearTimeout(timer);
+        timer.clear();
         socket.removeAllListeners('error');
         opened = new ServerConnection(socket, answers);
         resolve(opened);
--- a/packages/sidecar/tests/server/server-pool.test.ts
+++ b/packages/sidecar/tests/server/server-pool.test.ts
@@ -5,7 +5,7 @@
   type Socket,
 } from 'node:net';
 
-import {ByteBudget, SystemClock} from '@turmericmill/utils';
+import {ByteBudget, standStill, SystemClock} from '@turmericmill/utils';
 import {expect} from 'chai';
 
 import type {AnswerHolder} from '../../src/answer-budget.js';
@@ -17,6 +17,8 @@
 
 const ID = 'X-Turmericmill-Request-Id';
 const MAX_HELD_BYTES = 1024 * 1024;
+/** Time in ms that is longer than a connection may take to open. */
+const STANDSTILL_MS = 400;
 
 function answer(id: string, body: string, more = ''): string {
   return `HTTP/1.1 200 OK\r\n${ID}: ${id}\r\n${more}Content-Length: ${body.length}\r\n\r\n${body}`;
@@ -228,6 +230,22 @@
     expect(end.kind).to.equal('not-sent');
   });
 
+  // Timers ran before reads after a standstill of the process.
+  it('uses a connection that was open when its time was over', async () => {
+    const server = new ScriptedServer([[answer('id-1', 'one')]]);
+    const port = await server.listen();
+    const pool = makePool(port);
+    const ended = new Promise<ExchangeEnd>(resolve => {
+      pool.run(request('id-1'), true, resolve);
+    });
+    // The socket connects in the next tick.
+    process.nextTick(() => standStill(STANDSTILL_MS));
+    const end = await ended;
+    pool.destroy('The test is over.');
+    server.close();
+    expect(textOf(end)).to.equal('200 one');
+  });
+
   it('ends the connection of a cancelled request', async () => {
     const server = new ScriptedServer([[], OK_2]);
     const port = await server.listen();
