The test of a planned shutdown counts every answer of a connection

The text showed 503 and then 200 again and again: bodies end without a line break, so that the pattern for status lines at the start of a line saw the first answer only. It now finds all of them, which is stricter: a second answer on a connection was not seen before.

--- a/packages/testkit/tests/platform/sidecar-shutdown.test.ts
+++ b/packages/testkit/tests/platform/sidecar-shutdown.test.ts
@@ -82,7 +82,7 @@
 
   /** Status lines of all answers so far. */
   get statuses(): number[] {
-    const lines = this.text.matchAll(/^HTTP\/1.1 (\d+) /gm);
+    const lines = this.text.matchAll(/HTTP\/1.1 (\d+) /g);
     return [...lines].map(([, status]) => Number(status));
   }
 }
