--- a/packages/node/src/transport/transport-task.ts
+++ b/packages/node/src/transport/transport-task.ts
@@ -199,7 +199,10 @@
     if (nodeId === undefined) return;
     if (peer) {
       this.closedCounts[end.cause] += 1;
-      this.logger.info({nodeId, reason, ...end}, 'peer connection closed');
+      this.logger.info(
+        {peerId: nodeId, reason, ...end},
+        'peer connection closed',
+      );
     }
     const {incarnation} = peer ?? {};
     const lost = {...calls, ...(incarnation !== undefined && {incarnation})};
