The product's node takes answers that lie in the socket at the deadline

Callers could get 504 for calls whose answer had arrived, at the caller's node as well as at the server's: both timers ran before reads after a standstill, as they did in the sidecar.

Both exchanges use DeadlineTimer now, which can be refreshed for the time without progress within an answer.

--- a/packages/node/src/calls/caller-exchange.ts
+++ b/packages/node/src/calls/caller-exchange.ts
@@ -3,6 +3,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
 import {OUTCOME_HEADER, RETRY_HEADER} from '@turmericmill/routing';
+import {DeadlineTimer} from '@turmericmill/utils';
 import type {FlatHeaders, KeptAnswer, ServerLoad} from '@turmericmill/wire';
 
 import type {AnswerCopy} from './answer-copy.js';
@@ -29,7 +30,7 @@
 export class CallerExchange {
   private readonly body: RequestBody;
   private leg: CallLeg | undefined;
-  private timer: NodeJS.Timeout | undefined;
+  private readonly timer = new DeadlineTimer();
   private answered = false;
   private left = false;
   private streaming = false;
@@ -72,7 +73,7 @@
       let ended = false;
       const resolve = (end: TryEnd) => {
         ended = true;
-        clearTimeout(this.timer);
+        this.timer.clear();
         this.res.off('close', onClose);
         settle(end);
       };
@@ -95,10 +96,10 @@
       const leg = start(events);
       this.leg = leg;
       if (ended) return;
-      this.timer = setTimeout(() => {
+      this.timer.set(timeoutMs + DEADLINE_GRACE_MS, () => {
         leg.cancel();
         resolve({kind: 'failed', failure: deadlinePassed()});
-      }, timeoutMs + DEADLINE_GRACE_MS);
+      });
       this.stream();
     });
   }
@@ -191,7 +192,7 @@
 
   private answerStart(status: number, headers: FlatHeaders): void {
     this.answered = true;
-    clearTimeout(this.timer);
+    this.timer.clear();
     if (this.left) return;
     this.res.writeHead(status, endToEndHeaders(headers));
   }
--- a/packages/node/src/calls/server-exchange.ts
+++ b/packages/node/src/calls/server-exchange.ts
@@ -3,6 +3,7 @@
 import {Readable} from 'node:stream';
 
 import {formatLimits, type ServerOutcome} from '@turmericmill/routing';
+import {DeadlineTimer} from '@turmericmill/utils';
 import type {FlatHeaders, ServerLoad} from '@turmericmill/wire';
 import type {Dispatcher} from 'undici';
 
@@ -40,7 +41,7 @@
   private done = false;
   private status = 0;
   private window = INITIAL_WINDOW_BYTES;
-  private timer: NodeJS.Timeout;
+  private readonly timer = new DeadlineTimer();
 
   constructor(
     dispatcher: Dispatcher,
@@ -50,7 +51,7 @@
     private readonly hooks: ExchangeHooks,
   ) {
     const remainingMs = Math.max(0, head.deadlineMs - hooks.now());
-    this.timer = setTimeout(() => this.expire(), remainingMs);
+    this.timer.set(remainingMs, () => this.expire());
     dispatcher.dispatch(
       {
         method: head.method as Dispatcher.HttpMethod,
@@ -127,8 +128,7 @@
   private answerStart(controller: Controller, status: number): void {
     if (this.done || status < 200) return;
     this.status = status;
-    clearTimeout(this.timer);
-    this.timer = setTimeout(() => this.expire(), STALL_TIMEOUT_MS);
+    this.timer.set(STALL_TIMEOUT_MS, () => this.expire());
     const raw = controller.rawHeaders as Buffer[];
     const headers = endToEndHeaders(flatten(raw));
     this.events.answerStart(status, headers, this.hooks.load());
@@ -183,7 +183,7 @@
 
   private finish(outcome: ServerOutcome): void {
     this.done = true;
-    clearTimeout(this.timer);
+    this.timer.clear();
     this.hooks.ended(outcome);
   }
 }
--- a/packages/node/tests/calls/admitted-server.test.ts
+++ b/packages/node/tests/calls/admitted-server.test.ts
@@ -2,13 +2,16 @@
 import {createServer, type RequestListener, type Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
 
-import {SystemClock} from '@turmericmill/utils';
+import {standStill, SystemClock} from '@turmericmill/utils';
 import {expect} from 'chai';
 
 import type {LocalServer} from '../../src/bus.js';
 import {AdmittedServer} from '../../src/calls/admitted-server.js';
 import type {CallEvents, CallHead} from '../../src/calls/call-leg.js';
 
+/** Time in ms left for a call that is to be late. */
+const TIME_LEFT_MS = 150;
+
 const clock = new SystemClock();
 
 class Recorder extends EventEmitter implements CallEvents {
@@ -142,6 +145,16 @@
     expect(await running.ended).to.equal('unknown server-failed');
   });
 
+  // Timers ran before reads after a standstill of the process.
+  it('delivers an answer that was there at the deadline', async () => {
+    await start((req, res) => {
+      res.end('whole');
+      process.nextTick(() => standStill(2 * TIME_LEFT_MS));
+    });
+    const call = run({deadlineMs: clock.now() + TIME_LEFT_MS});
+    expect(await call.ended).to.equal('whole');
+  });
+
   it('says not-run when the server cannot be reached', async () => {
     await start(() => undefined);
     server.close();
--- a/packages/utils/tests/deadline-timer.test.ts
+++ b/packages/utils/tests/deadline-timer.test.ts
@@ -58,4 +58,20 @@
       expect(runs).to.equal(0);
     });
   }
+
+  it('runs once and as late as it was refreshed last', async () => {
+    const timer = new DeadlineTimer();
+    let runs = 0;
+    timer.set(5 * DELAY_MS, () => {
+      runs += 1;
+    });
+    await sleep(3 * DELAY_MS);
+    timer.refresh();
+    await sleep(3 * DELAY_MS);
+    expect(runs).to.equal(0);
+    await sleep(4 * DELAY_MS);
+    timer.refresh();
+    await sleep(6 * DELAY_MS);
+    expect(runs).to.equal(1);
+  });
 });
