--- a/packages/testkit/tests/platform/endless-answers.test.ts
+++ b/packages/testkit/tests/platform/endless-answers.test.ts
@@ -10,7 +10,7 @@
 import {waitUntil} from '../../src/mesh/wait-until.js';
 import {AppServer} from '../../src/platform/app-server.js';
 import {StoreServer} from '../../src/platform/store-server.js';
-import {CONFIG, get, launch, MEMORY_MB, settings} from './sidecar-process.js';
+import {CONFIG, get, launch, MEMORY_MB, settings} from './smallest-host.js';
 
 const SLOTS = 13;
 /** How often each answer without end is asked for. */
--- a/packages/testkit/tests/platform/sidecar-shutdown.test.ts
+++ b/packages/testkit/tests/platform/sidecar-shutdown.test.ts
@@ -161,20 +161,27 @@
     expect(caller.statuses).to.deep.equal([504]);
   });
 
-  it('is not cut short by a second signal', async () => {
-    const [, entry] = await start(300);
-    const node = await launch(entry!);
-    await served(entry!, 300);
-    for (const {app} of mesh.hosts) app.workMs = 1_000;
-    const caller = await Caller.connect(entry!);
-    caller.send(3_000);
-    await sleep(200);
-    node.signal('SIGTERM');
-    await sleep(200);
-    node.signal('SIGTERM');
-    expect(await node.ended).to.deep.equal({code: 0, signal: null});
-    expect(caller.statuses).to.deep.equal([200]);
-  });
+  const signals: [NodeJS.Signals, NodeJS.Signals][] = [
+    ['SIGTERM', 'SIGTERM'],
+    ['SIGTERM', 'SIGINT'],
+    ['SIGINT', 'SIGINT'],
+  ];
+  for (const [first, second] of signals) {
+    it(`is not cut short by ${second} after ${first}`, async () => {
+      const [, entry] = await start(300);
+      const node = await launch(entry!);
+      await served(entry!, 300);
+      for (const {app} of mesh.hosts) app.workMs = 1_000;
+      const caller = await Caller.connect(entry!);
+      caller.send(3_000);
+      await sleep(200);
+      node.signal(first);
+      await sleep(200);
+      node.signal(second);
+      expect(await node.ended).to.deep.equal({code: 0, signal: null});
+      expect(caller.statuses).to.deep.equal([200]);
+    });
+  }
 
   it('ends its process after the last answer has left it', async () => {
     const [, entry] = await start(300);
--- a/packages/testkit/tests/platform/sidecar-process.ts
+++ b/packages/testkit/tests/platform/smallest-host.ts
@@ -1,4 +1,4 @@
-/** Runs the node as its own process, as on the platform's hosts. */
+/** The node as a process with the memory and flags of the smallest hosts. */
 
 import {spawn, type ChildProcess} from 'node:child_process';
 import {readFileSync} from 'node:fs';
