Names of the heartbeat and of the end of a shutdown say what they do

Heartbeat.held was read as holding; it postpones due times. givenUp was both a field of a caller and a function of the ingress. The bound of a stalled answer names its source instead of a link.

--- a/packages/node/src/transport/peer-connection.ts
+++ b/packages/node/src/transport/peer-connection.ts
@@ -205,7 +205,7 @@
 
   /** Sends a ping when one is due; gives up when none was answered. */
   heartbeat(nowMs: number): void {
-    this.beat.held(this.activity.beat(nowMs));
+    this.beat.postpone(this.activity.beat(nowMs));
     if (this.peer && this.activity.isOneWay) {
       this.send({type: 'pong', body: {nonce: UNASKED_NONCE}});
     }
--- a/packages/routing/src/connections/heartbeat.ts
+++ b/packages/routing/src/connections/heartbeat.ts
@@ -84,8 +84,8 @@
     this.roundTrip.sample(roundTripMs, nowMs);
   }
 
-  /** This process did not run for `heldMs`, and could not hear the peer. */
-  held(heldMs: number): void {
+  /** Adds the time in which this process did not run and heard nothing. */
+  postpone(heldMs: number): void {
     this.dueAtMs += heldMs;
     this.secondDueAtMs += heldMs;
   }
--- a/packages/routing/tests/connections/heartbeat.test.ts
+++ b/packages/routing/tests/connections/heartbeat.test.ts
@@ -7,7 +7,7 @@
 type Step =
   | {atMs: number; do: 'sent' | 'received' | 'challenge'}
   | {atMs: number; do: 'askedElsewhere' | 'answeredElsewhere'}
-  | {atMs: number; do: 'held'; ms: number}
+  | {atMs: number; do: 'postpone'; ms: number}
   | {atMs: number; do: 'tick'; effect?: 'ping' | 'replace'; state: string};
 
 describe('Heartbeat', () => {
@@ -48,7 +48,7 @@
       steps: [
         {atMs: 0, do: 'sent'},
         {atMs: 300, do: 'tick', effect: 'ping', state: 'pinging'},
-        {atMs: 1_200, do: 'held', ms: 800},
+        {atMs: 1_200, do: 'postpone', ms: 800},
         {atMs: 1_200, do: 'tick', state: 'pinging'},
         {atMs: 1_599, do: 'tick', state: 'pinging'},
         {atMs: 1_600, do: 'tick', effect: 'ping', state: 'silent'},
@@ -133,7 +133,7 @@
       for (const step of steps) {
         if (step.do === 'sent') heartbeat.sent(step.atMs);
         if (step.do === 'received') heartbeat.received(true, step.atMs);
-        if (step.do === 'held') heartbeat.held(step.ms);
+        if (step.do === 'postpone') heartbeat.postpone(step.ms);
         if (step.do === 'challenge') heartbeat.challenge(step.atMs);
         if (step.do === 'askedElsewhere') heartbeat.askedElsewhere(step.atMs);
         if (step.do === 'answeredElsewhere') {
--- a/packages/sidecar/src/ingress/ingress-server.ts
+++ b/packages/sidecar/src/ingress/ingress-server.ts
@@ -218,7 +218,10 @@
       this.reject(caller, answer);
       return;
     }
-    const end = givenUp(request, await this.parts.dispatch.dispatch(request));
+    const end = endOfShutdown(
+      request,
+      await this.parts.dispatch.dispatch(request),
+    );
     const own = end.kind === 'failed' ? this.refusal(request, end) : undefined;
     if (own) caller.refuse(own);
     const latencyMs = this.parts.clock.now() - arrivedMs;
@@ -297,7 +300,7 @@
 }
 
 /** How a request ended whose last try the node may have ended itself. */
-function givenUp({caller}: RoutedRequest, end: RequestEnd): RequestEnd {
+function endOfShutdown({caller}: RoutedRequest, end: RequestEnd): RequestEnd {
   if (end.kind !== 'left' || caller.hasLeft || !caller.isGivenUp) return end;
   const detail = 'The node ended before an answer came.';
   const failure = {...deadlinePassed(), detail};
--- a/packages/sidecar/src/ingress/late-answer.ts
+++ b/packages/sidecar/src/ingress/late-answer.ts
@@ -8,8 +8,8 @@
  */
 const HOLD_GRACE_MS = 200;
 /**
- * Time in ms without a frame after which no more is expected: four frames on a
- * link of 5 Mbit/s.
+ * Time in ms without a frame after which no more is expected: within the half
+ * second past a route's timeout by which the platform expects a final answer.
  */
 const STALL_MS = 400;
 
