config, sidecar: serve routes of the kind upload

Change: `upload` is a kind that may run at most once, like `unsafe`. Whether a kind may be repeated is decided in one place, `isRepeatable`. The bytes of a request's body count towards the cost of a call to another data centre, as those of the expected answer do: without this, uploads of 60 KB would cross data centres as if they were small.

--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -18,6 +18,7 @@
   referencesOf,
   type Reference,
 } from './references.js';
+export {isRepeatable, isRequestKind} from './request-kind.js';
 export * from './resource.js';
 export {compareRoutes, matchBucket, shadows} from './route-match.js';
 export {makeResource, type SourceFile} from './source-file.js';
--- a/packages/config/src/mesh-config.ts
+++ b/packages/config/src/mesh-config.ts
@@ -2,9 +2,10 @@
 
 /**
  * How often a request may run. `safe`: any number of times. `unsafe`: at most
- * once. `download`: like `safe`, with a large answer.
+ * once. `download`: like `safe`, with a large answer. `upload`: like `unsafe`,
+ * with a large body.
  */
-export type RequestKind = 'safe' | 'unsafe' | 'download';
+export type RequestKind = 'safe' | 'unsafe' | 'download' | 'upload';
 
 /** One destination of a route's traffic split. */
 export interface SplitPart {
--- a/packages/routing/src/balancing/balancer.ts
+++ b/packages/routing/src/balancing/balancer.ts
@@ -48,8 +48,8 @@
    * after a start. Absent: at once.
    */
   slowStartMs?: number;
-  /** Expected size of the answer in bytes; absent: small. */
-  answerBytes?: number;
+  /** Expected bytes of the request's body and the answer; absent: few. */
+  transferBytes?: number;
 }
 
 /** The result of a call, as its entry node saw it. */
--- a/packages/routing/src/balancing/least-expected-cost.ts
+++ b/packages/routing/src/balancing/least-expected-cost.ts
@@ -92,8 +92,8 @@
   private readonly servers = boundedCache<string, ServerEvidence>(MAX_SERVERS);
 
   /**
-   * `transferCostMsPerKib`: cost of each KiB of an answer from another data
-   * centre, in ms of delay.
+   * `transferCostMsPerKib`: cost of each KiB that crosses between data centres,
+   * in ms of delay.
    */
   constructor(
     private readonly dataCentre: string,
@@ -138,11 +138,11 @@
     evidence.finish(call, result, nowMs);
   }
 
-  /** Cost of an answer from another data centre, in ms of delay. */
-  transferCostMs({answerBytes = 0}: CallTraits): number {
+  /** Cost of a call to another data centre, in ms of delay. */
+  transferCostMs({transferBytes = 0}: CallTraits): number {
     return (
       REMOTE_ROUND_TRIP_MS +
-      (answerBytes / BYTES_PER_KIB) * this.transferCostMsPerKib
+      (transferBytes / BYTES_PER_KIB) * this.transferCostMsPerKib
     );
   }
 
--- a/packages/sidecar/src/ingress/answer-sizes.ts
+++ b/packages/sidecar/src/ingress/answer-sizes.ts
@@ -10,6 +10,7 @@
   safe: 4 * 1024,
   unsafe: 1024,
   download: 64 * 1024,
+  upload: 4 * 1024,
 };
 /** Maximum number of routes with an average. */
 const MAX_ROUTES = 4_096;
--- a/packages/sidecar/src/ingress/request-dispatch.ts
+++ b/packages/sidecar/src/ingress/request-dispatch.ts
@@ -1,5 +1,6 @@
 /** Sends one request to a backend server, with offers and retries. */
 
+import {isRepeatable} from '@turmericmill/config';
 import {
   loadOf,
   NO_LOAD,
@@ -156,7 +157,7 @@
     }
     const step = nextStep(
       {
-        repeatable: request.route.kind !== 'unsafe',
+        repeatable: isRepeatable(request.route.kind),
         reached: progress.reached,
         maxAttempts: request.route.maxAttempts,
         offers: progress.offers,
@@ -228,9 +229,9 @@
     return balancer.choose(candidates, traits, clock.now(), random);
   }
 
-  private traitsOf({route}: RoutedRequest): CallTraits {
-    const answerBytes = this.parts.sizes.expectedBytes(route);
-    return {class: route.name, priority: 'interactive', answerBytes};
+  private traitsOf({route, body}: RoutedRequest): CallTraits {
+    const transferBytes = body.length + this.parts.sizes.expectedBytes(route);
+    return {class: route.name, priority: 'interactive', transferBytes};
   }
 
   private async attempt(
@@ -318,7 +319,7 @@
         rank: route.rank,
         targetRemainingMs: mayWait ? request.targetMs - now : 0,
         acceptsLate: acceptsLate && mayWait,
-        repeatable: route.kind !== 'unsafe',
+        repeatable: isRepeatable(route.kind),
       },
     };
   }
--- a/packages/sidecar/tests/ingress/request-dispatch.test.ts
+++ b/packages/sidecar/tests/ingress/request-dispatch.test.ts
@@ -134,6 +134,8 @@
   dataCentre?: string;
   /** Bytes of answers that may be buffered until they are complete. */
   bufferBytes?: number;
+  /** Bytes of the request's body. */
+  bodyBytes?: number;
 }
 
 async function dispatchWith(
@@ -143,6 +145,7 @@
     servers = 6,
     dataCentre = 'ncr-a',
     bufferBytes = BUFFER_BYTES,
+    bodyBytes = 0,
   }: Options = {},
 ) {
   const runner = new ScriptedRunner(answers);
@@ -178,7 +181,7 @@
     method: 'GET',
     path: '/x',
     headers: [],
-    body: Buffer.alloc(0),
+    body: Buffer.alloc(bodyBytes),
     callerService: 'desk',
     fingerprint: 'f',
     targetMs: 1_400,
@@ -242,12 +245,15 @@
     expect(end.kind).to.equal('answered');
   });
 
-  it('never repeats an unsafe request that may have run', async () => {
-    const route = {kind: 'unsafe' as const};
-    const {end, runner} = await dispatchWith([LOST, {status: 200}], {route});
-    expect(end).to.deep.include({kind: 'failed', mayHaveRun: true});
-    expect(runner.heads).to.have.length(1);
-  });
+  for (const kind of ['unsafe', 'upload'] as const) {
+    it(`never repeats a request that may have run: ${kind}`, async () => {
+      const route = {kind};
+      const {end, runner} = await dispatchWith([LOST, {status: 200}], {route});
+      expect(end).to.deep.include({kind: 'failed', mayHaveRun: true});
+      expect(runner.heads).to.have.length(1);
+      expect(runner.heads[0]?.urgency).to.include({repeatable: false});
+    });
+  }
 
   it('repeats an unsafe request that its server has not executed', async () => {
     const route = {kind: 'unsafe' as const};
@@ -327,20 +333,20 @@
     expect(end.kind === 'failed' && end.failure.load).to.deep.include(NO_LOAD);
   });
 
-  it('asks remote servers for a large answer once each, without waiting', async () => {
-    const remoteDownload = {
-      route: {kind: 'download'},
-      dataCentre: 'ncr-b',
-    } as const;
-    const refusals = Array.from({length: 8}, () => NO_SLOT);
-    const {runner} = await dispatchWith(refusals, {
-      ...remoteDownload,
-      servers: 3,
+  const LARGE_TRANSFERS = {
+    'a large answer': {route: {kind: 'download'}},
+    'a large body': {route: {kind: 'upload'}, bodyBytes: 60_000},
+  } as const;
+  for (const [name, transfer] of Object.entries(LARGE_TRANSFERS)) {
+    it(`asks remote servers once each, without waiting, for ${name}`, async () => {
+      const refusals = Array.from({length: 8}, () => NO_SLOT);
+      const options = {dataCentre: 'ncr-b', servers: 3, ...transfer};
+      const {runner} = await dispatchWith(refusals, options);
+      const asked = runner.heads.map(({serverId}) => serverId);
+      expect(asked.sort()).to.deep.equal(['s-n-0', 's-n-1', 's-n-2']);
+      for (const {urgency} of runner.heads) {
+        expect(urgency).to.include({acceptsLate: false, targetRemainingMs: 0});
+      }
     });
-    const asked = runner.heads.map(({serverId}) => serverId);
-    expect(asked.sort()).to.deep.equal(['s-n-0', 's-n-1', 's-n-2']);
-    for (const {urgency} of runner.heads) {
-      expect(urgency).to.include({acceptsLate: false, targetRemainingMs: 0});
-    }
-  });
+  }
 });
--- a/packages/testkit/src/bench/load/load-model.ts
+++ b/packages/testkit/src/bench/load/load-model.ts
@@ -360,5 +360,5 @@
 }
 
 function traitsOf({name, answerBytes}: LoadClass): CallTraits {
-  return {class: name, priority: 'interactive', answerBytes};
+  return {class: name, priority: 'interactive', transferBytes: answerBytes};
 }
