sidecar: take an answer without a request id only on a fresh connection

Cause: a faulty server may write an earlier answer once more on a kept connection. Copies that echo the id of the earlier request were recognized.

Ruled out: servers that never echo the id in refusals.

Change: an answer without an id, to a request that has one, counts only if the connection has carried no earlier request. Otherwise the connection is closed and the request's outcome is unknown.

Result: two new cases of server-pool.test fail before (503 and '200 bad' taken for the answer) and pass now.

--- a/packages/sidecar/src/server/server-connection.ts
+++ b/packages/sidecar/src/server/server-connection.ts
@@ -32,6 +32,9 @@
   | {kind: 'not-sent'; detail: string}
   | {kind: 'lost'; detail: string};
 
+/** The request on a connection that an answer belongs to. */
+type AnswerOwner = 'current' | 'earlier' | 'unknown';
+
 type Settle = (end: ExchangeEnd) => void;
 
 const KEEP_ALIVE_TIMEOUT = /timeout=(\d+)/i;
@@ -64,6 +67,8 @@
   private readonly parser: AnswerParser;
   private settle: Settle | undefined;
   private requestId: string | undefined;
+  /** Number of exchanges that have started on this connection. */
+  private exchanges = 0;
   private closed = false;
   private tainted = false;
   private lateAnswers = 0;
@@ -138,6 +143,7 @@
     }
     this.settle = settle;
     this.requestId = req.requestId;
+    this.exchanges += 1;
     this.parser.begin(req.bodyless);
     this.socket.cork();
     this.socket.write(req.head);
@@ -198,14 +204,18 @@
       this.tainted = true;
       return;
     }
-    const echoed = headerOf(answer.headers, REQUEST_ID_HEADER);
-    if (echoed !== undefined && echoed !== this.requestId) {
-      // A late second answer to an earlier request; the right one is to come.
+    const owner = this.ownerOf(answer);
+    if (owner === 'earlier') {
+      // The right answer is still to come.
       this.tainted = true;
       this.lateAnswers += 1;
       if (this.lateAnswers > MAX_LATE_ANSWERS) this.close('only late answers');
       return;
     }
+    if (owner === 'unknown') {
+      this.close('an answer without a request id on a reused connection');
+      return;
+    }
     this.settle = undefined;
     this.recordIdleTimeout(answer);
     settle({kind: 'answered', answer});
@@ -213,6 +223,19 @@
     queueMicrotask(() => this.closeUnlessReusable(answer));
   }
 
+  /**
+   * Tells which request an answer belongs to: a server may repeat an earlier
+   * answer late, and only the id that it echoes identifies such a copy.
+   */
+  private ownerOf({headers}: ServerAnswer): AnswerOwner {
+    const echoed = headerOf(headers, REQUEST_ID_HEADER);
+    if (echoed !== undefined) {
+      return echoed === this.requestId ? 'current' : 'earlier';
+    }
+    const mayBeEarlier = this.requestId !== undefined && this.exchanges > 1;
+    return mayBeEarlier ? 'unknown' : 'current';
+  }
+
   private recordIdleTimeout(answer: ServerAnswer): void {
     const text = headerOf(answer.headers, 'keep-alive') ?? '';
     const match = KEEP_ALIVE_TIMEOUT.exec(text);
--- a/packages/sidecar/tests/server/server-pool.test.ts
+++ b/packages/sidecar/tests/server/server-pool.test.ts
@@ -111,6 +111,10 @@
   connections: number;
 }
 
+const REFUSAL = 'HTTP/1.1 503 Busy\r\nX-Turmericmill-Not-Executed: 1\r\n';
+const EMPTY = 'Content-Length: 0\r\n\r\n';
+const REFUSAL_1 = `${REFUSAL}${ID}: id-1\r\n${EMPTY}`;
+
 const CHUNKED = `HTTP/1.1 200 OK\r\n${ID}: id-1\r\nTransfer-Encoding: chunked\r\n\r\n`;
 const UNFRAMED = `HTTP/1.1 200 OK\r\n${ID}: id-1\r\n\r\n`;
 const OK_2 = [answer('id-2', 'two')];
@@ -200,6 +204,33 @@
     ends: ['200 one', '200 two', '200 three'],
     connections: 2,
   },
+  'recognizes an earlier refusal by its request id': {
+    scripts: [
+      [REFUSAL_1],
+      [REFUSAL_1, {afterMs: 5}, answer('id-2', 'two')],
+      [answer('id-3', 'three')],
+    ],
+    ends: ['503 ', '200 two', '200 three'],
+    connections: 2,
+  },
+  'does not take a refusal without an id on a reused connection for its own': {
+    scripts: [
+      [`${REFUSAL}${EMPTY}`],
+      [`${REFUSAL}${EMPTY}`, {afterMs: 5}, answer('id-2', 'two')],
+      [answer('id-3', 'three')],
+    ],
+    ends: ['503 ', 'lost', '200 three'],
+    connections: 2,
+  },
+  'does not take an answer without an id on a reused connection for its own': {
+    scripts: [
+      [answer('id-1', 'one')],
+      [`HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad`],
+      [answer('id-3', 'three')],
+    ],
+    ends: ['200 one', 'lost', '200 three'],
+    connections: 2,
+  },
   'closes the connection when the server requests it': {
     scripts: [[answer('id-1', 'one', 'Connection: close\r\n')], OK_2],
     ends: ['200 one', '200 two'],
