wire: refuse malformed fields when a message is decoded

Cause: the bodies of messages between nodes were not checked. A message with a missing or odd field ended in an exception in a handler, which took the whole process down; a member record with a port out of range made each node that sent it a datagram end, and gossip passed it on.

Change: each message has a table of its fields, checked once when it is decoded; a message that fails is malformed and closes its connection. A member record needs an IP address and a port.

--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -25,4 +25,5 @@
   type ChartGuard,
 } from './state-chart.js';
 export {sleep, blockEventLoop, waitEventLoopTurns} from './sleep.js';
+export {isIpAddress, isPort} from './network-address.js';
 export {suggestName} from './suggestion.js';
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -8,6 +8,7 @@
 
 import {Err, Ok, type Result} from '@turmericmill/utils';
 
+import {findMalformedField} from './message-shapes.js';
 import {
   MESSAGE_IDS,
   messageName,
@@ -53,7 +54,7 @@
   return frame;
 }
 
-/** Decodes one payload. The fields of the body are not validated. */
+/** Decodes one payload; refuses a body with a malformed field. */
 export function decodeMessage(
   payload: Uint8Array,
 ): Result<Message, FrameError> {
@@ -80,6 +81,11 @@
   if (typeof body !== 'object' || body === null) {
     return Err({code: 'malformed', message: `Message ${type} has no body.`});
   }
+  const field = findMalformedField(type, body);
+  if (field !== undefined) {
+    const message = `Field ${field} of message ${type} is malformed.`;
+    return Err({code: 'malformed', message});
+  }
   return Ok({type, body} as Message);
 }
 
--- a/packages/wire/src/member-codec.ts
+++ b/packages/wire/src/member-codec.ts
@@ -1,5 +1,7 @@
 /** Conversion of membership records to packed arrays and back. */
 
+import {isIpAddress, isPort} from '@turmericmill/utils';
+
 import type {
   MemberRecord,
   MemberStatus,
@@ -26,6 +28,9 @@
   'draining',
 ];
 
+/** Maximum number of calls that a server may claim to run at once. */
+export const MAX_SERVER_SLOTS = 100_000;
+
 /**
  * Estimated CBOR size in bytes of the array header and the numbers of each
  * packed array; for a status, of the header of its string too.
@@ -84,12 +89,11 @@
     packed;
   const status = MEMBER_STATUSES[code];
   const servers = unpackServers(packed[8]);
-  const texts = [id, address, dataCentre, region];
+  const texts = [id, dataCentre, region];
   if (!status || !servers) return undefined;
   if (!texts.every(text => typeof text === 'string')) return undefined;
-  if (![incarnation, revision, port].every(Number.isSafeInteger)) {
-    return undefined;
-  }
+  if (!isIpAddress(address) || !isPort(port)) return undefined;
+  if (![incarnation, revision].every(Number.isSafeInteger)) return undefined;
   return {
     id,
     incarnation,
@@ -142,15 +146,10 @@
   ];
 }
 
+/** Skips malformed servers: the member and its other servers are valid. */
 function unpackServers(packed: unknown): ServerRecord[] | undefined {
   if (!Array.isArray(packed)) return undefined;
-  const servers: ServerRecord[] = [];
-  for (const entry of packed as PackedServer[]) {
-    const server = unpackServer(entry);
-    if (!server) return undefined;
-    servers.push(server);
-  }
-  return servers;
+  return (packed as PackedServer[]).flatMap(entry => unpackServer(entry) ?? []);
 }
 
 function unpackServer(packed: PackedServer): ServerRecord | undefined {
@@ -163,5 +162,6 @@
   }
   const numbers = [incarnation, slots, connections, readySinceMs];
   if (!numbers.every(Number.isFinite)) return undefined;
+  if (slots < 0 || slots > MAX_SERVER_SLOTS) return undefined;
   return {id, group, incarnation, state, slots, connections, readySinceMs};
 }
--- a/packages/wire/tests/frame.test.ts
+++ b/packages/wire/tests/frame.test.ts
@@ -1,3 +1,4 @@
+import {SeededRandom} from '@turmericmill/utils';
 import {expect} from 'chai';
 
 import {
@@ -108,6 +109,64 @@
     });
   }
 
+  const {body} = START;
+  const malformed: {name: string; type: string; body: object}[] = [
+    {name: 'no fields', type: 'answerStart', body: {}},
+    {name: 'a list for a body', type: 'answerStart', body: []},
+    {name: 'no chunk', type: 'answerData', body: {...body, trailers: []}},
+    {
+      name: 'a header without a value',
+      type: 'answerStart',
+      body: {...body, headers: ['a']},
+    },
+    {
+      name: 'a header that is a number',
+      type: 'answerStart',
+      body: {...body, headers: ['a', 1]},
+    },
+    {
+      name: 'a load without a limit',
+      type: 'answerStart',
+      body: {...body, load: {inFlight: 1, queued: 0}},
+    },
+    {
+      name: 'a number that is too large',
+      type: 'answerStart',
+      body: {...body, callId: 1e300},
+    },
+    {name: 'a name that is a list', type: 'probe', body: {seq: 1, from: []}},
+    {
+      name: 'a node id that is a number',
+      type: 'hello',
+      body: {minVersion: 1, maxVersion: 1, nodeId: 7},
+    },
+  ];
+  for (const {name, type, body: odd} of malformed) {
+    it(`refuses a message with ${name}`, () => {
+      const payload = encodeMessage({type, body: odd} as never);
+      expect(decodeMessage(payload).unwrapErr().code).to.equal('malformed');
+    });
+  }
+
+  it('refuses a payload that is very deeply nested', () => {
+    const payload = Buffer.alloc(1_000_000, 0x81);
+    expect(decodeMessage(payload).unwrapErr().code).to.equal('malformed');
+  });
+
+  it('decodes or refuses random changes of a message', () => {
+    const random = new SeededRandom(1);
+    const payload = encodeMessage(START);
+    for (let i = 0; i < 5_000; i++) {
+      const changed = Buffer.from(payload);
+      const position = Math.floor(random.next() * changed.length);
+      changed[position] = Math.floor(random.next() * 256);
+      const decoded = decodeMessage(changed);
+      if (decoded.isOk() && decoded.value.type === 'answerStart') {
+        expect(decoded.value.body.headers.length % 2).to.equal(0);
+      }
+    }
+  });
+
   it('refuses a frame over the limit when only its length has arrived', () => {
     const length = Buffer.alloc(4);
     length.writeUInt32BE(MAX_FRAME_BYTES + 1);
