sidecar, node: skip seed entries that name no endpoint

Cause: an entry of another writer in the list of nodes with a port out of range or of 0 was taken for a seed. The first datagram to it threw, the process ended, and it ended again at each start, as the entry stays in the store. A name for an address led to a lookup.

Change: a seed needs an IP address and a port; whatever cannot be parsed is skipped.

--- a/packages/node/src/tasks/seed-stream.ts
+++ b/packages/node/src/tasks/seed-stream.ts
@@ -5,7 +5,12 @@
 
 import type {Endpoint} from '@turmericmill/membership';
 import type {LogClient, LogRecord} from '@turmericmill/platform';
-import type {Clock, RandomSource} from '@turmericmill/utils';
+import {
+  isIpAddress,
+  isPort,
+  type Clock,
+  type RandomSource,
+} from '@turmericmill/utils';
 import type Logger from 'bunyan';
 
 import {SeedDirectory} from './seed-directory.js';
@@ -121,7 +126,7 @@
 export function parseEndpoint(text: string): Endpoint | undefined {
   const colon = text.lastIndexOf(':');
   const port = Number(text.slice(colon + 1));
-  if (colon <= 0 || !Number.isInteger(port) || port < 1) return undefined;
+  if (colon <= 0 || !isPort(port)) return undefined;
   const address = text.slice(0, colon).replace(/^\[|\]$/g, '');
   return {address, port};
 }
@@ -134,7 +139,6 @@
     return undefined;
   }
   const {address, port, atMs} = (value ?? {}) as Partial<SeedRecord>;
-  if (typeof address !== 'string' || !Number.isInteger(port)) return undefined;
-  if (typeof atMs !== 'number') return undefined;
-  return {address, port: port as number, atMs};
+  if (!isIpAddress(address) || !isPort(port)) return undefined;
+  return typeof atMs === 'number' ? {address, port, atMs} : undefined;
 }
--- a/packages/sidecar/src/tasks/store-seeds.ts
+++ b/packages/sidecar/src/tasks/store-seeds.ts
@@ -3,7 +3,12 @@
 import type {Endpoint} from '@turmericmill/membership';
 import {SeedDirectory} from '@turmericmill/node';
 import type {KeyedRecord, Store} from '@turmericmill/platform-adapter';
-import {sleep, type RandomSource} from '@turmericmill/utils';
+import {
+  isIpAddress,
+  isPort,
+  sleep,
+  type RandomSource,
+} from '@turmericmill/utils';
 import type Logger from 'bunyan';
 
 const NODES_TOPIC = 'keyed.nodes';
@@ -88,11 +93,10 @@
   let entry: unknown;
   try {
     entry = JSON.parse(Buffer.from(value).toString());
-  } catch (err) {
-    if (err instanceof SyntaxError) return undefined;
-    throw err;
+  } catch {
+    // Whatever the parser cannot read is no endpoint.
+    return undefined;
   }
   const {address, port} = (entry ?? {}) as Partial<Endpoint>;
-  if (typeof address !== 'string' || !Number.isInteger(port)) return undefined;
-  return {address, port: port as number};
+  return isIpAddress(address) && isPort(port) ? {address, port} : undefined;
 }
