node: end a message that cannot be handled at its connection

Cause: an exception in the handler of a message or datagram of a peer ended the process with all its calls. So did an answer to a datagram from port 0.

Change: the transport logs the exception and closes the connection that brought the message, or drops the datagram. It sends no datagram to what is no port.

--- a/packages/node/src/transport/transport-task.ts
+++ b/packages/node/src/transport/transport-task.ts
@@ -1,10 +1,14 @@
 /** Owns the node's TCP and UDP sockets for traffic with other nodes. */
 
-import {createSocket, type Socket as UdpSocket} from 'node:dgram';
+import {
+  createSocket,
+  type RemoteInfo,
+  type Socket as UdpSocket,
+} from 'node:dgram';
 import {connect, createServer, type AddressInfo, type Socket} from 'node:net';
 
 import {AcceptLimiter} from '@turmericmill/membership';
-import type {Clock} from '@turmericmill/utils';
+import {isPort, type Clock} from '@turmericmill/utils';
 import {
   decodeMessage,
   encodeFrame,
@@ -121,19 +125,7 @@
     });
     this.udp.on('error', err => this.logger.warn({err}, 'UDP socket error'));
     this.udp.on('message', (payload, from) => {
-      const message = decodeMessage(payload);
-      if (message.isErr()) {
-        this.logger.warn(
-          {from, err: message.error},
-          'malformed datagram dropped',
-        );
-        return;
-      }
-      this.bus.publish('datagram', {
-        address: from.address,
-        port: from.port,
-        message: message.value,
-      });
+      this.receiveDatagram(payload, from);
     });
     // Immediates run after socket reads, so data that has already arrived is
     // handled before the heartbeat is checked.
@@ -142,6 +134,24 @@
     }, HEARTBEAT_INTERVAL_MS);
   }
 
+  private receiveDatagram(payload: Buffer, from: RemoteInfo): void {
+    const message = decodeMessage(payload);
+    if (message.isErr()) {
+      this.logger.warn(
+        {from, err: message.error},
+        'malformed datagram dropped',
+      );
+      return;
+    }
+    const {address, port} = from;
+    try {
+      this.bus.publish('datagram', {address, port, message: message.value});
+    } catch (err) {
+      const {type} = message.value;
+      this.logger.error({from, type, err}, 'datagram could not be handled');
+    }
+  }
+
   /** Sends a goodbye and all queued data, at the latest until `deadlineMs`. */
   override stop(
     deadlineMs = this.clock.now() + DEFAULT_FLUSH_MS,
@@ -196,7 +206,16 @@
 
   message(connection: PeerConnection, message: Message): void {
     if (message.type === 'pong') this.notifyOtherConnections(connection);
-    if (connection.peer) this.bus.publishPeerMessage(connection.peer, message);
+    const {peer} = connection;
+    if (!peer) return;
+    try {
+      this.bus.publishPeerMessage(peer, message);
+    } catch (err) {
+      // An error in one message must not end the other connections.
+      const {type} = message;
+      this.logger.error({peer, type, err}, 'message could not be handled');
+      connection.close('malformed', `A ${type} message could not be handled.`);
+    }
   }
 
   closed(connection: PeerConnection, reason: string, end: ConnectionEnd): void {
@@ -333,6 +352,8 @@
   }
 
   private sendDatagram(address: string, port: number, message: Message): void {
+    // The source of a datagram may be port 0, to which none can be sent.
+    if (!isPort(port)) return;
     const payload = encodeMessage(message);
     this.counts.messagesOut += 1;
     this.counts.controlBytesOut += payload.length;
--- a/packages/node/tests/transport/transport-task.test.ts
+++ b/packages/node/tests/transport/transport-task.test.ts
@@ -158,6 +158,69 @@
     expect(await lost).to.deep.equal({nodeId: 'two', opened: false});
   });
 
+  it('closes the connection of a message that cannot be handled', async () => {
+    two.bus.onPeerMessage('configFetch', () => {
+      throw new Error('a fault of a handler');
+    });
+    const received = two.waitForMessage();
+    one.bus.publish('view-changed', {members: [two.recordAs('two')]});
+    one.bus.publish('send-peer', {nodeId: 'two', message: HAVE});
+    await received;
+    const lost = one.waitForLost();
+    const message = {type: 'configFetch', body: {have: 1}} as const;
+    one.bus.publish('send-peer', {nodeId: 'two', message});
+    expect(await lost).to.include({nodeId: 'two', opened: true});
+    const receivedAgain = two.waitForMessage();
+    one.bus.publish('send-peer', {nodeId: 'two', message: HAVE});
+    expect(await receivedAgain).to.equal('one');
+  });
+
+  const malformed: {name: string; message: unknown}[] = [
+    {name: 'without fields', message: {type: 'callStart', body: {}}},
+    {name: 'with an odd body', message: {type: 'claimReply', body: [1]}},
+    {name: 'with an odd sender', message: {type: 'memberSync', body: {}}},
+  ];
+  for (const {name, message} of malformed) {
+    it(`closes only the connection of a malformed message, ${name}`, async () => {
+      const received = two.waitForMessage();
+      one.bus.publish('view-changed', {members: [two.recordAs('two')]});
+      one.bus.publish('send-peer', {nodeId: 'two', message: HAVE});
+      await received;
+      const lost = one.waitForLost();
+      one.bus.publish('send-peer', {nodeId: 'two', message: message as never});
+      expect(await lost).to.include({nodeId: 'two', opened: true});
+      const receivedAgain = two.waitForMessage();
+      one.bus.publish('send-peer', {nodeId: 'two', message: HAVE});
+      expect(await receivedAgain).to.equal('one');
+    });
+  }
+
+  for (const port of [0, -1, 70_000, 1e300, NaN]) {
+    it(`sends no datagram to port ${port}`, () => {
+      const message = {type: 'ping', body: {nonce: 1}} as const;
+      const address = '127.0.0.1';
+      one.bus.publish('send-datagram', {address, port, message});
+      expect(one.transport.counts.messagesOut).to.equal(0);
+    });
+  }
+
+  it('goes on after a datagram that cannot be handled', async () => {
+    let received = 0;
+    const handled = new Promise<void>(resolve => {
+      two.bus.subscribe('datagram', () => {
+        received += 1;
+        if (received > 1) resolve();
+        else throw new Error('a fault of a handler');
+      });
+    });
+    const {port} = two.transport;
+    const message = {type: 'ping', body: {nonce: 1}} as const;
+    const datagram = {address: '127.0.0.1', port, message};
+    one.bus.publish('send-datagram', datagram);
+    one.bus.publish('send-datagram', datagram);
+    await handled;
+  });
+
   it('drops a message for another incarnation', async () => {
     const received = two.waitForMessage();
     one.bus.publish('view-changed', {members: [two.recordAs('two')]});
