--- a/packages/node/src/transport/transport-task.ts
+++ b/packages/node/src/transport/transport-task.ts
@@ -1,18 +1,11 @@
 /** Owns the node's TCP and UDP sockets for traffic with other nodes. */
 
-import {
-  createSocket,
-  type RemoteInfo,
-  type Socket as UdpSocket,
-} from 'node:dgram';
 import {connect, createServer, type AddressInfo, type Socket} from 'node:net';
 
 import {AcceptLimiter} from '@turmericmill/membership';
-import {isPort, type Clock} from '@turmericmill/utils';
+import type {Clock} from '@turmericmill/utils';
 import {
-  decodeMessage,
   encodeFrame,
-  encodeMessage,
   type Hello,
   type MemberRecord,
   type Message,
@@ -23,6 +16,7 @@
 import {Task} from '../task.js';
 import {continuesCall} from './connection-activity.js';
 import {ConnectionTable} from './connection-table.js';
+import {DatagramSocket} from './datagram-socket.js';
 import {
   HEARTBEAT_INTERVAL_MS,
   PeerConnection,
@@ -71,7 +65,7 @@
   /** The port in use, once started. */
   port = 0;
   private readonly server = createServer(socket => this.accept(socket));
-  private readonly udp: UdpSocket = createSocket('udp4');
+  private readonly datagrams: DatagramSocket;
   private readonly connections = new ConnectionTable();
   private readonly sockets = new Set<Socket>();
   private readonly connectionByAddress = new Map<string, PeerConnection>();
@@ -89,6 +83,9 @@
     super();
     const {acceptsPerSecond = DEFAULT_ACCEPTS_PER_SECOND} = options;
     const {maxConnections} = options;
+    this.datagrams = new DatagramSocket(this.counts, logger, datagram => {
+      bus.publish('datagram', datagram);
+    });
     if (maxConnections !== undefined) {
       this.server.maxConnections = maxConnections;
     }
@@ -105,7 +102,7 @@
       this.connectTo(address, port).send(message);
     });
     bus.subscribe('send-datagram', ({address, port, message}) => {
-      this.sendDatagram(address, port, message);
+      this.datagrams.send(address, port, message);
     });
     bus.subscribe('view-changed', ({members}) => {
       this.members = new Map(members.map(member => [member.id, member]));
@@ -119,14 +116,7 @@
       this.server.listen(port, address, resolve);
     });
     this.port = (this.server.address() as AddressInfo).port;
-    await new Promise<void>((resolve, reject) => {
-      this.udp.once('error', reject);
-      this.udp.bind(this.port, address, resolve);
-    });
-    this.udp.on('error', err => this.logger.warn({err}, 'UDP socket error'));
-    this.udp.on('message', (payload, from) => {
-      this.receiveDatagram(payload, from);
-    });
+    await this.datagrams.bind(this.port, address);
     // Immediates run after socket reads, so data that has already arrived is
     // handled before the heartbeat is checked.
     this.timer = setInterval(() => {
@@ -134,24 +124,6 @@
     }, HEARTBEAT_INTERVAL_MS);
   }
 
-  private receiveDatagram(payload: Buffer, from: RemoteInfo): void {
-    const message = decodeMessage(payload);
-    if (message.isErr()) {
-      this.logger.warn(
-        {from, err: message.error},
-        'malformed datagram dropped',
-      );
-      return;
-    }
-    const {address, port} = from;
-    try {
-      this.bus.publish('datagram', {address, port, message: message.value});
-    } catch (err) {
-      const {type} = message.value;
-      this.logger.error({from, type, err}, 'datagram could not be handled');
-    }
-  }
-
   /** Sends a goodbye and all queued data, at the latest until `deadlineMs`. */
   override stop(
     deadlineMs = this.clock.now() + DEFAULT_FLUSH_MS,
@@ -170,7 +142,7 @@
     const lingerUntilMs = Math.min(this.clock.now() + LINGER_MS, deadlineMs);
     await this.waitFor(lingerUntilMs, [...this.sockets].map(whenClosed));
     for (const socket of this.sockets) socket.destroy();
-    await new Promise<void>(resolve => this.udp.close(() => resolve()));
+    await this.datagrams.close();
     await closed;
   }
 
@@ -351,15 +323,6 @@
     return connection;
   }
 
-  private sendDatagram(address: string, port: number, message: Message): void {
-    // The source of a datagram may be port 0, to which none can be sent.
-    if (!isPort(port)) return;
-    const payload = encodeMessage(message);
-    this.counts.messagesOut += 1;
-    this.counts.controlBytesOut += payload.length;
-    this.udp.send(payload, port, address);
-  }
-
   private checkHeartbeats(): void {
     const now = this.clock.now();
     for (const connection of this.connections) {
