membership: do not announce unchanged servers again

Cause: each heartbeat of a backend server (every 1.5 s) made its node publish its servers anew, with an end of the warm-up computed from the time of the heartbeat, and each publication is a new revision that gossip carries to all nodes.

Change: the end of a warm-up changes only if reports show another one, and the membership ignores servers that equal those announced.

--- a/packages/membership/src/member-updates.ts
+++ b/packages/membership/src/member-updates.ts
@@ -3,6 +3,8 @@
  * refutes wrong ones about this node itself.
  */
 
+import {isDeepStrictEqual} from 'node:util';
+
 import {
   packMember,
   packStatus,
@@ -78,7 +80,9 @@
     return this.otherEndpoints().length === 0;
   }
 
+  /** Disseminates the servers of this node, if they have changed. */
   setServers(servers: ServerRecord[], nowMs: number): void {
+    if (isDeepStrictEqual(servers, this.own.servers)) return;
     const revision = this.own.revision + 1;
     this.setOwn({...this.own, servers, revision}, nowMs);
   }
--- a/packages/membership/src/reported-server.ts
+++ b/packages/membership/src/reported-server.ts
@@ -43,6 +43,11 @@
  * report are ignored. Reports may be several seconds late.
  */
 const LATE_REPORT_WINDOW_MS = 10_000;
+/**
+ * Difference in ms between two estimates of the end of a warm-up up to which
+ * the first one is kept: reports are delayed by different times.
+ */
+const WARMUP_TOLERANCE_MS = 300;
 /** Maximum sequence number of the first report of a start. */
 const FIRST_SEQUENCE = 1;
 
@@ -124,7 +129,7 @@
     this.server = {
       ...startOf(report),
       state: isLeaving ? 'leaving' : server.state,
-      warmUntilMs: nowMs + report.remainingWarmupMs,
+      warmUntilMs: updatedWarmUntilMs(server, report, nowMs),
     };
     return isLeaving ? 'leaving' : 'updated';
   }
@@ -143,6 +148,21 @@
   }
 }
 
+/**
+ * The end of a server's warm-up after a further report. It does not change with
+ * each report, as each change is sent to all nodes.
+ */
+function updatedWarmUntilMs(
+  {warmUntilMs}: CurrentServer,
+  {remainingWarmupMs}: ServerReport,
+  nowMs: number,
+): number {
+  if (remainingWarmupMs === 0) return Math.min(warmUntilMs, nowMs);
+  const estimateMs = nowMs + remainingWarmupMs;
+  const isSame = Math.abs(estimateMs - warmUntilMs) <= WARMUP_TOLERANCE_MS;
+  return isSame ? warmUntilMs : estimateMs;
+}
+
 function startKey(serverId: string, bornMs: number): string {
   return `${serverId}@${bornMs}`;
 }
--- a/packages/membership/tests/reported-server.test.ts
+++ b/packages/membership/tests/reported-server.test.ts
@@ -125,4 +125,22 @@
     reported.applyReport({...REPORT, remainingWarmupMs: 250}, NOW_MS);
     expect(reported.current?.warmUntilMs).to.equal(NOW_MS + 250);
   });
+
+  const WARMUPS: Record<string, {remainingMs: number[]; changes: number}> = {
+    'of a warm server': {remainingMs: [0, 0, 0], changes: 1},
+    'that goes on as expected': {remainingMs: [3_000, 1_510, 0], changes: 1},
+    'that is over earlier': {remainingMs: [3_000, 0, 0], changes: 2},
+    'that takes longer': {remainingMs: [1_500, 1_500, 0], changes: 2},
+  };
+  for (const [name, {remainingMs, changes}] of Object.entries(WARMUPS)) {
+    it(`changes the end of a warm-up only if it has moved: one ${name}`, () => {
+      const reported = new ReportedServer();
+      const ends = remainingMs.map((ms, index) => {
+        const report = {...REPORT, remainingWarmupMs: ms, sequence: index + 1};
+        reported.applyReport(report, NOW_MS + index * 1_500);
+        return reported.current?.warmUntilMs;
+      });
+      expect(new Set(ends).size).to.equal(changes);
+    });
+  }
 });
--- a/packages/membership/tests/simulated-network.ts
+++ b/packages/membership/tests/simulated-network.ts
@@ -5,6 +5,7 @@
  */
 
 import {ManualClock, SeededRandom} from '@turmericmill/utils';
+import {encodeMessage} from '@turmericmill/wire';
 
 import {
   Membership,
@@ -35,6 +36,17 @@
 /** True when a message from `from` to `to` is lost. */
 export type LossRule = (from: NodeIdentity, to: NodeIdentity) => boolean;
 
+/** Bytes sent since the last reset, headers of IP and UDP included. */
+export interface SentBytes {
+  /** To nodes of the sender's data centre. */
+  local: number;
+  /** To nodes of other data centres. */
+  remote: number;
+}
+
+/** Size in bytes of the headers of IP and UDP. */
+const HEADER_BYTES = 28;
+
 interface Delivery {
   to: SimulatedNode;
   input: MembershipInput;
@@ -44,6 +56,7 @@
   readonly clock = new ManualClock(START_MS);
   readonly random: SeededRandom;
   readonly nodes: SimulatedNode[] = [];
+  sent: SentBytes = {local: 0, remote: 0};
   private readonly byEndpoint = new Map<string, SimulatedNode>();
   private readonly deliveriesByTime = new Map<number, Delivery[]>();
   /** Loss rules in force; a message is lost if any of them applies. */
@@ -164,6 +177,9 @@
   ): void {
     const to = this.byEndpoint.get(keyOf(endpoint));
     if (!to) return;
+    const isLocal = to.identity.dataCentre === from.identity.dataCentre;
+    const bytes = encodeMessage(message).length + HEADER_BYTES;
+    this.sent[isLocal ? 'local' : 'remote'] += bytes;
     for (const isLost of this.losses) {
       if (isLost(from.identity, to.identity)) return;
     }
