membership: send changes to other data centres only from their origin

Cause: each node that learned of a change pushed it to six random members of the region and piggybacked it on probes to all, so that each change crossed between data centres several times for each node.

Pushes to fewer members: each update then misses more nodes.

Change: a node pushes what it learns within its data centre. Records found by anti-entropy are pushed locally, digests go to local members three times in four, and a node announces itself when it has joined and 1.5 s later. As fewer copies of a refutation travel, it goes straight to the sender of the suspicion, nodes that heard of a suspicion probe the member before they declare it dead, and an ack to a probe with a wrong status brings the member's record.

--- a/packages/membership/src/anti-entropy.ts
+++ b/packages/membership/src/anti-entropy.ts
@@ -31,6 +31,15 @@
 /** Mean time in ms between digests until the initial view has arrived. */
 const JOINING_PERIOD_MS = 1_000;
 
+/**
+ * Share of the digests that go to members of the same data centre. The others
+ * bring in what the pushes between data centres have lost.
+ */
+const LOCAL_DIGEST_SHARE = 0.75;
+
+/** Time in ms from joining to the second announcement of a node. */
+const SECOND_ANNOUNCEMENT_MS = 1_500;
+
 /** Rate and burst of views sent to peers. A view may be 300 KB. */
 const SYNCS_PER_SECOND = 4;
 const SYNC_BURST = 4;
@@ -45,6 +54,8 @@
   private nextDigestAtMs: number;
   private readonly bucket: TokenBucket;
   private joining = true;
+  /** Time in ms at which this node announces itself for the second time. */
+  private announceAtMs = Infinity;
 
   constructor(
     private readonly updates: MemberUpdates,
@@ -63,13 +74,24 @@
   }
 
   tick(nowMs: number, random: RandomSource): MembershipEffect[] {
+    if (nowMs >= this.announceAtMs) {
+      this.announceAtMs = Infinity;
+      this.updates.announceOwn();
+    }
     if (nowMs < this.nextDigestAtMs) return [];
     const periodMs = this.joining ? JOINING_PERIOD_MS : DIGEST_PERIOD_MS;
     this.nextDigestAtMs = nowMs + (0.5 + random.next()) * periodMs;
-    const peer = random.pick(this.updates.otherEndpoints());
+    const peer = this.pickPeer(random);
     return peer ? [this.sendDigest(peer)] : [];
   }
 
+  /** Returns a member, as a rule one of this node's data centre. */
+  private pickPeer(random: RandomSource): Endpoint | undefined {
+    const local = this.updates.localEndpoints();
+    const isLocal = local.length > 0 && random.next() < LOCAL_DIGEST_SHARE;
+    return random.pick(isLocal ? local : this.updates.otherEndpoints());
+  }
+
   /** Sends the digest of this node's view. */
   sendDigest(to: Endpoint): MembershipEffect {
     const body: MemberDigest = {
@@ -113,7 +135,7 @@
   ): MembershipEffect[] {
     const sender = unpackMember(sync.sender);
     if (!sender) return [];
-    const propagation = this.joining ? 'none' : 'piggyback';
+    const propagation = this.joining ? 'none' : 'relay';
     let newCount = 0;
     for (const packed of [sync.sender, ...sync.members]) {
       const record = unpackMember(packed);
@@ -126,7 +148,9 @@
       if (isNew) newCount += 1;
     }
     if (newCount > 0) this.scheduleEarlyDigest(nowMs, random);
-    if (sender.region === this.updates.ownRecord.region) this.joining = false;
+    if (sender.region === this.updates.ownRecord.region) {
+      this.completeJoin(nowMs);
+    }
     if (sync.reply) return [];
     const members = this.packBuckets(this.findDiffering(sync.buckets));
     if (members.length === 0) return [];
@@ -136,6 +160,17 @@
     ];
   }
 
+  /**
+   * Announces this node once it knows members to send its record to, and again
+   * later, as other nodes may be joining at the same time.
+   */
+  private completeJoin(nowMs: number): void {
+    if (!this.joining) return;
+    this.joining = false;
+    this.updates.announceOwn();
+    this.announceAtMs = nowMs + SECOND_ANNOUNCEMENT_MS;
+  }
+
   private ownBuckets(): Uint8Array {
     return digestOf(this.updates.table.all());
   }
--- a/packages/membership/src/member-updates.ts
+++ b/packages/membership/src/member-updates.ts
@@ -11,10 +11,11 @@
   type MemberRecord,
   type MemberStatus,
   type MemberUpdate,
+  type PackedUpdate,
   type ServerRecord,
 } from '@turmericmill/wire';
 
-import type {Dissemination} from './dissemination.js';
+import type {Dissemination, MembersByDataCentre} from './dissemination.js';
 import type {LocalHealth} from './local-health.js';
 import {MemberRing} from './member-ring.js';
 import {isPresent, MemberTable, type MergeOutcome} from './member-table.js';
@@ -26,11 +27,13 @@
 import {Suspicions} from './suspicions.js';
 
 /**
- * How updates are disseminated: pushed at once and piggybacked, piggybacked
- * only, or not at all. A joining node uses `none` for the view it received, as
- * the other members have it already.
+ * How updates are disseminated. `announce`: pushed at once in all data centres
+ * and piggybacked, for updates that this node creates. `relay`: the same within
+ * its own data centre, for updates that it receives. `piggyback`: piggybacked
+ * only. `none`: not at all. A joining node uses `none` for the view it
+ * received, as the other members have it already.
  */
-export type PropagationMode = 'immediate' | 'piggyback' | 'none';
+export type PropagationMode = 'announce' | 'relay' | 'piggyback' | 'none';
 
 export class MemberUpdates {
   readonly table = new MemberTable();
@@ -39,6 +42,7 @@
   private isRingStale = true;
   private areEndpointsStale = true;
   private cachedEndpoints: Endpoint[] = [];
+  private readonly cachedByDataCentre = new Map<string, Endpoint[]>();
   private own: MemberRecord;
   /** Set by each change of the table; reset by the owner once reported. */
   viewChanged = false;
@@ -68,14 +72,35 @@
 
   /** Endpoints of the other members that are alive or suspected. */
   otherEndpoints(): readonly Endpoint[] {
-    if (this.areEndpointsStale) {
-      this.areEndpointsStale = false;
-      const present = [...this.table.present()].map(entry => entry.record);
-      this.cachedEndpoints = present.filter(({id}) => id !== this.own.id);
-    }
+    this.refreshEndpoints();
     return this.cachedEndpoints;
   }
 
+  /** The same by data centre. */
+  otherEndpointsByDataCentre(): MembersByDataCentre {
+    this.refreshEndpoints();
+    return this.cachedByDataCentre;
+  }
+
+  /** The same within the data centre of this node. */
+  localEndpoints(): readonly Endpoint[] {
+    return this.otherEndpointsByDataCentre().get(this.own.dataCentre) ?? [];
+  }
+
+  private refreshEndpoints(): void {
+    if (!this.areEndpointsStale) return;
+    this.areEndpointsStale = false;
+    this.cachedEndpoints = [];
+    this.cachedByDataCentre.clear();
+    for (const {record} of this.table.present()) {
+      if (record.id === this.own.id) continue;
+      this.cachedEndpoints.push(record);
+      const endpoints = this.cachedByDataCentre.get(record.dataCentre);
+      if (endpoints) endpoints.push(record);
+      else this.cachedByDataCentre.set(record.dataCentre, [record]);
+    }
+  }
+
   get isAlone(): boolean {
     return this.otherEndpoints().length === 0;
   }
@@ -95,13 +120,13 @@
   apply(
     update: MemberUpdate,
     nowMs: number,
-    propagation: PropagationMode = 'immediate',
+    propagation: PropagationMode = 'relay',
   ): boolean {
     if (update.type === 'record') {
       return this.applyRecord(update.record, nowMs, propagation);
     }
     const {id, incarnation, status} = update;
-    return this.applyStatus(id, incarnation, status, nowMs);
+    return this.applyStatus(id, incarnation, status, nowMs, propagation);
   }
 
   /** Merges a status that this node determined itself or received. */
@@ -110,16 +135,22 @@
     incarnation: number,
     status: MemberStatus,
     nowMs: number,
+    propagation: PropagationMode,
   ): boolean {
     if (id === this.own.id) {
       this.refute(incarnation, status, nowMs);
       return false;
     }
     const outcome = this.table.mergeStatus(id, incarnation, status, nowMs);
-    if (outcome) this.handleMerged(outcome, nowMs);
+    if (outcome) this.handleMerged(outcome, nowMs, propagation);
     return outcome !== undefined;
   }
 
+  /** Disseminates this node's own record to members that may not have it. */
+  announceOwn(): void {
+    this.disseminate(packMember(this.own), 'announce');
+  }
+
   /**
    * Suspects a member that did not acknowledge a probe by this node, and gives
    * it `rttMs` more to refute. Returns false if the member is not alive.
@@ -131,7 +162,7 @@
     const {timeoutFactor} = this.health;
     const fromMs = nowMs + rttMs;
     this.suspicions.start(id, incarnation, 'own-probe', timeoutFactor, fromMs);
-    return this.applyStatus(id, incarnation, 'suspect', nowMs);
+    return this.applyStatus(id, incarnation, 'suspect', nowMs, 'announce');
   }
 
   /**
@@ -175,7 +206,7 @@
   ): void {
     if (!isPresent(a.status) || !isPresent(b.status)) return;
     const older = a.incarnation < b.incarnation ? a : b;
-    this.applyStatus(older.id, older.incarnation, 'dead', nowMs);
+    this.applyStatus(older.id, older.incarnation, 'dead', nowMs, 'relay');
   }
 
   private applyOwnRecord(record: MemberRecord, nowMs: number): void {
@@ -208,13 +239,13 @@
   private setOwn(record: MemberRecord, nowMs: number): void {
     this.own = record;
     const outcome = this.table.mergeRecord(record, nowMs);
-    if (outcome) this.handleMerged(outcome, nowMs);
+    if (outcome) this.handleMerged(outcome, nowMs, 'announce');
   }
 
   private handleMerged(
     outcome: MergeOutcome,
     nowMs: number,
-    propagation: PropagationMode = 'immediate',
+    propagation: PropagationMode,
   ): void {
     const {record, penalty} = outcome.entry;
     this.updateSuspicion(record, outcome.previousStatus, nowMs);
@@ -222,8 +253,16 @@
     if (propagation === 'none') return;
     const needsRecord = outcome.detailsChanged || record.status === 'alive';
     const update = needsRecord ? packMember(record) : packStatus(record);
-    const urgent = propagation === 'immediate' && !penalty.isDamped(nowMs);
-    this.dissemination.publish(update, urgent);
+    this.disseminate(update, propagation, penalty.isDamped(nowMs));
+  }
+
+  private disseminate(
+    update: PackedUpdate,
+    propagation: PropagationMode,
+    damped = false,
+  ): void {
+    const urgent = propagation !== 'piggyback' && !damped;
+    this.dissemination.publish(update, urgent, propagation === 'announce');
   }
 
   private updateSuspicion(
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -6,7 +6,9 @@
 
 import type {RandomSource} from '@turmericmill/utils';
 import {
+  packMember,
   unpackUpdate,
+  type MemberGossip,
   type MemberRecord,
   type PackedUpdate,
   type RegionSummary,
@@ -64,7 +66,7 @@
     nowMs: number,
     random: RandomSource,
   ) {
-    this.dissemination = new Dissemination(identity.id, nowMs);
+    this.dissemination = new Dissemination(identity, nowMs);
     this.updates = new MemberUpdates(
       identity,
       this.dissemination,
@@ -153,8 +155,8 @@
   ): MembershipEffect[] {
     const effects: MembershipEffect[] = [];
     if (this.dissemination.isFlushDue(nowMs)) {
-      const candidates = this.updates.otherEndpoints();
-      effects.push(...this.dissemination.flush(nowMs, random, candidates));
+      const members = this.updates.otherEndpointsByDataCentre();
+      effects.push(...this.dissemination.flush(nowMs, random, members));
     }
     if (this.updates.viewChanged) {
       this.updates.viewChanged = false;
@@ -173,7 +175,10 @@
     if (this.own.status === 'left') return [];
     this.detectPause(nowMs);
     this.declareExpiredSuspectsDead(nowMs);
-    const effects = this.probes.tick(nowMs, random);
+    const effects = this.updates.suspicions
+      .takeVerificationsDue(nowMs)
+      .flatMap(id => this.probes.verify(id));
+    effects.push(...this.probes.tick(nowMs, random));
     effects.push(...this.antiEntropy.tick(nowMs, random));
     effects.push(...this.regionExchange.tick(nowMs, random, this.own));
     effects.push(...this.contactSeeds(nowMs, random));
@@ -197,8 +202,9 @@
     const {suspicions} = this.updates;
     if (suspicions.size === 0) return;
     if (this.health.isIsolated(nowMs)) suspicions.postponeDue(nowMs);
-    for (const {id, incarnation} of suspicions.takeExpired(nowMs)) {
-      if (this.updates.applyStatus(id, incarnation, 'dead', nowMs)) {
+    for (const {id, incarnation, source} of suspicions.takeExpired(nowMs)) {
+      const mode = source === 'own-probe' ? 'announce' : 'relay';
+      if (this.updates.applyStatus(id, incarnation, 'dead', nowMs, mode)) {
         this.counters.condemned += 1;
       }
     }
@@ -259,8 +265,10 @@
         this.applyUpdates(message.body.from, message.body.updates, nowMs);
         return this.probes.onProbeAck(message.body, nowMs);
       case 'memberGossip':
-        this.applyUpdates(message.body.from, message.body.updates, nowMs);
-        return this.onSummaries(message.body.regions, random);
+        return [
+          ...this.onGossip(message.body, from, nowMs),
+          ...this.onSummaries(message.body.regions, random),
+        ];
       case 'memberDigest':
         return this.antiEntropy.onDigest(message.body, nowMs, random);
       case 'memberSync':
@@ -271,6 +279,23 @@
     }
   }
 
+  /**
+   * Merges the updates of a push. A refutation goes to the sender at once: it
+   * may be the node that will declare this one dead.
+   */
+  private onGossip(
+    {from: sender, updates}: MemberGossip,
+    from: Endpoint,
+    nowMs: number,
+  ): MembershipEffect[] {
+    const {incarnation} = this.own;
+    this.applyUpdates(sender, updates, nowMs);
+    if (this.own.incarnation === incarnation) return [];
+    const body = {from: this.own.id, updates: [packMember(this.own)]};
+    const message = {type: 'memberGossip', body} as const;
+    return [{type: 'send-datagram', to: from, message}];
+  }
+
   private onSummaries(
     summaries: readonly RegionSummary[] | undefined,
     random: RandomSource,
--- a/packages/membership/src/probe-exchange.ts
+++ b/packages/membership/src/probe-exchange.ts
@@ -50,6 +50,15 @@
     return actions.flatMap(action => this.performAction(action, nowMs, random));
   }
 
+  /**
+   * Probes a member that others suspect. Its ack brings the refutation; if there
+   * is none, the suspicion stands.
+   */
+  verify(id: string): MembershipEffect[] {
+    const target = this.updates.table.get(id)?.record;
+    return target ? [this.probe(this.prober.allocateSeq(), target)] : [];
+  }
+
   /** Drops pending probes and RTTs after a pause of this process. */
   reset(): void {
     this.prober.reset();
@@ -59,7 +68,16 @@
     const {id} = this.updates.ownRecord;
     if (probe.to !== hash32(id)) return [];
     const sender = this.updates.table.get(probe.from)?.record;
-    const body = {seq: probe.seq, from: id, ...this.piggyback(sender)};
+    const {updates = []} = this.piggyback(sender);
+    if (isAbout(id, probe.updates) && !isAbout(id, updates)) {
+      // The prober may have missed the refutation of what it sent.
+      updates.push(packMember(this.updates.ownRecord));
+    }
+    const body = {
+      seq: probe.seq,
+      from: id,
+      ...(updates.length > 0 && {updates}),
+    };
     return [datagram(from, {type: 'probeAck', body})];
   }
 
@@ -181,8 +199,9 @@
    * have to refute, comes first.
    */
   private piggyback(target?: MemberRecord): {updates?: PackedUpdate[]} {
-    const memberCount = this.updates.otherEndpoints().length + 1;
-    const updates = this.dissemination.piggyback(memberCount);
+    const memberCount = this.updates.localEndpoints().length + 1;
+    const dataCentre = target?.dataCentre ?? '';
+    const updates = this.dissemination.piggyback(dataCentre, memberCount);
     if (target && target.status !== 'alive') {
       updates.unshift(packStatus(target));
       if (target.status !== 'suspect') {
@@ -193,6 +212,11 @@
   }
 }
 
+/** True if one of the updates is about the member. */
+function isAbout(id: string, updates: readonly PackedUpdate[] = []): boolean {
+  return updates.some(update => Array.isArray(update) && update[0] === id);
+}
+
 function datagram(to: Endpoint, message: DatagramMessage): MembershipEffect {
   const {address, port} = to;
   return {type: 'send-datagram', to: {address, port}, message};
--- a/packages/membership/src/suspicions.ts
+++ b/packages/membership/src/suspicions.ts
@@ -10,17 +10,33 @@
  */
 const GOSSIPED_SUSPICION_TIMEOUT_MS = 2_500;
 
+/**
+ * Time in ms after which a node that received a suspicion by gossip probes the
+ * member itself: it may have missed the refutation. The node that raised the
+ * suspicion has declared the member dead by then, if it was right.
+ */
+const VERIFICATION_DELAY_MS = 1_500;
+
 /** Time in ms by which deadlines are postponed while this node is isolated. */
 const POSTPONE_STEP_MS = 500;
 
 interface Suspicion {
   incarnation: number;
   deadlineMs: number;
+  /** Time in ms at which this node probes the member itself. */
+  verifyAtMs: number;
   source: SuspicionSource;
 }
 
 export type SuspicionSource = 'own-probe' | 'gossip';
 
+/** A suspicion that was not refuted in time. */
+export interface ExpiredSuspicion {
+  id: string;
+  incarnation: number;
+  source: SuspicionSource;
+}
+
 export class Suspicions {
   private readonly byId = new Map<string, Suspicion>();
 
@@ -49,7 +65,9 @@
     const existing = this.byId.get(id);
     const isSame = existing?.incarnation === incarnation;
     if (existing && isSame && existing.deadlineMs <= deadlineMs) return;
-    this.byId.set(id, {incarnation, deadlineMs, source});
+    const verifyAtMs =
+      source === 'gossip' ? nowMs + VERIFICATION_DELAY_MS : Infinity;
+    this.byId.set(id, {incarnation, deadlineMs, verifyAtMs, source});
   }
 
   /**
@@ -80,13 +98,24 @@
     }
   }
 
+  /** Returns the members that this node has to probe itself, once each. */
+  takeVerificationsDue(nowMs: number): string[] {
+    const due: string[] = [];
+    for (const [id, suspicion] of this.byId) {
+      if (suspicion.verifyAtMs > nowMs) continue;
+      suspicion.verifyAtMs = Infinity;
+      due.push(id);
+    }
+    return due;
+  }
+
   /** Removes and returns the suspicions that were not refuted in time. */
-  takeExpired(nowMs: number): {id: string; incarnation: number}[] {
-    const expired: {id: string; incarnation: number}[] = [];
-    for (const [id, {incarnation, deadlineMs}] of this.byId) {
+  takeExpired(nowMs: number): ExpiredSuspicion[] {
+    const expired: ExpiredSuspicion[] = [];
+    for (const [id, {incarnation, deadlineMs, source}] of this.byId) {
       if (deadlineMs > nowMs) continue;
       this.byId.delete(id);
-      expired.push({id, incarnation});
+      expired.push({id, incarnation, source});
     }
     return expired;
   }
--- a/packages/membership/src/update-queue.ts
+++ b/packages/membership/src/update-queue.ts
@@ -34,6 +34,10 @@
     });
   }
 
+  remove(id: string): void {
+    this.queued.delete(id);
+  }
+
   /** Returns updates that fit into one datagram and counts them as sent. */
   nextBatch(memberCount: number, maxBytes = MAX_UPDATES_BYTES): PackedUpdate[] {
     if (this.queued.size === 0) return [];
