testkit: let the stand-in for endless answers echo request ids

Since an answer without an id on a reused connection ends as unknown. The stand-in of endless-answers.test did not echo the id, as the platform's servers do, so that the test saw 502 for its whole answers. The check is the same.

--- a/packages/testkit/tests/platform/endless-answers.test.ts
+++ b/packages/testkit/tests/platform/endless-answers.test.ts
@@ -17,7 +17,7 @@
 const ROUNDS = 5;
 const SEAL = 'X-Turmericmill-Response-Seal: s';
 const CHUNKED = `HTTP/1.1 200 OK\r\n${SEAL}\r\nTransfer-Encoding: chunked\r\n\r\n`;
-const WHOLE = `HTTP/1.1 200 OK\r\n${SEAL}\r\nContent-Length: 5\r\n\r\nwhole`;
+const ID = 'X-Turmericmill-Request-Id';
 
 /** Endless answers: a prefix that is sent once, and a block that repeats. */
 const ENDLESS: readonly (readonly [prefix: string, block: string])[] = [
@@ -31,12 +31,19 @@
   ['', 'HTTP/1.1 103 Early Hints\r\n\r\n'.repeat(2_000)],
 ];
 
+/** Answers a request with its id, as servers do. */
+function wholeAnswer(request: string): string {
+  const [, id = ''] = new RegExp(`^${ID}: (.*)\r$`, 'im').exec(request) ?? [];
+  return `HTTP/1.1 200 OK\r\n${SEAL}\r\n${ID}: ${id}\r\nContent-Length: 5\r\n\r\nwhole`;
+}
+
 /** Sends a complete answer for `/d/whole`, the Nth endless one for `/d/N`. */
 function handleConnection(socket: Socket): void {
   socket.on('error', () => socket.destroy());
   socket.on('data', chunk => {
-    const [, name] = /^GET \/d\/(\w+) /.exec(chunk.toString('latin1')) ?? [];
-    if (name === 'whole') socket.write(WHOLE);
+    const text = chunk.toString('latin1');
+    const [, name] = /^GET \/d\/(\w+) /.exec(text) ?? [];
+    if (name === 'whole') socket.write(wholeAnswer(text));
     const [prefix, block] = ENDLESS[Number(name) % ENDLESS.length] ?? [];
     if (prefix === undefined || block === undefined) return;
     socket.write(prefix);
@@ -73,7 +80,7 @@
       handleConnection(socket);
     });
     await new Promise<void>(resolve => server.listen(8147, ip, resolve));
-    const path = join(folder, 'settings.yaml');
+    const path = join(folder, 'settings.json');
     writeFileSync(path, settings(ip, await store.listen()));
     node = launch(path);
     const app = new AppServer({
