platform: read settings as JSON from a template of our own

Cause: the settings file was YAML in the platform's names. A host has 0.27 of a core: each 100 ms is 0.4 s later after a restart.

Stand-ins build their settings in one place.

--- a/packages/testkit/src/bench/start-bench.ts
+++ b/packages/testkit/src/bench/start-bench.ts
@@ -9,13 +9,17 @@
 
 import {cpuTimeMs, residentBytes} from '../launch/cpu-time.js';
 import {waitUntil} from '../mesh/wait-until.js';
+import {
+  createSettings,
+  formatSettings,
+  PORTS,
+} from '../platform/host-settings.js';
 import {StoreServer} from '../platform/store-server.js';
 import {Bench, numberOption, type BenchOptions} from './bench.js';
 
 const ROOT = new URL('../../../../../', import.meta.url);
 const BUNDLE = fileURLToPath(new URL('target/turmericmill.mjs', ROOT));
 const ADDRESS = '127.0.77.1';
-const READINESS_PORT = 8140;
 const DEFAULT_STARTS = 5;
 /** Time in ms within which the readiness socket of the node must answer. */
 const START_TIMEOUT_MS = 10_000;
@@ -29,47 +33,11 @@
   residentMib: number;
 }
 
-function settingsText(storePort: number): string {
-  const addressOf = (port: number) => `${ADDRESS}:${port}`;
-  return JSON.stringify({
-    self: {
-      node: 'n-1',
-      ip: ADDRESS,
-      zone: 'a',
-      region: 'r',
-      limits: {cpu_share: 1, memory_mb: 350, link_mbps: 1000},
-      app_address: addressOf(8147),
-      service: 'desk',
-    },
-    network: {
-      listen: {
-        outbound: addressOf(8141),
-        ready: addressOf(READINESS_PORT),
-        control: addressOf(8146),
-      },
-      internal_ports: [7660, 7675],
-    },
-    platform: {
-      heartbeat_interval: '1500ms',
-      platform: {address: `127.0.0.1:${storePort}`},
-    },
-    terms: {
-      bounds: {
-        drain: '2s',
-        grace: '6s',
-        budget_ratio: 0.2,
-        budget_extra_tries: 62,
-        budget_window: '10s',
-      },
-    },
-  });
-}
-
 function isListening(): Promise<boolean> {
   return new Promise(resolve => {
     const options = {
       host: ADDRESS,
-      port: READINESS_PORT,
+      port: PORTS.readiness,
       path: '/api/readiness',
     };
     const req = request(options, res => {
@@ -105,8 +73,11 @@
   override async run(options: BenchOptions): Promise<object> {
     const store = new StoreServer();
     const folder = mkdtempSync(join(tmpdir(), 'turmericmill-'));
-    const path = join(folder, 'settings.yaml');
-    writeFileSync(path, settingsText(await store.listen()));
+    const path = join(folder, 'settings.json');
+    writeFileSync(
+      path,
+      formatSettings(createSettings(ADDRESS, await store.listen())),
+    );
     const starts: StartFigures[] = [];
     const count = numberOption(options, 'starts', DEFAULT_STARTS);
     for (let i = 0; i < count; i++) starts.push(await measureStart(path));
--- a/packages/testkit/src/platform/sidecar-mesh.ts
+++ b/packages/testkit/src/platform/sidecar-mesh.ts
@@ -5,16 +5,9 @@
 import bunyan from 'bunyan';
 
 import {AppServer} from './app-server.js';
+import {createSettings, PORTS} from './host-settings.js';
 import {StoreServer} from './store-server.js';
 
-const PORTS = {
-  callers: 8141,
-  readiness: 8140,
-  reports: 8146,
-  app: 8147,
-  mesh: 7660,
-};
-
 /** A host with its node and its application server. */
 export interface SidecarHost {
   settings: HostSettings;
@@ -68,17 +61,14 @@
   private async addHost({dataCentre, service}: HostOptions): Promise<void> {
     const index = this.hosts.length + 1;
     const ip = `127.${this.network + 20}.0.${index}`;
-    const settings = this.buildSettings(
-      ip,
-      `node-${index}`,
-      dataCentre,
-      service,
-    );
+    const nodeId = `node-${index}`;
+    const identity = {nodeId, dataCentre, service};
+    const settings = createSettings(ip, this.storePort, identity);
     const app = new AppServer({
       id: `i-${index}`,
       service,
       address: ip,
-      port: PORTS.app,
+      port: PORTS.server,
       control: settings.listen.reports,
       workMs: this.workMs,
       slots: 4,
@@ -88,37 +78,6 @@
     await node.start();
     this.hosts.push({settings, node, app});
   }
-
-  private buildSettings(
-    ip: string,
-    nodeId: string,
-    dataCentre: string,
-    service: string,
-  ): HostSettings {
-    const at = (port: number) => ({address: ip, port});
-    return {
-      nodeId,
-      ip,
-      dataCentre,
-      region: 'r',
-      cpuShare: 1,
-      memoryMb: 350,
-      linkMbps: 1000,
-      server: at(PORTS.app),
-      service,
-      listen: {
-        callers: at(PORTS.callers),
-        readiness: at(PORTS.readiness),
-        reports: at(PORTS.reports),
-      },
-      meshPorts: [PORTS.mesh, PORTS.mesh],
-      store: {address: '127.0.0.1', port: this.storePort},
-      heartbeatIntervalMs: 1500,
-      shutdownGraceMs: 6000,
-      drainMs: 2000,
-      retries: {share: 0.2, extra: 62, windowMs: 10_000},
-    };
-  }
 }
 
 function createNode(settings: HostSettings): Sidecar {
--- a/packages/testkit/src/platform/sidecar-process.ts
+++ b/packages/testkit/src/platform/sidecar-process.ts
@@ -9,10 +9,11 @@
 
 import {
   SETTINGS_PATH_VARIABLE,
-  type HostAddress,
   type HostSettings,
 } from '@turmericmill/platform-adapter';
 
+import {formatSettings} from './host-settings.js';
+
 const MAIN = fileURLToPath(
   new URL('./main.js', import.meta.resolve('@turmericmill/sidecar')),
 );
@@ -30,8 +31,8 @@
   private readonly directory = mkdtempSync(join(tmpdir(), 'sidecar-'));
 
   constructor(settings: HostSettings) {
-    const file = join(this.directory, 'settings.yaml');
-    writeFileSync(file, JSON.stringify(buildFileContent(settings)));
+    const file = join(this.directory, 'settings.json');
+    writeFileSync(file, formatSettings(settings));
     this.child = spawn(process.execPath, [MAIN], {
       env: {...process.env, [SETTINGS_PATH_VARIABLE]: file},
       stdio: ['ignore', 'ignore', 'inherit'],
@@ -55,48 +56,3 @@
     await this.ended;
   }
 }
-
-/** Builds the content of the settings file; its JSON is also valid YAML. */
-function buildFileContent(settings: HostSettings): object {
-  const {server, listen, retries, store} = settings;
-  return {
-    self: {
-      node: settings.nodeId,
-      ip: settings.ip,
-      zone: settings.dataCentre,
-      region: settings.region,
-      limits: {
-        cpu_share: settings.cpuShare,
-        memory_mb: settings.memoryMb,
-        link_mbps: settings.linkMbps,
-      },
-      app_address: formatAddress(server),
-      service: settings.service,
-    },
-    network: {
-      listen: {
-        outbound: formatAddress(listen.callers),
-        ready: formatAddress(listen.readiness),
-        control: formatAddress(listen.reports),
-      },
-      internal_ports: settings.meshPorts,
-    },
-    platform: {
-      platform: {address: formatAddress(store)},
-      heartbeat_interval: `${settings.heartbeatIntervalMs}ms`,
-    },
-    terms: {
-      bounds: {
-        grace: `${settings.shutdownGraceMs}ms`,
-        drain: `${settings.drainMs}ms`,
-        budget_ratio: retries.share,
-        budget_extra_tries: retries.extra,
-        budget_window: `${retries.windowMs}ms`,
-      },
-    },
-  };
-}
-
-function formatAddress({address, port}: HostAddress): string {
-  return `${address}:${port}`;
-}
--- a/packages/testkit/tests/platform/smallest-host.ts
+++ b/packages/testkit/tests/platform/smallest-host.ts
@@ -5,6 +5,11 @@
 import {request} from 'node:http';
 import {createRequire} from 'node:module';
 
+import {
+  createSettings,
+  formatSettings,
+} from '../../src/platform/host-settings.js';
+
 /** Memory of the process on the smallest hosts, in MB. */
 export const MEMORY_MB = 250;
 
@@ -51,40 +56,10 @@
   },
 });
 
-/** Builds the settings of a single node at `ip`. */
+/** Builds the settings file of a single node at `ip`. */
 export function settings(ip: string, storePort: number): string {
-  return JSON.stringify({
-    self: {
-      node: 'node-1',
-      ip,
-      zone: 'a',
-      region: 'r',
-      limits: {cpu_share: 0.27, memory_mb: MEMORY_MB, link_mbps: 7},
-      app_address: `${ip}:8147`,
-      service: 'desk',
-    },
-    network: {
-      listen: {
-        outbound: `${ip}:8141`,
-        ready: `${ip}:8140`,
-        control: `${ip}:8146`,
-      },
-      internal_ports: [7660, 7675],
-    },
-    platform: {
-      heartbeat_interval: '1500ms',
-      platform: {address: `127.0.0.1:${storePort}`},
-    },
-    terms: {
-      bounds: {
-        drain: '2000ms',
-        grace: '6s',
-        budget_ratio: 0.2,
-        budget_window: '10s',
-        budget_extra_tries: 62,
-      },
-    },
-  });
+  const limits = {cpuShare: 0.27, memoryMb: MEMORY_MB, linkMbps: 7};
+  return formatSettings(createSettings(ip, storePort, limits));
 }
 
 /** Starts the node with the flags that it has on the platform's hosts. */
