--- a/packages/sidecar/src/main.ts
+++ b/packages/sidecar/src/main.ts
@@ -56,4 +56,4 @@
   process.exit(0);
 }
 
-await main();
+void main();
--- a/packages/testkit/src/bench/start-bench.ts
+++ b/packages/testkit/src/bench/start-bench.ts
@@ -5,10 +5,10 @@
 import {request} from 'node:http';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
-import {fileURLToPath} from 'node:url';
 
 import {cpuTimeMs, residentBytes} from '../launch/cpu-time.js';
 import {waitUntil} from '../mesh/wait-until.js';
+import {readHostCommand} from '../platform/host-command.js';
 import {
   createSettings,
   formatSettings,
@@ -17,8 +17,6 @@
 import {StoreServer} from '../platform/store-server.js';
 import {Bench, numberOption, type BenchOptions} from './bench.js';
 
-const ROOT = new URL('../../../../../', import.meta.url);
-const BUNDLE = fileURLToPath(new URL('target/turmericmill.mjs', ROOT));
 const ADDRESS = '127.0.77.1';
 const DEFAULT_STARTS = 5;
 /** Time in ms within which the readiness socket of the node must answer. */
@@ -50,7 +48,8 @@
 }
 
 async function measureStart(settingsPath: string): Promise<StartFigures> {
-  const child: ChildProcess = spawn(process.execPath, [BUNDLE], {
+  const {flags, program} = readHostCommand();
+  const child: ChildProcess = spawn(process.execPath, [...flags, program], {
     env: {...process.env, TURMERICMILL_BOOT: settingsPath},
     stdio: 'ignore',
   });
--- a/packages/testkit/tests/platform/smallest-host.ts
+++ b/packages/testkit/tests/platform/smallest-host.ts
@@ -1,10 +1,10 @@
 /** Runs a node with the memory and flags that it has on the smallest hosts. */
 
 import {spawn, type ChildProcess} from 'node:child_process';
-import {readFileSync} from 'node:fs';
 import {request} from 'node:http';
 import {createRequire} from 'node:module';
 
+import {readHostCommand} from '../../src/platform/host-command.js';
 import {
   createSettings,
   formatSettings,
@@ -64,13 +64,10 @@
 
 /** Starts the node with the flags that it has on the platform's hosts. */
 export function launch(settingsPath: string): ChildProcess {
-  const deploy = new URL('../../../../../deploy/system.toml', import.meta.url);
-  const [, flags] =
-    /^run = "node (.*) \S+"$/m.exec(readFileSync(deploy, 'utf8')) ?? [];
-  if (flags === undefined) throw new Error('deploy/system.toml runs no node');
+  const {flags} = readHostCommand();
   const index = createRequire(import.meta.url).resolve('@turmericmill/sidecar');
   const program = index.replace(/index\.js$/, 'main.js');
-  return spawn(process.execPath, [...flags.split(' '), program], {
+  return spawn(process.execPath, [...flags, program], {
     env: {PATH: process.env['PATH'], TURMERICMILL_BOOT: settingsPath},
     stdio: ['ignore', 'ignore', 'inherit'],
   });
