sidecar: let one node take over from a reader that has lost the store

Cause: a reader that is cut off from the store but lives stays the reader of its data centre. All other nodes there found their configuration stale after 1.1 s and then each read the store itself, twice a second.

Change: the nodes of a data centre are ranked. Once notices are stale, the node of the next rank reads, forwards what it reads and announces it, so that the others stay fresh; further ranks follow in steps. It stops when a node of a lower rank announces a fresh read. A node announces only what its own reads confirm. Nodes of high ranks retry rarely while the store is down. The times follow from the bound for configuration in the settings: at 3 s, a reader waits 1,050 ms at the store in place of 500.

Result: source-choice.test and config-follower.test; a stand-in forwards and announces, and a failing reader announces nothing (both fail before). The test of reading after a pause now ends the pause by a notice, as a stand-in goes on otherwise.

--- a/packages/sidecar/src/config/config-follower.ts
+++ b/packages/sidecar/src/config/config-follower.ts
@@ -22,20 +22,15 @@
 } from './document-transfer.js';
 import {
   BEACON_INTERVAL_MS,
-  isReader,
   mustReadStore,
-  type SourceState,
+  rankNodes,
+  retryCapMs,
+  sourceTimes,
+  type SourceTimes,
 } from './source-choice.js';
 
-/**
- * Time in ms that a read waits at the store for a change. With the beacon
- * interval it stays below `STALE_AFTER_MS`: a longer wait would save calls of
- * the reader, but the other nodes would then make more by reading themselves.
- */
-export const READ_WAIT_MS = 500;
-/** Base and cap in ms of the jittered delay after a failed read. */
+/** Base in ms of the jittered delay after a failed read. */
 const RETRY_BASE_MS = 100;
-const RETRY_CAP_MS = 800;
 /** Interval in ms at which a node that is not a reader checks its source. */
 const SOURCE_CHECK_INTERVAL_MS = 250;
 /** Peers that are asked for a newer version after each failed read. */
@@ -44,6 +39,8 @@
 export interface ConfigFollowerParts {
   nodeId: string;
   dataCentre: string;
+  /** Time in ms within which a change has to be in force. */
+  configInForceMs: number;
   store: Store;
   bus: Bus;
   clock: Clock;
@@ -66,8 +63,18 @@
   private offset: number | undefined;
   /** Time in ms of the last store read that succeeded, here or at a peer. */
   private confirmedMs = -Infinity;
-  /** Ids of the live nodes of this data centre, including this node. */
+  /** Time in ms of the last store read of this node that succeeded. */
+  private ownReadMs = -Infinity;
+  /**
+   * Time in ms of the last fresh notice of a node of a lower rank; at first that
+   * of the start, as notices arrive only once other nodes know this one.
+   */
+  private lowerRankNoticeMs: number;
+  /** True while this node reads in place of nodes of lower ranks. */
+  private isActing = false;
+  /** Ids of the live nodes of this data centre, this one included, by rank. */
   private localNodeIds: string[] = [];
+  private readonly times: SourceTimes;
   /** Ids of the live nodes of all data centres, without this node. */
   private peerIds: string[] = [];
   private stopped = false;
@@ -77,7 +84,9 @@
 
   constructor(private readonly parts: ConfigFollowerParts) {
     super();
-    const {bus} = parts;
+    const {bus, clock, configInForceMs} = parts;
+    this.lowerRankNoticeMs = clock.now();
+    this.times = sourceTimes(configInForceMs);
     bus.subscribe('view-changed', ({members}) => this.onViewChanged(members));
     bus.onPeerMessage('configNotice', ({body, peer}) => {
       this.onNotice(body, peer);
@@ -103,16 +112,25 @@
     clearInterval(this.beaconTimer);
   }
 
-  private get source(): SourceState {
-    const {nodeId} = this.parts;
-    const {localNodeIds, confirmedMs} = this;
-    return {nodeId, localNodeIds, confirmedMs};
+  /** Rank of this node among those that read the store; 0 is the reader. */
+  private get rank(): number {
+    return Math.max(0, this.localNodeIds.indexOf(this.parts.nodeId));
+  }
+
+  /** True while this node forwards what it reads to its data centre. */
+  private get isForwarding(): boolean {
+    return this.rank === 0 || this.isActing;
+  }
+
+  private get mustReadStore(): boolean {
+    const {rank, isActing, confirmedMs, times} = this;
+    const state = {rank, isActing, confirmedMs};
+    return mustReadStore(state, times, this.parts.clock.now());
   }
 
   private async follow(): Promise<void> {
     while (!this.stopped) {
-      const now = this.parts.clock.now();
-      if (this.inForce && !mustReadStore(this.source, now)) {
+      if (this.inForce && !this.mustReadStore) {
         this.offset = undefined;
         await sleep(SOURCE_CHECK_INTERVAL_MS);
         continue;
@@ -129,10 +147,11 @@
   /** Reads the store; returns false if that failed. */
   private async readStore(): Promise<boolean> {
     const {store, clock, logger} = this.parts;
+    const {offset, times} = this;
     const page =
-      this.offset === undefined
+      offset === undefined
         ? await store.newest(CONFIG_TOPIC)
-        : await store.read(CONFIG_TOPIC, this.offset, READ_WAIT_MS);
+        : await store.read(CONFIG_TOPIC, offset, times.readWaitMs);
     if (page.isErr()) {
       this.failures += 1;
       if (!this.isStoreLost) logger.warn({err: page.error}, 'store lost');
@@ -142,18 +161,29 @@
     if (this.isStoreLost) logger.info('store regained');
     this.isStoreLost = false;
     this.failures = 0;
-    this.confirmedMs = clock.now();
+    this.ownReadMs = clock.now();
+    this.confirmedMs = this.ownReadMs;
     this.applyPage(page.value);
+    this.startActing();
     return true;
   }
 
+  /** From now on forwards what it reads, as no node of a lower rank does. */
+  private startActing(): void {
+    const sinceNoticeMs = this.parts.clock.now() - this.lowerRankNoticeMs;
+    const hasLowerRank = sinceNoticeMs <= this.times.staleAfterMs;
+    if (this.isForwarding || hasLowerRank || !this.inForce) return;
+    this.isActing = true;
+    this.sendBeacon();
+  }
+
   private applyPage({records, endOffset}: KeyedPage): void {
     this.offset = endOffset;
     const newest = records.filter(({key}) => key === CONFIG_KEY).at(-1);
     if (!newest || newest.value.length === 0) return;
     const before = this.inForce;
     if (!this.adopt(newest.value)) return;
-    if (isReader(this.source)) this.forward(before);
+    if (this.isForwarding) this.forward(before);
   }
 
   /**
@@ -198,12 +228,21 @@
     }
     // A version that was not adopted does not confirm that the source works.
     if (version !== this.version) return;
+    if (this.isFromLowerRank(peer) && ageMs <= this.times.staleAfterMs) {
+      this.lowerRankNoticeMs = this.parts.clock.now();
+      this.isActing = false;
+    }
     this.confirmedMs = Math.max(
       this.confirmedMs,
       this.parts.clock.now() - ageMs,
     );
   }
 
+  private isFromLowerRank({nodeId}: Peer): boolean {
+    const rank = this.localNodeIds.indexOf(nodeId);
+    return rank >= 0 && rank < this.rank;
+  }
+
   /** Returns the document of a notice; undefined if none can be decoded. */
   private documentOf({document, change}: ConfigNotice): Uint8Array | undefined {
     const {inForce} = this;
@@ -222,9 +261,12 @@
     return result?.isOk() ? result.value : undefined;
   }
 
+  /** Announces the version in force while the reads of this node succeed. */
   private sendBeacon(): void {
-    if (!this.inForce || !isReader(this.source)) return;
-    const notice = this.createNotice();
+    if (!this.inForce || !this.isForwarding) return;
+    const ageMs = this.parts.clock.now() - this.ownReadMs;
+    if (ageMs > this.times.staleAfterMs) return;
+    const notice = this.createNotice({ageMs});
     for (const nodeId of this.localNodeIds) {
       if (nodeId !== this.parts.nodeId) this.send(nodeId, notice);
     }
@@ -264,17 +306,17 @@
   }
 
   private retryDelayMs(): number {
-    const {random} = this.parts;
-    const jitterMs = random.jitter(RETRY_BASE_MS, this.failures, RETRY_CAP_MS);
+    const {rank, failures} = this;
+    const capMs = retryCapMs(rank);
+    const jitterMs = this.parts.random.jitter(RETRY_BASE_MS, failures, capMs);
     return RETRY_BASE_MS + jitterMs;
   }
 
   private onViewChanged(members: readonly MemberRecord[]): void {
     const {nodeId, dataCentre} = this.parts;
     const alive = members.filter(({status}) => status === 'alive');
-    this.localNodeIds = alive
-      .filter(member => member.dataCentre === dataCentre)
-      .map(({id}) => id);
+    const local = alive.filter(member => member.dataCentre === dataCentre);
+    this.localNodeIds = rankNodes(local.map(({id}) => id));
     this.peerIds = alive.map(({id}) => id).filter(id => id !== nodeId);
   }
 }
--- a/packages/sidecar/src/config/source-choice.ts
+++ b/packages/sidecar/src/config/source-choice.ts
@@ -1,45 +1,81 @@
 /**
- * Chooses the nodes that read the configuration from the store. One node of
- * each data centre waits for changes at the store and forwards them to the
- * others there, so that store calls and bytes between data centres do not grow
- * with the fleet. A node without a fresh notice reads the store itself.
+ * Chooses the nodes that read the configuration from the store. Load pattern:
+ * store calls have a price, and the store serves a limited number of them for
+ * the whole fleet. One node of each data centre waits for changes at the store
+ * and forwards them to the others there, so that store calls and bytes between
+ * data centres do not grow with the fleet. If no fresh notice arrives, the other
+ * nodes take over one by one, in the order of their ranks.
  */
 
 import {rendezvousTop} from '@turmericmill/utils';
 
-/** Number of readers in each data centre; each call to the store has a price. */
-export const READERS_PER_DATA_CENTRE = 1;
 /** Interval in ms at which a reader announces the version in force. */
 export const BEACON_INTERVAL_MS = 300;
-/**
- * Time in ms without a fresh notice after which a node reads the store itself.
- * With the beacon interval and one read, this stays within the two seconds that
- * a change may take.
- */
-export const STALE_AFTER_MS = 1_100;
+
+/** Share of the bound after which a configuration without a notice is stale. */
+const STALE_SHARE = 0.55;
+/** Share of the bound between the takeovers of two nodes. */
+const TAKEOVER_STEP_SHARE = 0.075;
+/** Time in ms for the answer of a read and a notice to arrive. */
+const TRANSIT_MS = 300;
+/** Ranks of the nodes that retry often while the store does not answer. */
+const FREQUENT_RANKS = 3;
+/** Longest retry delay in ms of these nodes, and of the others. */
+const FREQUENT_RETRY_CAP_MS = 800;
+const RARE_RETRY_CAP_MS = 4_000;
 
 const READER_KEY = 'config-readers';
 
-/** View of one node of its data centre, and the age of its configuration. */
+/** Times in ms, derived from the bound for a change to be in force. */
+export interface SourceTimes {
+  /** Age of a configuration from which the node of the next rank takes over. */
+  staleAfterMs: number;
+  /** Time between the takeovers of two nodes. */
+  takeoverStepMs: number;
+  /** Time for which a read waits at the store for a change. */
+  readWaitMs: number;
+}
+
+/** Returns times with which a change is in force within `configInForceMs`. */
+export function sourceTimes(configInForceMs: number): SourceTimes {
+  const staleAfterMs = configInForceMs * STALE_SHARE;
+  return {
+    staleAfterMs,
+    takeoverStepMs: configInForceMs * TAKEOVER_STEP_SHARE,
+    readWaitMs: staleAfterMs - BEACON_INTERVAL_MS - TRANSIT_MS,
+  };
+}
+
+/**
+ * Returns the ids of a data centre's nodes in the order in which they read the
+ * store. Rank 0 is the reader. All nodes with the same view get the same order.
+ */
+export function rankNodes(localNodeIds: readonly string[]): string[] {
+  return rendezvousTop(READER_KEY, localNodeIds, localNodeIds.length);
+}
+
+/** View of one node of its source. */
 export interface SourceState {
-  nodeId: string;
-  /** Ids of the nodes of this data centre, including this node. */
-  localNodeIds: readonly string[];
+  /** Position of the node in the order; 0 if it is alone. */
+  rank: number;
+  /** True since the node took over, until a node of a lower rank reads again. */
+  isActing: boolean;
   /** Time in ms of the last store read that succeeded, here or at a peer. */
   confirmedMs: number;
 }
 
-/** True if this node is one of the readers of its data centre. */
-export function isReader({nodeId, localNodeIds}: SourceState): boolean {
-  const readers = rendezvousTop(
-    READER_KEY,
-    localNodeIds,
-    READERS_PER_DATA_CENTRE,
-  );
-  return readers.length === 0 || readers.includes(nodeId);
+/** True if the node has to read the store itself. */
+export function mustReadStore(
+  {rank, isActing, confirmedMs}: SourceState,
+  {staleAfterMs, takeoverStepMs}: SourceTimes,
+  nowMs: number,
+): boolean {
+  if (rank === 0 || isActing) return true;
+  const takeoverMs = staleAfterMs + (rank - 1) * takeoverStepMs;
+  return nowMs - confirmedMs > takeoverMs;
 }
 
-/** True if the node has to read the store itself. */
-export function mustReadStore(state: SourceState, nowMs: number): boolean {
-  return isReader(state) || nowMs - state.confirmedMs > STALE_AFTER_MS;
+/** Longest retry delay in ms of a node whose read has failed. */
+export function retryCapMs(rank: number): number {
+  return rank < FREQUENT_RANKS ? FREQUENT_RETRY_CAP_MS : RARE_RETRY_CAP_MS;
 }
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -100,6 +100,7 @@
     this.config = new ConfigFollower({
       nodeId,
       dataCentre,
+      configInForceMs: settings.configInForceMs,
       store: this.store,
       bus,
       clock,
--- a/packages/sidecar/tests/config/config-follower.test.ts
+++ b/packages/sidecar/tests/config/config-follower.test.ts
@@ -11,9 +11,15 @@
 import {expect} from 'chai';
 
 import {ConfigFollower} from '../../src/config/config-follower.js';
-import {isReader, STALE_AFTER_MS} from '../../src/config/source-choice.js';
+import {
+  BEACON_INTERVAL_MS,
+  rankNodes,
+  sourceTimes,
+} from '../../src/config/source-choice.js';
 
 const NODES = ['n-0', 'n-1', 'n-2', 'n-3'];
+const BOUND_MS = 2_000;
+const {staleAfterMs} = sourceTimes(BOUND_MS);
 /** Interval in ms at which the store's calls are checked. */
 const CHECK_INTERVAL_MS = 20;
 /** Turns of the event loop in which a read and its notices are processed. */
@@ -68,6 +74,8 @@
 class ScriptedStore extends Store {
   private waiting: ((page: KeyedPage) => void) | undefined;
   private endOffset = 0;
+  /** The newest document at the first read. */
+  first: Uint8Array | undefined;
   /** Calls of the store, in order. */
   readonly calls: string[] = [];
 
@@ -82,7 +90,9 @@
 
   override newest(): Promise<Result<KeyedPage, StoreError>> {
     this.calls.push('newest');
-    return Promise.resolve(Ok({records: [], endOffset: 0}));
+    const {first} = this;
+    const records = first ? [{key: CONFIG_KEY, value: first, offset: 0}] : [];
+    return Promise.resolve(Ok({records, endOffset: records.length}));
   }
 
   override read(): Promise<Result<KeyedPage, StoreError>> {
@@ -121,6 +131,7 @@
     this.follower = new ConfigFollower({
       nodeId,
       dataCentre: 'a',
+      configInForceMs: BOUND_MS,
       store: this.store,
       bus: this.bus,
       clock: this.clock,
@@ -168,10 +179,11 @@
 }
 
 describe('ConfigFollower', () => {
-  const readerId = NODES.find(nodeId =>
-    isReader({nodeId, localNodeIds: NODES, confirmedMs: 0}),
-  )!;
-  const nonReaderId = NODES.find(nodeId => nodeId !== readerId)!;
+  const [readerId, nonReaderId, lastId] = rankNodes(NODES) as [
+    string,
+    string,
+    string,
+  ];
   let reader: FollowerNode;
   let nonReader: FollowerNode;
 
@@ -223,13 +235,56 @@
     nonReader.follower.start();
     await waitUntilSettled();
     expect(nonReader.store.calls).to.deep.equal([]);
-    for (const count of [1, 2]) {
-      nonReader.clock.advance(STALE_AFTER_MS + 1);
+    for (const count of [1, 3]) {
+      nonReader.clock.advance(staleAfterMs + 1);
       await waitForCalls(nonReader.store, count);
       await waitUntilSettled();
+      // The reader is back; the read that waits at the store ends.
+      const notice = {version: 2, ageMs: 0};
+      nonReader.deliver({type: 'configNotice', body: notice}, readerId);
+      nonReader.store.publish(document(2));
+      await waitUntilSettled();
     }
     nonReader.follower.stop();
-    expect(nonReader.store.calls).to.deep.equal(['newest', 'newest']);
+    expect(nonReader.store.calls).to.deep.equal([
+      'newest',
+      'read',
+      'newest',
+      'read',
+    ]);
+  });
+
+  it('forwards what it reads while it stands in for the reader', async () => {
+    nonReader.follower.start();
+    nonReader.clock.advance(staleAfterMs + 1);
+    await waitForCalls(nonReader.store, 2);
+    const [beacon] = nonReader.takeSentTo(lastId);
+    expect(beacon).to.deep.equal({
+      type: 'configNotice',
+      body: {version: 2, ageMs: 0},
+    });
+    nonReader.store.publish(document(7));
+    await waitUntilSettled();
+    nonReader.follower.stop();
+    const [notice] = nonReader.takeSentTo(lastId);
+    expect(notice).to.have.nested.property('body.version', 7);
+  });
+
+  it('does not stand in for the reader with its first read', async () => {
+    const newcomer = new FollowerNode(nonReaderId);
+    newcomer.store.first = document(2);
+    newcomer.follower.start();
+    await waitUntilSettled();
+    newcomer.follower.stop();
+    expect(newcomer.follower.version).to.equal(2);
+    expect(newcomer.store.calls).to.deep.equal(['newest']);
+    expect(newcomer.sent).to.deep.equal([]);
+  });
+
+  it('announces nothing while its own reads of the store fail', async () => {
+    reader.clock.advance(staleAfterMs + 1);
+    await new Promise(resolve => setTimeout(resolve, 2 * BEACON_INTERVAL_MS));
+    expect(reader.takeSentTo(nonReaderId)).to.deep.equal([]);
   });
 
   it('keeps its version and asks its peer when a change is damaged', () => {
--- a/packages/sidecar/tests/config/source-choice.test.ts
+++ b/packages/sidecar/tests/config/source-choice.test.ts
@@ -1,54 +1,77 @@
 import {expect} from 'chai';
 
-import {READ_WAIT_MS} from '../../src/config/config-follower.js';
 import {
   BEACON_INTERVAL_MS,
-  isReader,
-  READERS_PER_DATA_CENTRE,
   mustReadStore,
-  STALE_AFTER_MS,
+  rankNodes,
+  retryCapMs,
+  sourceTimes,
+  type SourceState,
 } from '../../src/config/source-choice.js';
 
 const NODE_IDS = ['n-1', 'n-2', 'n-3', 'n-4', 'n-5'];
-
-function readersOf(localNodeIds: string[]): string[] {
-  return localNodeIds.filter(nodeId =>
-    isReader({nodeId, localNodeIds, confirmedMs: 0}),
-  );
-}
+const BOUND_MS = 2_000;
+const TIMES = sourceTimes(BOUND_MS);
+const CONFIRMED_MS = 1_000;
 
 /** Transit time in ms of a read's answer and a notice, for starved nodes. */
 const TRANSIT_MS = 250;
 
+function isReading(state: Partial<SourceState>, ageMs: number): boolean {
+  const whole = {
+    rank: 1,
+    isActing: false,
+    confirmedMs: CONFIRMED_MS,
+    ...state,
+  };
+  return mustReadStore(whole, TIMES, CONFIRMED_MS + ageMs);
+}
+
 describe('source choice', () => {
-  it('selects the same readers on every node', () => {
-    expect(readersOf(NODE_IDS)).to.have.length(READERS_PER_DATA_CENTRE);
+  it('ranks the nodes in the same order on every node', () => {
+    const reversed = [...NODE_IDS].reverse();
+    expect(rankNodes(reversed)).to.deep.equal(rankNodes(NODE_IDS));
   });
 
-  it('selects another reader when one has left', () => {
-    const [departed] = readersOf(NODE_IDS);
-    const after = readersOf(NODE_IDS.filter(id => id !== departed));
-    expect(after).to.have.length(READERS_PER_DATA_CENTRE);
-    expect(after).to.not.include(departed);
+  it('keeps the order of the others when a node has left', () => {
+    const [departed, ...others] = rankNodes(NODE_IDS);
+    const after = rankNodes(NODE_IDS.filter(id => id !== departed));
+    expect(after).to.deep.equal(others);
   });
 
-  it('lets a node alone in its data centre read the store', () => {
-    const state = {nodeId: 'n-1', localNodeIds: [], confirmedMs: 0};
-    expect(isReader(state)).to.equal(true);
+  it('lets the node of rank 0 read the store', () => {
+    expect(isReading({rank: 0}, 0)).to.equal(true);
   });
 
-  it('lets other nodes read the store after a time without notices', () => {
-    const readers = readersOf(NODE_IDS);
-    const other = NODE_IDS.find(id => !readers.includes(id)) ?? '';
-    const state = {nodeId: other, localNodeIds: NODE_IDS, confirmedMs: 1_000};
-    const limitMs = 1_000 + STALE_AFTER_MS;
-    expect(mustReadStore(state, limitMs)).to.equal(false);
-    expect(mustReadStore(state, limitMs + 1)).to.equal(true);
+  it('lets a node that has taken over go on', () => {
+    expect(isReading({rank: 3, isActing: true}, 0)).to.equal(true);
   });
 
-  it('keeps nodes with a working reader from reading the store', () => {
-    // A read without changes, the time to the next beacon, and their transit.
-    const maxAgeMs = READ_WAIT_MS + BEACON_INTERVAL_MS + TRANSIT_MS;
-    expect(maxAgeMs).to.be.below(STALE_AFTER_MS);
+  it('lets the other nodes take over one by one without notices', () => {
+    const {staleAfterMs, takeoverStepMs} = TIMES;
+    for (const rank of [1, 2, 3]) {
+      const takeoverMs = staleAfterMs + (rank - 1) * takeoverStepMs;
+      expect(isReading({rank}, takeoverMs)).to.equal(false);
+      expect(isReading({rank}, takeoverMs + 1)).to.equal(true);
+    }
+  });
+
+  for (const boundMs of [2_000, 2_500, 3_000]) {
+    it(`keeps the others from reading beside a working reader: ${boundMs} ms`, () => {
+      const {readWaitMs, staleAfterMs} = sourceTimes(boundMs);
+      // A read without changes, the time to the next beacon, and their transit.
+      const maxAgeMs = readWaitMs + BEACON_INTERVAL_MS + TRANSIT_MS;
+      expect(maxAgeMs).to.be.below(staleAfterMs);
+    });
+
+    it(`puts a change in force when two readers are cut off: ${boundMs} ms`, () => {
+      const {staleAfterMs, takeoverStepMs} = sourceTimes(boundMs);
+      const inForceMs = staleAfterMs + 2 * takeoverStepMs + TRANSIT_MS;
+      expect(inForceMs).to.be.below(boundMs);
+    });
+  }
+
+  it('lets nodes of high ranks retry rarely', () => {
+    expect(retryCapMs(20)).to.be.above(retryCapMs(0));
   });
 });
