sidecar: write the endpoint of a node only if the store lacks it

Cause: each start wrote the node's endpoint and read all endpoints twice, three calls of the store besides that for the configuration.

Change: a node reads first, and writes only if its entry is missing or another one; only at the first start of the whole system it writes first, as all nodes start at once then. It reads again only while it knows no other node, but then until it does (before: once), so that a node whose seeds are all gone goes on.

Result: store-seeds.test, five starts with their calls; a restart takes one call in place of three.

--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -278,7 +278,8 @@
 
   private createMembership(): MembershipTask {
     const {bus, clock, random, logger, store} = this;
-    const {nodeId, dataCentre, region, ip, meshPorts} = this.settings;
+    const {nodeId, dataCentre, region, ip, meshPorts, isFirstStart} =
+      this.settings;
     const own = {address: ip, port: meshPorts[0]};
     const identity = {
       id: nodeId,
@@ -287,7 +288,15 @@
       dataCentre,
       region,
     };
-    const seedDirectory = new StoreSeeds(nodeId, own, store, random, logger);
+    const seedDirectory = new StoreSeeds({
+      nodeId,
+      own,
+      isFirstStart,
+      store,
+      random,
+      logger,
+      hasPeers: () => this.hasPeers,
+    });
     const parts = {bus, clock, random, seedDirectory, logger};
     return new MembershipTask({identity, seeds: []}, parts);
   }
--- a/packages/sidecar/src/tasks/store-seeds.ts
+++ b/packages/sidecar/src/tasks/store-seeds.ts
@@ -12,23 +12,39 @@
 import type Logger from 'bunyan';
 
 const NODES_TOPIC = 'keyed.nodes';
-/** Delay in ms of a second read, for nodes that started at the same time. */
-const SECOND_READ_DELAY_MS = 1_500;
+/** Delay in ms of another read while this node knows no other node. */
+const REREAD_DELAY_MS = 1_500;
 /** Base and cap in ms of the jittered delay between attempts. */
 const RETRY_BASE_MS = 250;
 const RETRY_CAP_MS = 4_000;
 
-/** Writes the endpoint of this node once, at its start, and then reads all. */
+/** A node that has written its endpoint. */
+interface SeedEntry {
+  nodeId: string;
+  endpoint: Endpoint;
+}
+
+export interface StoreSeedsParts {
+  nodeId: string;
+  own: Endpoint;
+  /** True if no node of the fleet has started before. */
+  isFirstStart: boolean;
+  store: Store;
+  random: RandomSource;
+  logger: Logger;
+  /** True once this node knows another one. */
+  hasPeers(): boolean;
+}
+
+/**
+ * Reads the endpoints at the start, and again only while this node is alone.
+ * Each call of the store has a price, so the endpoint of this node is written
+ * only if the store does not have it: a restart takes one call.
+ */
 export class StoreSeeds extends SeedDirectory {
   private stopped = false;
 
-  constructor(
-    private readonly nodeId: string,
-    private readonly own: Endpoint,
-    private readonly store: Store,
-    private readonly random: RandomSource,
-    private readonly logger: Logger,
-  ) {
+  constructor(private readonly parts: StoreSeedsParts) {
     super();
   }
 
@@ -46,16 +62,43 @@
   }
 
   private async run(onSeeds: (endpoints: Endpoint[]) => void): Promise<void> {
+    // Nodes that start together first write, so that their reads find others.
+    if (this.parts.isFirstStart) await this.writeUntilDone();
+    const entries = await this.readUntilDone(onSeeds);
+    if (!entries.some(entry => this.isOwn(entry))) await this.writeUntilDone();
+    for (;;) {
+      await sleep(REREAD_DELAY_MS);
+      if (this.stopped || this.parts.hasPeers()) return;
+      await this.readUntilDone(onSeeds);
+    }
+  }
+
+  private async writeUntilDone(): Promise<void> {
     await this.retryUntilDone(() => this.writeEndpoint());
-    await this.retryUntilDone(() => this.readEndpoints(onSeeds));
-    await sleep(SECOND_READ_DELAY_MS);
-    await this.retryUntilDone(() => this.readEndpoints(onSeeds));
+  }
+
+  private async readUntilDone(
+    onSeeds: (endpoints: Endpoint[]) => void,
+  ): Promise<SeedEntry[]> {
+    let entries: SeedEntry[] | undefined;
+    await this.retryUntilDone(async () => {
+      entries = await this.readEntries();
+      return entries !== undefined;
+    });
+    if (entries) onSeeds(entries.map(({endpoint}) => endpoint));
+    return entries ?? [];
+  }
+
+  private isOwn({nodeId, endpoint}: SeedEntry): boolean {
+    const {nodeId: ownId, own} = this.parts;
+    const {address, port} = endpoint;
+    return nodeId === ownId && address === own.address && port === own.port;
   }
 
   private async retryUntilDone(step: () => Promise<boolean>): Promise<void> {
     for (let failures = 0; !this.stopped; failures++) {
       if (await step()) return;
-      const jitterMs = this.random.jitter(
+      const jitterMs = this.parts.random.jitter(
         RETRY_BASE_MS,
         failures,
         RETRY_CAP_MS,
@@ -66,30 +109,30 @@
 
   /** Writes the endpoint of this node; repeating the write has no effect. */
   private async writeEndpoint(): Promise<boolean> {
-    const value = Buffer.from(JSON.stringify(this.own));
-    const put = await this.store.put(NODES_TOPIC, this.nodeId, value);
-    if (put.isErr()) this.logger.info({err: put.error}, 'endpoint not written');
+    const {nodeId, own, store, logger} = this.parts;
+    const value = Buffer.from(JSON.stringify(own));
+    const put = await store.put(NODES_TOPIC, nodeId, value);
+    if (put.isErr()) logger.info({err: put.error}, 'endpoint not written');
     return put.isOk();
   }
 
-  private async readEndpoints(
-    onSeeds: (endpoints: Endpoint[]) => void,
-  ): Promise<boolean> {
-    const page = await this.store.newest(NODES_TOPIC);
+  /** Returns undefined if the store does not answer. */
+  private async readEntries(): Promise<SeedEntry[] | undefined> {
+    const {store, logger} = this.parts;
+    const page = await store.newest(NODES_TOPIC);
     if (page.isErr()) {
-      this.logger.info(
+      logger.info(
         {err: page.error},
         'endpoints of the nodes not read from the store',
       );
-      return false;
+      return undefined;
     }
-    onSeeds(page.value.records.flatMap(record => parseEntry(record) ?? []));
-    return true;
+    return page.value.records.flatMap(record => parseEntry(record) ?? []);
   }
 }
 
 /** Returns undefined for a record of another writer that is no endpoint. */
-function parseEntry({value}: KeyedRecord): Endpoint | undefined {
+function parseEntry({key, value}: KeyedRecord): SeedEntry | undefined {
   let entry: unknown;
   try {
     entry = JSON.parse(Buffer.from(value).toString());
@@ -98,5 +141,6 @@
     return undefined;
   }
   const {address, port} = (entry ?? {}) as Partial<Endpoint>;
-  return isIpAddress(address) && isPort(port) ? {address, port} : undefined;
+  if (!isIpAddress(address) || !isPort(port)) return undefined;
+  return {nodeId: key, endpoint: {address, port}};
 }
--- a/packages/sidecar/tests/tasks/store-seeds.test.ts
+++ b/packages/sidecar/tests/tasks/store-seeds.test.ts
@@ -10,18 +10,29 @@
 const OWN: Endpoint = {address: '10.0.0.1', port: 7_660};
 const DEPTH = 100_000;
 
-/** A store whose topic has the given entries. */
+/** Time in ms that exceeds the delay of another read. */
+const REREAD_MS = 1_700;
+
+/** A store whose topic has the given entries, by key. */
 class FixedStore extends Store {
-  constructor(private readonly values: readonly (string | Uint8Array)[]) {
+  /** Calls of the store, in order. */
+  readonly calls: string[] = [];
+
+  constructor(
+    private readonly entries: Readonly<Record<string, string | Uint8Array>>,
+  ) {
     super();
   }
 
   override newest() {
-    const records = this.values.map((value, offset): KeyedRecord => ({
-      key: `n-${offset}`,
-      value: Buffer.from(value),
-      offset,
-    }));
+    this.calls.push('newest');
+    const records = Object.entries(this.entries).map(
+      ([key, value], offset): KeyedRecord => ({
+        key,
+        value: Buffer.from(value),
+        offset,
+      }),
+    );
     return Promise.resolve(Ok({records, endOffset: records.length}));
   }
 
@@ -30,6 +41,7 @@
   }
 
   override put() {
+    this.calls.push('put');
     return Promise.resolve(Ok(undefined));
   }
 
@@ -57,13 +69,70 @@
   'a number that is too large': '{"address":"10.0.0.2","port":1e400}',
 };
 
+interface StartOptions {
+  isFirstStart?: boolean;
+  hasPeers?: boolean;
+}
+
+function createSeeds(
+  store: Store,
+  {isFirstStart = false, hasPeers = true}: StartOptions = {},
+): StoreSeeds {
+  return new StoreSeeds({
+    nodeId: 'n-own',
+    own: OWN,
+    isFirstStart,
+    store,
+    random: new SeededRandom(1),
+    logger: SILENT,
+    hasPeers: () => hasPeers,
+  });
+}
+
 describe('StoreSeeds', () => {
+  const OTHER = {'n-1': '{"address":"10.0.0.3","port":7660}'};
+  const KNOWN = {...OTHER, 'n-own': JSON.stringify(OWN)};
+  const MOVED = {...OTHER, 'n-own': '{"address":"10.0.0.9","port":7660}'};
+  const STARTS: Record<
+    string,
+    {entries: Record<string, string>; calls: string[]} & StartOptions
+  > = {
+    'the first start of the fleet writes, then reads': {
+      entries: KNOWN,
+      isFirstStart: true,
+      calls: ['put', 'newest'],
+    },
+    'a new node reads, then writes': {
+      entries: OTHER,
+      calls: ['newest', 'put'],
+    },
+    'a node that starts again only reads': {entries: KNOWN, calls: ['newest']},
+    'a node at a new address writes it': {
+      entries: MOVED,
+      calls: ['newest', 'put'],
+    },
+    'a node that is alone reads again': {
+      entries: KNOWN,
+      hasPeers: false,
+      calls: ['newest', 'newest'],
+    },
+  };
+  for (const [name, {entries, calls, ...options}] of Object.entries(STARTS)) {
+    it(name, async () => {
+      const store = new FixedStore(entries);
+      const seeds = createSeeds(store, options);
+      seeds.start(() => undefined);
+      await new Promise(resolve => setTimeout(resolve, REREAD_MS));
+      seeds.stop();
+      expect(store.calls).to.deep.equal(calls);
+    });
+  }
+
   for (const [name, entry] of Object.entries(ODD_ENTRIES)) {
     it(`skips an entry of another writer and keeps the others: ${name}`, async () => {
       const good: Endpoint = {address: '10.0.0.3', port: 7_660};
-      const store = new FixedStore([entry, JSON.stringify(good)]);
-      const random = new SeededRandom(1);
-      const seeds = new StoreSeeds('n-1', OWN, store, random, SILENT);
+      const entries = {'n-0': entry, 'n-1': JSON.stringify(good)};
+      const seeds = createSeeds(new FixedStore(entries));
       const endpoints = await new Promise<Endpoint[]>(resolve => {
         seeds.start(resolve);
       });
