sidecar: wait for whole milliseconds at the store, and pause between reads

Cause: since the wait of a read is a fraction (0.55 of 3,000 ms, less two times, in floating point). The stand-in took the fraction and waited, so no test saw it.

Change: the wait is a whole number; a read that brings nothing sooner than 250 ms is followed by a pause; the stand-in refuses fractions.

Result: source-choice.test and config-follower.test, both new cases fail before.

--- a/packages/sidecar/src/config/config-follower.ts
+++ b/packages/sidecar/src/config/config-follower.ts
@@ -33,6 +33,8 @@
 const RETRY_BASE_MS = 100;
 /** Interval in ms at which a node that is not a reader checks its source. */
 const SOURCE_CHECK_INTERVAL_MS = 250;
+/** Least time in ms between two reads that bring no records. */
+const MIN_READ_INTERVAL_MS = 250;
 /** Peers that are asked for a newer version after each failed read. */
 const ASK_FAN_OUT = 2;
 
@@ -48,6 +50,9 @@
   logger: Logger;
 }
 
+/** `unchanged`: a read that waits for changes has brought none. */
+type ReadResult = 'changed' | 'unchanged' | 'failed';
+
 interface InForce {
   config: MeshConfig;
   document: Uint8Array;
@@ -135,17 +140,21 @@
         await sleep(SOURCE_CHECK_INTERVAL_MS);
         continue;
       }
-      const read = await this.readStore();
-      if (!read) {
+      const startMs = this.parts.clock.now();
+      const result = await this.readStore();
+      if (result === 'failed') {
         this.offset = undefined;
         this.askPeers();
         await sleep(this.retryDelayMs());
+      } else if (result === 'unchanged') {
+        // A store that does not wait must not be called without a pause.
+        const readMs = this.parts.clock.now() - startMs;
+        await sleep(Math.max(0, MIN_READ_INTERVAL_MS - readMs));
       }
     }
   }
 
-  /** Reads the store; returns false if that failed. */
-  private async readStore(): Promise<boolean> {
+  private async readStore(): Promise<ReadResult> {
     const {store, clock, logger} = this.parts;
     const {offset, times} = this;
     const page =
@@ -156,7 +165,7 @@
       this.failures += 1;
       if (!this.isStoreLost) logger.warn({err: page.error}, 'store lost');
       this.isStoreLost = true;
-      return false;
+      return 'failed';
     }
     if (this.isStoreLost) logger.info('store regained');
     this.isStoreLost = false;
@@ -165,7 +174,8 @@
     this.confirmedMs = this.ownReadMs;
     this.applyPage(page.value);
     this.startActing();
-    return true;
+    const isUnchanged = offset !== undefined && page.value.records.length === 0;
+    return isUnchanged ? 'unchanged' : 'changed';
   }
 
   /** From now on forwards what it reads, as no node of a lower rank does. */
--- a/packages/sidecar/src/config/source-choice.ts
+++ b/packages/sidecar/src/config/source-choice.ts
@@ -32,7 +32,7 @@
   staleAfterMs: number;
   /** Time between the takeovers of two nodes. */
   takeoverStepMs: number;
-  /** Time for which a read waits at the store for a change. */
+  /** Time for which a read waits at the store for a change; an integer. */
   readWaitMs: number;
 }
 
@@ -42,7 +42,7 @@
   return {
     staleAfterMs,
     takeoverStepMs: configInForceMs * TAKEOVER_STEP_SHARE,
-    readWaitMs: staleAfterMs - BEACON_INTERVAL_MS - TRANSIT_MS,
+    readWaitMs: Math.floor(staleAfterMs - BEACON_INTERVAL_MS - TRANSIT_MS),
   };
 }
 
--- a/packages/sidecar/tests/config/config-follower.test.ts
+++ b/packages/sidecar/tests/config/config-follower.test.ts
@@ -74,6 +74,8 @@
 class ScriptedStore extends Store {
   private waiting: ((page: KeyedPage) => void) | undefined;
   private endOffset = 0;
+  /** False if a read returns at once, also without a record. */
+  waits = true;
   /** The newest document at the first read. */
   first: Uint8Array | undefined;
   /** Calls of the store, in order. */
@@ -97,6 +99,9 @@
 
   override read(): Promise<Result<KeyedPage, StoreError>> {
     this.calls.push('read');
+    if (!this.waits) {
+      return Promise.resolve(Ok({records: [], endOffset: this.endOffset}));
+    }
     return new Promise(resolve => {
       this.waiting = page => resolve(Ok(page));
     });
@@ -281,6 +286,16 @@
     expect(newcomer.sent).to.deep.equal([]);
   });
 
+  it('pauses between reads of a store that does not wait for changes', async () => {
+    const newcomer = new FollowerNode(readerId);
+    newcomer.store.first = document(2);
+    newcomer.store.waits = false;
+    newcomer.follower.start();
+    await new Promise(resolve => setTimeout(resolve, 600));
+    newcomer.follower.stop();
+    expect(newcomer.store.calls.length).to.be.within(2, 4);
+  });
+
   it('announces nothing while its own reads of the store fail', async () => {
     reader.clock.advance(staleAfterMs + 1);
     await new Promise(resolve => setTimeout(resolve, 2 * BEACON_INTERVAL_MS));
--- a/packages/sidecar/tests/config/source-choice.test.ts
+++ b/packages/sidecar/tests/config/source-choice.test.ts
@@ -56,7 +56,11 @@
     }
   });
 
-  for (const boundMs of [2_000, 2_500, 3_000]) {
+  for (const boundMs of [1_999, 2_000, 2_500, 3_000]) {
+    it(`waits for whole milliseconds, as the store demands: ${boundMs} ms`, () => {
+      expect(sourceTimes(boundMs).readWaitMs).to.satisfy(Number.isInteger);
+    });
+
     it(`keeps the others from reading beside a working reader: ${boundMs} ms`, () => {
       const {readWaitMs, staleAfterMs} = sourceTimes(boundMs);
       // A read without changes, the time to the next beacon, and their transit.
--- a/packages/testkit/src/platform/store-server.ts
+++ b/packages/testkit/src/platform/store-server.ts
@@ -10,6 +10,7 @@
 const LENGTH_BYTES = 4;
 const OFFSET_BYTES = 8;
 const PAGE_ITEMS = 500;
+const WHOLE_NUMBER = /^\d+$/;
 
 /** Faults that the store simulates; all are off by default. */
 export interface StoreFaults {
@@ -97,9 +98,13 @@
     } else if (path === '/api/log-newest') {
       this.handleNewest(res, topic, url.searchParams.get('after') ?? '');
     } else if (path === '/api/log-read') {
-      const from = Number(url.searchParams.get('from'));
-      const waitMs = Number(url.searchParams.get('wait_ms') ?? 0);
-      await this.handleRead(res, topic, from, waitMs);
+      const from = url.searchParams.get('from') ?? '';
+      const waitMs = url.searchParams.get('wait_ms') ?? '0';
+      if (!WHOLE_NUMBER.test(from) || !WHOLE_NUMBER.test(waitMs)) {
+        send(res, 400, {error: 'from and wait_ms are whole numbers'});
+        return;
+      }
+      await this.handleRead(res, topic, Number(from), Number(waitMs));
     } else {
       send(res, 404, {error: 'no such call'});
     }
