sidecar: remember servers that have left across a restart of the node

Cause: that a server has left was known to its node's process only. After a restart of the node, a late 'ready' heartbeat of that server made it usable again, and it got new work after its leaving had been acknowledged (DRAIN). sidecar-path.test shows it, for servers that drain and for those that deregister.

Ruled out: asking the peers, whose records of the host the restart replaces; they restart too when all hosts lose power.

Change: the node's entry in the store also names the starts of its server that have left. A departure is written before it is acknowledged, but delays the acknowledgement by 300 ms at most; the write is repeated until it is done. After a start, the node uses its server only once it has read its entry, or after 3 s without the store. Each write has a higher epoch, so that one that the store carries out late does not undo a newer one. A heartbeat that claims a start in the far future, which would make all later ones stale, is ignored.

--- a/packages/membership/src/reported-server.ts
+++ b/packages/membership/src/reported-server.ts
@@ -4,6 +4,13 @@
  * it leaves never receives new calls again in the same start.
  */
 
+/** Identifies one start of a server. */
+export interface ServerStart {
+  serverId: string;
+  /** Orders the starts of all servers at one address; 0 if not reported. */
+  bornMs: number;
+}
+
 /** A heartbeat from one start of a server. */
 export interface ServerReport {
   serverId: string;
@@ -36,8 +43,8 @@
 /** Effect of a report; `stale`: the current server is unchanged. */
 export type ReportChange = 'started' | 'updated' | 'leaving' | 'stale';
 
-/** Maximum number of departed starts kept; more than a host has in hours. */
-const MAX_DEPARTED = 64;
+/** Maximum number of departed starts kept; more than are reported late. */
+const MAX_DEPARTED = 16;
 /**
  * Time in ms for which late reports of a start that departed before its first
  * report are ignored. Reports may be several seconds late.
@@ -48,13 +55,17 @@
  * the first one is kept: reports are delayed by different times.
  */
 const WARMUP_TOLERANCE_MS = 300;
+/** Most that the clock of a server may be ahead of this node's, in ms. */
+const MAX_CLOCK_SKEW_MS = 60 * 60 * 1000;
 /** Maximum sequence number of the first report of a start. */
 const FIRST_SEQUENCE = 1;
 
 export class ReportedServer {
   private server: CurrentServer | undefined;
-  /** Keys of departed starts, oldest first. */
-  private readonly departed = new Set<string>();
+  /** Departed starts by key, oldest first. */
+  private readonly departed = new Map<string, ServerStart>();
+  /** Number of departures that have been reported. */
+  private departureCount = 0;
   /** The latest departure, without `bornMs`, of a server not yet reported. */
   private unknownDeparture: {serverId: string; untilMs: number} | undefined;
 
@@ -63,13 +74,38 @@
     return this.server;
   }
 
+  /** Number of departures that have been reported to this node. */
+  get departures(): number {
+    return this.departureCount;
+  }
+
+  /** Starts that have departed, oldest first. */
+  get departedStarts(): ServerStart[] {
+    const starts = [...this.departed.values()];
+    const {server} = this;
+    const isLeaving = server?.state === 'leaving';
+    if (!isLeaving || this.departed.has(startKey(server))) return starts;
+    const {serverId, bornMs} = server;
+    return [...starts, {serverId, bornMs}];
+  }
+
+  /** Applies departures that this node knew before its own restart. */
+  restoreDeparted(starts: readonly ServerStart[]): void {
+    const count = this.departureCount;
+    for (const start of starts) this.recordDeparted(start);
+    this.departureCount = count;
+    const {server} = this;
+    if (server && this.departed.has(startKey(server))) {
+      this.server = {...server, state: 'leaving'};
+    }
+  }
+
   /** Applies a heartbeat. */
   applyReport(report: ServerReport, nowMs: number): ReportChange {
     const {server} = this;
+    if (report.bornMs > nowMs + MAX_CLOCK_SKEW_MS) return 'stale';
     if (this.isLateReport(report, nowMs)) this.recordDeparted(report);
-    if (this.departed.has(startKey(report.serverId, report.bornMs))) {
-      return 'stale';
-    }
+    if (this.departed.has(startKey(report))) return 'stale';
     if (server && isSameStart(server, report)) {
       if (report.sequence <= server.sequence) return 'stale';
       return this.update(server, report, nowMs);
@@ -126,6 +162,7 @@
     nowMs: number,
   ): ReportChange {
     const isLeaving = report.state === 'draining' && server.state === 'ready';
+    if (isLeaving) this.departureCount += 1;
     this.server = {
       ...startOf(report),
       state: isLeaving ? 'leaving' : server.state,
@@ -134,16 +171,12 @@
     return isLeaving ? 'leaving' : 'updated';
   }
 
-  private recordDeparted({
-    serverId,
-    bornMs,
-  }: {
-    serverId: string;
-    bornMs: number;
-  }) {
-    this.departed.add(startKey(serverId, bornMs));
+  private recordDeparted({serverId, bornMs}: ServerStart): void {
+    const key = startKey({serverId, bornMs});
+    if (!this.departed.has(key)) this.departureCount += 1;
+    this.departed.set(key, {serverId, bornMs});
     if (this.departed.size <= MAX_DEPARTED) return;
-    const [oldest] = this.departed;
+    const [oldest] = this.departed.keys();
     if (oldest !== undefined) this.departed.delete(oldest);
   }
 }
@@ -163,7 +196,7 @@
   return isSame ? warmUntilMs : estimateMs;
 }
 
-function startKey(serverId: string, bornMs: number): string {
+function startKey({serverId, bornMs}: ServerStart): string {
   return `${serverId}@${bornMs}`;
 }
 
--- a/packages/membership/tests/reported-server.test.ts
+++ b/packages/membership/tests/reported-server.test.ts
@@ -106,6 +106,11 @@
     changes: ['started', 'stale'],
     current: ['i-2', 900, 'ready'],
   },
+  'a start in the far future, of another writer, does not block later ones': {
+    steps: [{bornMs: 1e15}, {}],
+    changes: ['stale', 'started'],
+    current: ['i-1', 500, 'ready'],
+  },
   'a new start after a departure is accepted': {
     steps: [{}, {departedId: 'i-1'}, {serverId: 'i-2', bornMs: 900}],
     changes: ['started', 'leaving', 'started'],
@@ -120,6 +125,59 @@
     });
   }
 
+  describe('after a restart of the node', () => {
+    const LEFT = {serverId: 'i-1', bornMs: 500};
+
+    it('ignores a late heartbeat of a start that had left', () => {
+      const reported = new ReportedServer();
+      reported.restoreDeparted([LEFT]);
+      expect(reported.applyReport(REPORT, NOW_MS)).to.equal('stale');
+    });
+
+    it('withdraws a server that it took before it knew', () => {
+      const reported = new ReportedServer();
+      reported.applyReport(REPORT, NOW_MS);
+      reported.restoreDeparted([LEFT]);
+      expect(reported.current?.state).to.equal('leaving');
+    });
+
+    const departures: {
+      name: string;
+      leave: (reported: ReportedServer) => void;
+    }[] = [
+      {
+        name: 'a draining heartbeat',
+        leave: reported => {
+          const report = {...REPORT, state: 'draining', sequence: 2} as const;
+          reported.applyReport(report, NOW_MS);
+        },
+      },
+      {
+        name: 'a departure',
+        leave: reported => {
+          reported.applyDeparture('i-1', 500, NOW_MS);
+        },
+      },
+    ];
+    for (const {name, leave} of departures) {
+      it(`names the starts that have left to be stored: ${name}`, () => {
+        const reported = new ReportedServer();
+        reported.applyReport(REPORT, NOW_MS);
+        leave(reported);
+        expect(reported.departures).to.equal(1);
+        expect(reported.departedStarts).to.deep.equal([LEFT]);
+      });
+    }
+
+    it('counts no departure that was known before', () => {
+      const reported = new ReportedServer();
+      reported.restoreDeparted([LEFT]);
+      reported.applyDeparture('i-1', 500, NOW_MS);
+      expect(reported.departures).to.equal(0);
+      expect(reported.departedStarts).to.deep.equal([LEFT]);
+    });
+  });
+
   it('returns the end of the warm-up of a server', () => {
     const reported = new ReportedServer();
     reported.applyReport({...REPORT, remainingWarmupMs: 250}, NOW_MS);
--- a/packages/sidecar/src/control/report-server.ts
+++ b/packages/sidecar/src/control/report-server.ts
@@ -2,7 +2,11 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
-import {ReportedServer, type CurrentServer} from '@turmericmill/membership';
+import {
+  ReportedServer,
+  type CurrentServer,
+  type ServerStart,
+} from '@turmericmill/membership';
 import {readText} from '@turmericmill/node';
 import {
   formatFindings,
@@ -13,34 +17,83 @@
   type HostAddress,
   type ReportPath,
 } from '@turmericmill/platform-adapter';
-import type {Clock} from '@turmericmill/utils';
+import {sleep, type Clock} from '@turmericmill/utils';
 import type Logger from 'bunyan';
 
 import {HttpTask} from '../tasks/http-task.js';
 
 /** Time in ms within which a report has to arrive completely. */
 const REQUEST_TIMEOUT_MS = 2_000;
+/**
+ * Time in ms after the start of the node in which its earlier departures may be
+ * read. Reports are late by seconds at most.
+ */
+const MAX_RESTORE_MS = 3_000;
+/**
+ * Time in ms for which an acknowledgement waits until a departure is stored;
+ * servers wait for a second.
+ */
+const MAX_SAVE_MS = 300;
 
 interface Reply {
   status: number;
   body: object;
 }
 
-/** Acknowledges a report once it is in effect on this node. */
+export interface ReportServerParts {
+  listen: HostAddress;
+  clock: Clock;
+  logger: Logger;
+  /** Called with the server after each change. */
+  onServer(server: CurrentServer): void;
+  /** Resolves once the departed starts are stored beyond this process. */
+  saveDeparted(departed: readonly ServerStart[]): Promise<void>;
+}
+
+/**
+ * Acknowledges a report once it is in effect on this node. After a start of the
+ * node, the server is used only once its earlier departures are known: late
+ * reports would bring back a server that has left.
+ */
 export class ReportServer extends HttpTask {
   private readonly reported = new ReportedServer();
+  /** Number of departures that have been handed over to be stored. */
+  private savedDepartures = 0;
+  private isRestored = false;
+  private restoreTimer: NodeJS.Timeout | undefined;
 
-  constructor(
-    listen: HostAddress,
-    private readonly clock: Clock,
-    private readonly logger: Logger,
-    private readonly onServer: (server: CurrentServer) => void,
-  ) {
-    super(listen);
+  constructor(private readonly parts: ReportServerParts) {
+    super(parts.listen);
     this.server.requestTimeout = REQUEST_TIMEOUT_MS;
     this.server.headersTimeout = REQUEST_TIMEOUT_MS;
   }
 
+  override async start(): Promise<void> {
+    await super.start();
+    this.restoreTimer = setTimeout(
+      () => this.restoreDeparted([]),
+      MAX_RESTORE_MS,
+    );
+  }
+
+  override async stop(): Promise<void> {
+    clearTimeout(this.restoreTimer);
+    await super.stop();
+  }
+
+  /** Applies the departures known before the start of this node. */
+  restoreDeparted(departed: readonly ServerStart[]): void {
+    clearTimeout(this.restoreTimer);
+    this.isRestored = true;
+    this.reported.restoreDeparted(departed);
+    this.publish();
+  }
+
+  private publish(): void {
+    const {current} = this.reported;
+    if (current && this.isRestored) this.parts.onServer(current);
+  }
+
   protected override async serve(
     req: IncomingMessage,
     res: ServerResponse,
@@ -59,39 +112,53 @@
     }
     try {
       const text = await readText(req, MAX_REPORT_BYTES);
-      send(res, this.handleReport(path, text));
+      send(res, await this.handleReport(path, text));
     } catch (err) {
-      this.logger.debug({err}, 'report not received; connection closed');
+      this.parts.logger.debug({err}, 'report not received; connection closed');
       res.destroy();
     }
   }
 
-  private handleReport({serverId, type}: ReportPath, text: string): Reply {
+  private async handleReport(
+    {serverId, type}: ReportPath,
+    text: string,
+  ): Promise<Reply> {
+    const {clock, logger} = this.parts;
     const change =
       type === 'heartbeat'
         ? parseHeartbeat(serverId, text).map(report =>
-            this.reported.applyReport(report, this.clock.now()),
+            this.reported.applyReport(report, clock.now()),
           )
         : parseDeparture(serverId, text).map(({bornMs}) =>
-            this.reported.applyDeparture(serverId, bornMs, this.clock.now()),
+            this.reported.applyDeparture(serverId, bornMs, clock.now()),
           );
     if (change.isErr()) {
       const error = formatFindings(change.error);
-      this.logger.warn(
+      logger.warn(
         {serverId, error},
         'malformed report of the backend server refused',
       );
       return {status: 400, body: {error}};
     }
-    const {current} = this.reported;
-    if (current && change.value !== 'stale') {
+    if (change.value !== 'stale') {
       if (change.value !== 'updated') {
-        this.logger.info({server: current}, `server ${change.value}`);
+        const {current} = this.reported;
+        logger.info({server: current}, `server ${change.value}`);
       }
-      this.onServer(current);
+      this.publish();
     }
+    await this.saveNewDepartures();
     return {status: 200, body: {}};
   }
+
+  /** Stores departures, but does not delay the acknowledgement for long. */
+  private async saveNewDepartures(): Promise<void> {
+    const {departures} = this.reported;
+    if (departures === this.savedDepartures) return;
+    this.savedDepartures = departures;
+    const saved = this.parts.saveDeparted(this.reported.departedStarts);
+    await Promise.race([saved, sleep(MAX_SAVE_MS)]);
+  }
 }
 
 function send(res: ServerResponse, {status, body}: Reply): void {
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -9,6 +9,7 @@
   RemoteRunner,
   TransportTask,
 } from '@turmericmill/node';
+import type {Endpoint} from '@turmericmill/membership';
 import {HttpStore, type HostSettings} from '@turmericmill/platform-adapter';
 import {LeastExpectedCostBalancer} from '@turmericmill/routing';
 import {
@@ -69,6 +70,7 @@
   private readonly startedMs = this.clock.now();
   private readonly store: HttpStore;
   private readonly transport: TransportTask;
+  private readonly seeds: StoreSeeds;
   private readonly membership: MembershipTask;
   private readonly answerBudget: AnswerBudget;
   private readonly config: ConfigFollower;
@@ -96,6 +98,7 @@
     this.answerBudget = createAnswerBudget(memoryMb);
     this.store = new HttpStore(() => this.settings.store);
     this.transport = this.createTransport();
+    this.seeds = this.createSeeds();
     this.membership = this.createMembership();
     this.config = new ConfigFollower({
       nodeId,
@@ -136,11 +139,9 @@
     });
     this.metricsServer = new MetricsServer(settings.ip, this.metrics);
     this.ingress = this.createIngress();
-    const {listen} = settings;
-    this.reports = new ReportServer(listen.reports, clock, logger, server =>
-      this.server.update(server),
-    );
-    this.readiness = new ReadinessServer(listen.readiness, () => this.isReady);
+    this.reports = this.createReports();
+    const {readiness} = settings.listen;
+    this.readiness = new ReadinessServer(readiness, () => this.isReady);
     bus.subscribe('view-changed', ({members}) => {
       this.candidates = new CandidateIndex(members);
       this.hasPeers = members.some(({id}) => id !== nodeId);
@@ -276,31 +277,52 @@
     return new TransportTask(options, this.bus, this.clock, this.logger);
   }
 
-  private createMembership(): MembershipTask {
-    const {bus, clock, random, logger, store} = this;
-    const {nodeId, dataCentre, region, ip, meshPorts, isFirstStart} =
-      this.settings;
-    const own = {address: ip, port: meshPorts[0]};
-    const identity = {
-      id: nodeId,
-      incarnation: this.startedMs,
-      ...own,
-      dataCentre,
-      region,
-    };
-    const seedDirectory = new StoreSeeds({
+  private get endpoint(): Endpoint {
+    const {ip, meshPorts} = this.settings;
+    return {address: ip, port: meshPorts[0]};
+  }
+
+  private createSeeds(): StoreSeeds {
+    const {clock, random, logger, store, endpoint: own} = this;
+    const {nodeId, isFirstStart} = this.settings;
+    return new StoreSeeds({
       nodeId,
       own,
       isFirstStart,
       store,
+      clock,
       random,
       logger,
       hasPeers: () => this.hasPeers,
+      onDeparted: departed => this.reports.restoreDeparted(departed),
     });
+  }
+
+  private createMembership(): MembershipTask {
+    const {bus, clock, random, logger, seeds: seedDirectory} = this;
+    const {nodeId, dataCentre, region} = this.settings;
+    const identity = {
+      id: nodeId,
+      incarnation: this.startedMs,
+      ...this.endpoint,
+      dataCentre,
+      region,
+    };
     const parts = {bus, clock, random, seedDirectory, logger};
     return new MembershipTask({identity, seeds: []}, parts);
   }
 
+  private createReports(): ReportServer {
+    const {clock, logger} = this;
+    return new ReportServer({
+      listen: this.settings.listen.reports,
+      clock,
+      logger,
+      onServer: server => this.server.update(server),
+      saveDeparted: departed => this.seeds.saveDeparted(departed),
+    });
+  }
+
   private createIngress(): IngressServer {
     const {bus, clock, random} = this;
     const {nodeId, dataCentre, service, listen, retries} = this.settings;
--- a/packages/sidecar/src/tasks/store-seeds.ts
+++ b/packages/sidecar/src/tasks/store-seeds.ts
@@ -1,53 +1,61 @@
 /** Directory of the nodes' endpoints, in a keyed topic of the store. */
 
-import type {Endpoint} from '@turmericmill/membership';
+import type {Endpoint, ServerStart} from '@turmericmill/membership';
 import {SeedDirectory} from '@turmericmill/node';
-import type {KeyedRecord, Store} from '@turmericmill/platform-adapter';
-import {
-  isIpAddress,
-  isPort,
-  sleep,
-  type RandomSource,
-} from '@turmericmill/utils';
+import type {Store} from '@turmericmill/platform-adapter';
+import {sleep, type Clock, type RandomSource} from '@turmericmill/utils';
 import type Logger from 'bunyan';
 
+import {encodeNodeEntry, parseNodeEntry, type NodeEntry} from './node-entry.js';
+
 const NODES_TOPIC = 'keyed.nodes';
 /** Delay in ms of another read while this node knows no other node. */
 const REREAD_DELAY_MS = 1_500;
+/** Epoch of the first entry of a node; all others have a time in ms. */
+const FIRST_EPOCH = 1;
 /** Base and cap in ms of the jittered delay between attempts. */
 const RETRY_BASE_MS = 250;
 const RETRY_CAP_MS = 4_000;
 
-/** A node that has written its endpoint. */
-interface SeedEntry {
-  nodeId: string;
-  endpoint: Endpoint;
-}
-
 export interface StoreSeedsParts {
   nodeId: string;
   own: Endpoint;
   /** True if no node of the fleet has started before. */
   isFirstStart: boolean;
   store: Store;
+  clock: Clock;
   random: RandomSource;
   logger: Logger;
   /** True once this node knows another one. */
   hasPeers(): boolean;
+  /** Called once with the departed starts that the entry of this node names. */
+  onDeparted(departed: readonly ServerStart[]): void;
 }
 
 /**
- * Reads the endpoints at the start, and again only while this node is alone.
- * Each call of the store has a price, so the endpoint of this node is written
- * only if the store does not have it: a restart takes one call.
+ * Reads the entries of all nodes at the start, and again only while this node
+ * is alone. Each call of the store has a price, so the entry of this node is
+ * written only if the store does not have it: a restart takes one call.
  */
 export class StoreSeeds extends SeedDirectory {
   private stopped = false;
+  private departed: readonly ServerStart[] = [];
+  /** Epoch of the last write of the entry. */
+  private epoch = 0;
+  private lastWrite: Promise<void> = Promise.resolve();
 
   constructor(private readonly parts: StoreSeedsParts) {
     super();
   }
 
+  /** Resolves once the entry of this node names the departed starts. */
+  saveDeparted(departed: readonly ServerStart[]): Promise<void> {
+    this.departed = departed;
+    // Writes follow one another, so that a late one does not undo a newer one.
+    this.lastWrite = this.lastWrite.then(() => this.writeUntilDone());
+    return this.lastWrite;
+  }
+
   override start(onSeeds: (endpoints: Endpoint[]) => void): void {
     void this.run(onSeeds);
   }
@@ -63,9 +71,13 @@
 
   private async run(onSeeds: (endpoints: Endpoint[]) => void): Promise<void> {
     // Nodes that start together first write, so that their reads find others.
-    if (this.parts.isFirstStart) await this.writeUntilDone();
+    if (this.parts.isFirstStart) {
+      await this.retryUntilDone(() => this.writeEntry(FIRST_EPOCH));
+    }
     const entries = await this.readUntilDone(onSeeds);
-    if (!entries.some(entry => this.isOwn(entry))) await this.writeUntilDone();
+    const own = entries.find(({nodeId}) => nodeId === this.parts.nodeId);
+    this.restore(own);
+    if (!own || !this.isAtOwnEndpoint(own)) await this.writeUntilDone();
     for (;;) {
       await sleep(REREAD_DELAY_MS);
       if (this.stopped || this.parts.hasPeers()) return;
@@ -73,14 +85,25 @@
     }
   }
 
+  /** Keeps what the entry names and what has departed meanwhile. */
+  private restore({departed = [], epoch = 0}: Partial<NodeEntry> = {}): void {
+    if (this.stopped) return;
+    this.epoch = Math.max(this.epoch, epoch);
+    this.departed = [...departed, ...this.departed];
+    this.parts.onDeparted(departed);
+  }
+
   private async writeUntilDone(): Promise<void> {
-    await this.retryUntilDone(() => this.writeEndpoint());
+    await this.retryUntilDone(() => {
+      this.epoch = Math.max(this.epoch + 1, this.parts.clock.now());
+      return this.writeEntry(this.epoch);
+    });
   }
 
   private async readUntilDone(
     onSeeds: (endpoints: Endpoint[]) => void,
-  ): Promise<SeedEntry[]> {
-    let entries: SeedEntry[] | undefined;
+  ): Promise<NodeEntry[]> {
+    let entries: NodeEntry[] | undefined;
     await this.retryUntilDone(async () => {
       entries = await this.readEntries();
       return entries !== undefined;
@@ -89,10 +112,9 @@
     return entries ?? [];
   }
 
-  private isOwn({nodeId, endpoint}: SeedEntry): boolean {
-    const {nodeId: ownId, own} = this.parts;
-    const {address, port} = endpoint;
-    return nodeId === ownId && address === own.address && port === own.port;
+  private isAtOwnEndpoint({endpoint}: NodeEntry): boolean {
+    const {own} = this.parts;
+    return endpoint.address === own.address && endpoint.port === own.port;
   }
 
   private async retryUntilDone(step: () => Promise<boolean>): Promise<void> {
@@ -107,17 +129,20 @@
     }
   }
 
-  /** Writes the endpoint of this node; repeating the write has no effect. */
-  private async writeEndpoint(): Promise<boolean> {
-    const {nodeId, own, store, logger} = this.parts;
-    const value = Buffer.from(JSON.stringify(own));
-    const put = await store.put(NODES_TOPIC, nodeId, value);
-    if (put.isErr()) logger.info({err: put.error}, 'endpoint not written');
-    return put.isOk();
+  /** Writes the entry of this node, unless a newer one has been written. */
+  private async writeEntry(epoch: number): Promise<boolean> {
+    const {departed} = this;
+    const {nodeId, own: endpoint, store, logger} = this.parts;
+    const value = encodeNodeEntry({nodeId, endpoint, departed, epoch});
+    const fence = {producer: nodeId, epoch};
+    const put = await store.put(NODES_TOPIC, nodeId, value, fence);
+    if (put.isOk() || put.error.code === 'fenced') return true;
+    logger.info({err: put.error}, 'endpoint not written');
+    return false;
   }
 
   /** Returns undefined if the store does not answer. */
-  private async readEntries(): Promise<SeedEntry[] | undefined> {
+  private async readEntries(): Promise<NodeEntry[] | undefined> {
     const {store, logger} = this.parts;
     const page = await store.newest(NODES_TOPIC);
     if (page.isErr()) {
@@ -127,20 +152,6 @@
       );
       return undefined;
     }
-    return page.value.records.flatMap(record => parseEntry(record) ?? []);
-  }
-}
-
-/** Returns undefined for a record of another writer that is no endpoint. */
-function parseEntry({key, value}: KeyedRecord): SeedEntry | undefined {
-  let entry: unknown;
-  try {
-    entry = JSON.parse(Buffer.from(value).toString());
-  } catch {
-    // Whatever the parser cannot read is no endpoint.
-    return undefined;
+    return page.value.records.flatMap(record => parseNodeEntry(record) ?? []);
   }
-  const {address, port} = (entry ?? {}) as Partial<Endpoint>;
-  if (!isIpAddress(address) || !isPort(port)) return undefined;
-  return {nodeId: key, endpoint: {address, port}};
 }
--- a/packages/sidecar/tests/control/report-server.test.ts
+++ b/packages/sidecar/tests/control/report-server.test.ts
@@ -20,12 +20,13 @@
   let socket: Socket;
 
   beforeEach(async () => {
-    server = new ReportServer(
-      {address: '127.0.0.1', port: 0},
-      new ManualClock(1_000),
-      bunyan.createLogger({name: 'test', level: bunyan.FATAL + 1}),
-      current => received.push(current),
-    );
+    server = new ReportServer({
+      listen: {address: '127.0.0.1', port: 0},
+      clock: new ManualClock(1_000),
+      logger: bunyan.createLogger({name: 'test', level: bunyan.FATAL + 1}),
+      onServer: current => received.push(current),
+      saveDeparted: () => Promise.resolve(),
+    });
     await server.start();
     socket = connect(server.port, '127.0.0.1');
     socket.on('error', () => socket.destroy());
--- a/packages/sidecar/tests/tasks/store-seeds.test.ts
+++ b/packages/sidecar/tests/tasks/store-seeds.test.ts
@@ -1,6 +1,6 @@
-import type {Endpoint} from '@turmericmill/membership';
+import type {Endpoint, ServerStart} from '@turmericmill/membership';
 import {Store, type KeyedRecord} from '@turmericmill/platform-adapter';
-import {Ok, SeededRandom} from '@turmericmill/utils';
+import {ManualClock, Ok, SeededRandom} from '@turmericmill/utils';
 import bunyan from 'bunyan';
 import {expect} from 'chai';
 
@@ -13,10 +13,16 @@
 /** Time in ms that exceeds the delay of another read. */
 const REREAD_MS = 1_700;
 
+interface WrittenEntry extends Endpoint {
+  departed: unknown[];
+  epoch: number;
+}
+
 /** A store whose topic has the given entries, by key. */
 class FixedStore extends Store {
   /** Calls of the store, in order. */
   readonly calls: string[] = [];
+  readonly written: WrittenEntry[] = [];
 
   constructor(
     private readonly entries: Readonly<Record<string, string | Uint8Array>>,
@@ -40,8 +46,11 @@
     return Promise.resolve(Ok({records: [], endOffset: 0}));
   }
 
-  override put() {
+  override put(topic: string, key: string, value: Uint8Array) {
     this.calls.push('put');
+    this.written.push(
+      JSON.parse(Buffer.from(value).toString()) as WrittenEntry,
+    );
     return Promise.resolve(Ok(undefined));
   }
 
@@ -72,20 +81,27 @@
 interface StartOptions {
   isFirstStart?: boolean;
   hasPeers?: boolean;
+  onDeparted?: (departed: readonly ServerStart[]) => void;
 }
 
 function createSeeds(
   store: Store,
-  {isFirstStart = false, hasPeers = true}: StartOptions = {},
+  {
+    isFirstStart = false,
+    hasPeers = true,
+    onDeparted = () => undefined,
+  }: StartOptions = {},
 ): StoreSeeds {
   return new StoreSeeds({
     nodeId: 'n-own',
     own: OWN,
     isFirstStart,
     store,
+    clock: new ManualClock(1_000),
     random: new SeededRandom(1),
     logger: SILENT,
     hasPeers: () => hasPeers,
+    onDeparted,
   });
 }
 
@@ -128,6 +144,30 @@
     });
   }
 
+  const LEFT = {serverId: 'i-1', bornMs: 500};
+
+  it('restores the departures that its entry names, without odd ones', async () => {
+    const departed = [LEFT, 7, {serverId: 'i-2'}, {bornMs: 1}, null];
+    const own = JSON.stringify({...OWN, departed, epoch: 9});
+    const restored = await new Promise(resolve => {
+      createSeeds(new FixedStore({'n-own': own}), {
+        onDeparted: resolve,
+      }).start(() => undefined);
+    });
+    expect(restored).to.deep.equal([LEFT]);
+  });
+
+  it('writes departures with a higher epoch each time', async () => {
+    const store = new FixedStore({'n-own': JSON.stringify(OWN)});
+    const seeds = createSeeds(store);
+    await seeds.saveDeparted([LEFT]);
+    await seeds.saveDeparted([LEFT, {serverId: 'i-2', bornMs: 900}]);
+    const [first, second] = store.written;
+    expect(first).to.deep.include({...OWN, departed: [LEFT]});
+    expect(second!.departed).to.have.length(2);
+    expect(second!.epoch).to.be.above(first!.epoch);
+  });
+
   for (const [name, entry] of Object.entries(ODD_ENTRIES)) {
     it(`skips an entry of another writer and keeps the others: ${name}`, async () => {
       const good: Endpoint = {address: '10.0.0.3', port: 7_660};
--- a/packages/testkit/src/platform/app-server.ts
+++ b/packages/testkit/src/platform/app-server.ts
@@ -58,8 +58,20 @@
 
   /** Reports a state; resolves with the HTTP status of the acknowledgement. */
   report(state: 'ready' | 'draining'): Promise<number> {
-    const {id, service, address, port, slots} = this.options;
     this.sequence += 1;
+    return this.sendReport(state, this.sequence);
+  }
+
+  /** Sends a report that was made before all others, as if it was delayed. */
+  reportLate(state: 'ready' | 'draining'): Promise<number> {
+    return this.sendReport(state, 0);
+  }
+
+  private sendReport(
+    state: 'ready' | 'draining',
+    sequence: number,
+  ): Promise<number> {
+    const {id, service, address, port, slots} = this.options;
     return this.post(`/api/instances/${id}/heartbeat`, {
       service,
       address: `${address}:${port}`,
@@ -68,7 +80,7 @@
       slots,
       state,
       warmup_left: '0ms',
-      sequence: this.sequence,
+      sequence,
       born: this.bornMs,
     });
   }
@@ -80,10 +92,10 @@
   }
 
   private post(path: string, body: object): Promise<number> {
-    const {control} = this.options;
+    const {address: host, port} = this.options.control;
     return new Promise((resolve, reject) => {
       const req = request(
-        {host: control.address, port: control.port, method: 'POST', path},
+        {host, port, method: 'POST', path, agent: false},
         res => {
           res.resume();
           res.once('end', () => resolve(res.statusCode ?? 0));
--- a/packages/testkit/src/platform/store-server.ts
+++ b/packages/testkit/src/platform/store-server.ts
@@ -30,6 +30,8 @@
   firstOffset: number;
   newestByKey: Map<string, {value: Buffer; offset: number}>;
   waitingReaders: Set<() => void>;
+  /** Highest epoch of each producer. */
+  epochs: Map<string, number>;
 }
 
 export class StoreServer {
@@ -117,6 +119,10 @@
   ): Promise<void> {
     const chunks: Buffer[] = [];
     for await (const chunk of req) chunks.push(chunk as Buffer);
+    if (!this.acceptEpoch(req.url ?? '', topic)) {
+      send(res, 409, {why: 'fenced'});
+      return;
+    }
     const body = Buffer.concat(chunks);
     const offset = topic.firstOffset + topic.records.length;
     for (let at = 0; at < body.length;) {
@@ -133,6 +139,17 @@
     send(res, 200, {offset, end_offset: endOffset});
   }
 
+  /** False if a write of a higher epoch of the same producer was made. */
+  private acceptEpoch(path: string, {epochs}: Topic): boolean {
+    const {searchParams} = new URL(path, 'http://store');
+    const producer = searchParams.get('producer');
+    if (producer === null) return true;
+    const epoch = Number(searchParams.get('epoch'));
+    if (epoch < (epochs.get(producer) ?? 0)) return false;
+    epochs.set(producer, epoch);
+    return true;
+  }
+
   private handleNewest(res: ServerResponse, topic: Topic, after: string): void {
     const keys = [...topic.newestByKey.keys()]
       .sort()
@@ -200,6 +217,7 @@
         firstOffset: 0,
         newestByKey: new Map(),
         waitingReaders: new Set(),
+        epochs: new Map(),
       };
       this.topics.set(name, topic);
     }
--- a/packages/testkit/tests/platform/sidecar-path.test.ts
+++ b/packages/testkit/tests/platform/sidecar-path.test.ts
@@ -221,6 +221,23 @@
     expect(third!.app.runs.length).to.equal(before);
   });
 
+  for (const leave of ['draining', 'deregister'] as const) {
+    it(`does not use a departed server again after a restart: ${leave}`, async () => {
+      const hosts = await start();
+      const [first, , third] = hosts;
+      const {app} = third!;
+      const left =
+        leave === 'draining' ? app.report('draining') : app.deregister();
+      expect(await left).to.equal(200);
+      await mesh.restartNode(third!);
+      expect(await app.reportLate('ready')).to.equal(200);
+      const before = app.runs.length;
+      await waitUntilServed([first!, third!]);
+      for (let i = 0; i < 20; i++) await call(first!, '/d/x');
+      expect(app.runs.length).to.equal(before);
+    });
+  }
+
   it('refuses immediately when the service has no servers left', async () => {
     const hosts = await start();
     await hosts[1]!.app.deregister();
