load benchmark: model calls of servers to other services

It now has services, a call that a run may need while it holds its slot, and the share of each class that is served. Two patterns, 'calls' and 'callee', follow the Lima services.

--- a/packages/testkit/src/bench/load/load-figures.ts
+++ b/packages/testkit/src/bench/load/load-figures.ts
@@ -11,6 +11,8 @@
    * on time.
    */
   worth: number;
+  /** Share of the requests of each class that were answered. */
+  served: Record<string, number>;
   onTime: number;
   late: number;
   refused: number;
@@ -27,6 +29,10 @@
   runs: number;
 }
 
+function increment(counts: Map<string, number>, name: string): void {
+  counts.set(name, (counts.get(name) ?? 0) + 1);
+}
+
 function round(value: number): number {
   return Number(value.toFixed(3));
 }
@@ -41,6 +47,8 @@
   };
   private maxWorth = 0;
   private earnedWorth = 0;
+  private readonly asked = new Map<string, number>();
+  private readonly answered = new Map<string, number>();
   private refusalCount = 0;
   private totalHeldMs = 0;
   private lateRefusals = 0;
@@ -51,12 +59,14 @@
   /** Counts a new request; later attempts of its client do not count. */
   recordRequest(cls: LoadClass): void {
     this.maxWorth += cls.worth;
+    increment(this.asked, cls.name);
   }
 
   recordEnd(cls: LoadClass, end: RequestEnd, attempts: number): void {
     this.ends[end] += 1;
     if (end === 'on-time') this.earnedWorth += cls.worth;
     if (end === 'late') this.earnedWorth += cls.lateWorth;
+    if (end === 'on-time' || end === 'late') increment(this.answered, cls.name);
     if (end === 'refused' && attempts > 1) this.refusedAgainCount += 1;
   }
 
@@ -72,6 +82,12 @@
     const share = (count: number) => round(count / Math.max(1, total));
     return {
       worth: round(this.earnedWorth / Math.max(1, this.maxWorth)),
+      served: Object.fromEntries(
+        [...this.asked].map(([name, count]) => [
+          name,
+          round((this.answered.get(name) ?? 0) / count),
+        ]),
+      ),
       onTime: share(this.ends['on-time']),
       late: share(this.ends.late),
       refused: share(this.ends.refused),
--- a/packages/testkit/src/bench/load/load-model.ts
+++ b/packages/testkit/src/bench/load/load-model.ts
@@ -13,22 +13,27 @@
   RecentRefusals,
   RetryWindow,
   retryAfterMs,
-  type CallTraits,
   type Candidate,
-  type OfferStage,
-  type OfferState,
-  type QueuedCall,
 } from '@turmericmill/routing';
 import {SeededRandom} from '@turmericmill/utils';
 
 import {EventQueue} from '../policy/event-queue.js';
-import {LoadCounts, type LoadFigures} from './load-figures.js';
+import {LoadCounts, type LoadFigures, type RequestEnd} from './load-figures.js';
 import {
   DATA_CENTRES,
   type Conditions,
   type LoadClass,
   type LoadPattern,
 } from './load-pattern.js';
+import {
+  offerState,
+  outcomeOf,
+  queuedCallOf,
+  traitsOf,
+  type ClientAttempt,
+  type EntryNode,
+  type Request,
+} from './load-request.js';
 import {ModelledServer, type OfferEnd} from './load-server.js';
 
 /** Number of nodes per data centre at which calls arrive. */
@@ -68,40 +73,6 @@
   shedShare: 0,
 };
 
-interface EntryNode {
-  dataCentre: string;
-  balancer: LeastExpectedCostBalancer;
-  refusals: RecentRefusals;
-  retryWindow: RetryWindow;
-}
-
-/** A request of a client, over all its attempts. */
-interface Request {
-  cls: LoadClass;
-  entry: EntryNode;
-  workMs: number;
-  firstAttemptMs: number;
-  attempts: number;
-}
-
-/** One attempt of a client, as its entry node sees it. */
-interface ClientAttempt {
-  request: Request;
-  startedMs: number;
-  deadlineMs: number;
-  /** Simulated time in ms until which servers count an answer as on time. */
-  targetMs: number;
-  tried: Set<string>;
-  /** Number of servers that received the request and shed it. */
-  reached: number;
-  /** Number of offers made to servers. */
-  offers: number;
-  stage: OfferStage;
-  laterStages: readonly OfferStage[];
-  /** Shortest wait in ms that a full server reported; infinite if none did. */
-  minWaitMs: number;
-}
-
 export class LoadModel {
   private readonly events = new EventQueue();
   private readonly random: SeededRandom;
@@ -140,7 +111,9 @@
   }
 
   run(): LoadFigures {
-    for (const cls of this.pattern.classes) this.scheduleArrival(cls);
+    for (const cls of this.pattern.classes) {
+      if (cls.perSecond > 0) this.scheduleArrival(cls);
+    }
     this.events.runUntil(this.pattern.durationMs + SETTLE_MS);
     for (const server of this.servers) this.counts.runs += server.runs;
     return this.counts.figures();
@@ -171,11 +144,43 @@
         workMs: this.drawWorkMs(cls),
         firstAttemptMs: this.events.nowMs,
         attempts: 0,
+        latestMs: this.events.nowMs + cls.clientTimeoutMs,
       });
       this.scheduleArrival(cls);
     });
   }
 
+  /** Makes the call that a run of `request` at `server` needs, if it does. */
+  private callInner(
+    {cls, latestMs}: Request,
+    {candidate}: ModelledServer,
+    onEnd: (succeeded: boolean) => void,
+  ): void {
+    const {inner} = cls;
+    if (!inner || this.random.next() >= inner.share) {
+      onEnd(true);
+      return;
+    }
+    const innerClass = this.pattern.classes.find(
+      ({name}) => name === inner.class,
+    );
+    if (!innerClass) throw new Error(`Unknown class ${inner.class}.`);
+    const {nowMs} = this.events;
+    this.startAttempt({
+      cls: innerClass,
+      entry: this.random.pick(
+        this.entryNodes.filter(
+          ({dataCentre}) => dataCentre === candidate.dataCentre,
+        ),
+      ) as EntryNode,
+      workMs: this.drawWorkMs(innerClass),
+      firstAttemptMs: nowMs,
+      attempts: 0,
+      latestMs: Math.min(latestMs, nowMs + innerClass.clientTimeoutMs),
+      onInnerEnd: onEnd,
+    });
+  }
+
   /** Draws the work of a call, log-normally distributed around the mean. */
   private drawWorkMs({workMs, workSigma}: LoadClass): number {
     const radius = Math.sqrt(-2 * Math.log(1 - this.random.next()));
@@ -184,10 +189,10 @@
   }
 
   private startAttempt(request: Request): void {
-    const {cls, entry, firstAttemptMs} = request;
+    const {cls, entry, firstAttemptMs, latestMs} = request;
     const {nowMs} = this.events;
     request.attempts += 1;
-    const remainingMs = firstAttemptMs + cls.clientTimeoutMs - nowMs;
+    const remainingMs = latestMs - nowMs;
     const timeoutMs = Math.min(cls.routeTimeoutMs, remainingMs);
     entry.retryWindow.recordRequest(nowMs);
     const minTargetMs = cls.targetMs * MIN_TARGET_SHARE;
@@ -230,15 +235,22 @@
     entry.balancer.started(candidate, traits);
     const server = this.serverOf(candidate);
     this.events.after(ONE_WAY_LATENCY_MS, () => {
-      server.offer(this.queuedCallOf(attempt), request.workMs, end => {
-        const load = server.load(cls.rank, cls.name);
-        this.events.after(ONE_WAY_LATENCY_MS, () => {
-          const latencyMs = this.events.nowMs - sentMs;
-          const outcome = end === 'answered' ? 'answered' : 'refused';
-          const result = {outcome, latencyMs, load} as const;
-          entry.balancer.finished(candidate, traits, result, this.events.nowMs);
-          this.handleEnd(attempt, candidate, end, load.waitMs ?? 0);
-        });
+      this.nextId += 1;
+      const call = queuedCallOf(attempt, this.nextId, this.events.nowMs);
+      server.offer(call, {
+        workMs: request.workMs,
+        callInner: onEnd => this.callInner(request, server, onEnd),
+        onEnd: end => {
+          const load = server.load(cls.rank, cls.name);
+          this.events.after(ONE_WAY_LATENCY_MS, () => {
+            const latencyMs = this.events.nowMs - sentMs;
+            const outcome = outcomeOf(end);
+            const result = {outcome, latencyMs, load};
+            const {nowMs} = this.events;
+            entry.balancer.finished(candidate, traits, result, nowMs);
+            this.handleEnd(attempt, candidate, end, load.waitMs ?? 0);
+          });
+        },
       });
     });
   }
@@ -249,25 +261,6 @@
     return found;
   }
 
-  private queuedCallOf({
-    request,
-    targetMs,
-    deadlineMs,
-    stage,
-  }: ClientAttempt): QueuedCall {
-    this.nextId += 1;
-    const {acceptsLate, mayWait} = stage;
-    return {
-      id: this.nextId,
-      class: request.cls.name,
-      rank: request.cls.rank,
-      targetMs: mayWait ? targetMs : this.events.nowMs,
-      deadlineMs,
-      acceptsLate: acceptsLate && mayWait,
-      suspect: false,
-    };
-  }
-
   private choose(attempt: ClientAttempt): Candidate | undefined {
     for (;;) {
       const found = this.chooseInStage(attempt);
@@ -282,7 +275,9 @@
     const {entry, cls} = attempt.request;
     const {nowMs} = this.events;
     const eligible = selectEligibleCandidates(
-      this.servers.map(({candidate}) => candidate),
+      this.servers
+        .map(({candidate}) => candidate)
+        .filter(({group}) => group === cls.service),
       offerState(attempt),
       entry.refusals,
       entry.dataCentre,
@@ -310,6 +305,10 @@
       this.recordAnswer(attempt);
       return;
     }
+    if (end === 'failed') {
+      this.fail(attempt);
+      return;
+    }
     if (end === 'overload') {
       const offer = buildOffer(candidate, offerState(attempt), nowMs);
       if (mayWait) entry.refusals.record(offer, nowMs);
@@ -326,21 +325,43 @@
   }
 
   private recordAnswer({request}: ClientAttempt): void {
-    const {cls, firstAttemptMs, attempts} = request;
-    const latencyMs = this.events.nowMs - firstAttemptMs;
+    const {cls, firstAttemptMs, latestMs} = request;
+    const {nowMs} = this.events;
+    const latencyMs = nowMs - firstAttemptMs;
     const end = latencyMs <= cls.targetMs ? 'on-time' : 'late';
-    const isTooLate = latencyMs > cls.clientTimeoutMs;
-    this.counts.recordEnd(cls, isTooLate ? 'failed' : end, attempts);
+    this.end(request, nowMs > latestMs ? 'failed' : end);
+  }
+
+  /** Ends an attempt whose run has failed; clients repeat where they may. */
+  private fail({request}: ClientAttempt): void {
+    const {cls, attempts} = request;
+    const mayRetry = cls.repeatable && attempts < this.maxAttempts(request);
+    if (mayRetry && this.events.nowMs < request.latestMs) {
+      this.startAttempt(request);
+    } else {
+      this.end(request, 'failed');
+    }
+  }
+
+  /** Number of attempts of the caller; servers make only one. */
+  private maxAttempts({onInnerEnd}: Request): number {
+    return onInnerEnd ? 1 : MAX_CLIENT_ATTEMPTS;
+  }
+
+  private end(request: Request, end: RequestEnd): void {
+    const {cls, attempts, onInnerEnd} = request;
+    if (onInnerEnd) onInnerEnd(end === 'on-time' || end === 'late');
+    else this.counts.recordEnd(cls, end, attempts);
   }
 
   private refuse(attempt: ClientAttempt): void {
     const {request, startedMs, deadlineMs, minWaitMs} = attempt;
-    const {cls, firstAttemptMs} = request;
+    const {cls, latestMs, onInnerEnd} = request;
     const {nowMs} = this.events;
-    this.counts.recordRefusal(cls, nowMs - startedMs);
-    const remainingMs = firstAttemptMs + cls.clientTimeoutMs - nowMs;
-    if (request.attempts >= MAX_CLIENT_ATTEMPTS || remainingMs <= 0) {
-      this.counts.recordEnd(cls, 'refused', request.attempts);
+    if (!onInnerEnd) this.counts.recordRefusal(cls, nowMs - startedMs);
+    const remainingMs = latestMs - nowMs;
+    if (request.attempts >= this.maxAttempts(request) || remainingMs <= 0) {
+      this.end(request, 'refused');
       return;
     }
     const waitMs = Number.isFinite(minWaitMs) ? minWaitMs : 0;
@@ -352,13 +373,3 @@
     this.events.after(acceptedDelayMs, () => this.startAttempt(request));
   }
 }
-
-function offerState(attempt: ClientAttempt): OfferState {
-  const {request, stage, tried, reached, targetMs, deadlineMs} = attempt;
-  const {rank} = request.cls;
-  return {stage, tried, reached, rank, targetMs, deadlineMs};
-}
-
-function traitsOf({name, answerBytes}: LoadClass): CallTraits {
-  return {class: name, priority: 'interactive', transferBytes: answerBytes};
-}
--- a/packages/testkit/src/bench/load/load-pattern.ts
+++ b/packages/testkit/src/bench/load/load-pattern.ts
@@ -1,8 +1,20 @@
 /** Load patterns: classes of calls, servers, and faults over time. */
 
+/** A call that a server makes while it runs a call of another class. */
+export interface InnerCall {
+  /** Name of the called class. */
+  class: string;
+  /** Share of the runs that make the call. */
+  share: number;
+}
+
 /** Calls of one class. */
 export interface LoadClass {
   name: string;
+  /** Service that runs the calls. */
+  service: string;
+  /** Call that each run needs to succeed; it keeps its slot meanwhile. */
+  inner?: InnerCall;
   /** 0 is the most urgent. */
   rank: number;
   /** Calls per second in each data centre. */
@@ -28,6 +40,7 @@
 /** A backend server. */
 export interface LoadServer {
   dataCentre: string;
+  service: string;
   /** Factor on the speed of a normal server. */
   speed: number;
 }
@@ -60,6 +73,7 @@
 
 const READ: LoadClass = {
   name: 'read',
+  service: 'control',
   rank: 2,
   perSecond: 117,
   workMs: 145,
@@ -75,6 +89,7 @@
 
 const COMMAND: LoadClass = {
   name: 'command',
+  service: 'control',
   rank: 1,
   perSecond: 46,
   workMs: 160,
@@ -90,6 +105,7 @@
 
 const FILE: LoadClass = {
   name: 'file',
+  service: 'files',
   rank: 2,
   perSecond: 20,
   workMs: 96,
@@ -103,23 +119,85 @@
   repeatable: true,
 };
 
+function serversOf(
+  service: string,
+  speeds: Readonly<Record<string, readonly number[]>>,
+): LoadServer[] {
+  return Object.entries(speeds).flatMap(([dataCentre, list]) =>
+    list.map(speed => ({dataCentre, service, speed})),
+  );
+}
+
 /** Nine servers of different speeds: four, three and two per data centre. */
-const CONTROL_SERVERS: readonly LoadServer[] = [
-  {dataCentre: 'a', speed: 0.55},
-  {dataCentre: 'a', speed: 1.2},
-  {dataCentre: 'a', speed: 1.2},
-  {dataCentre: 'a', speed: 1.2},
-  {dataCentre: 'b', speed: 0.55},
-  {dataCentre: 'b', speed: 1.2},
-  {dataCentre: 'b', speed: 1.2},
-  {dataCentre: 'c', speed: 0.55},
-  {dataCentre: 'c', speed: 1.2},
-];
+const CONTROL_SERVERS = serversOf('control', {
+  a: [0.55, 1.2, 1.2, 1.2],
+  b: [0.55, 1.2, 1.2],
+  c: [0.55, 1.2],
+});
 
-const FILE_SERVERS: readonly LoadServer[] = DATA_CENTRES.map(dataCentre => ({
-  dataCentre,
-  speed: 1,
-}));
+const FILE_SERVERS = serversOf('files', {a: [1], b: [1], c: [1]});
+
+const LISTING: LoadClass = {
+  name: 'listing',
+  service: 'catalogue',
+  inner: {class: 'hold', share: 0.7},
+  rank: 2,
+  perSecond: 59,
+  workMs: 90,
+  workSigma: 0.3,
+  targetMs: 300,
+  clientTimeoutMs: 1_200,
+  routeTimeoutMs: 600,
+  worth: 1,
+  lateWorth: 0.5,
+  answerBytes: 5_000,
+  repeatable: true,
+};
+
+const CONTRACT: LoadClass = {
+  name: 'contract',
+  service: 'contracts',
+  rank: 1,
+  perSecond: 22,
+  workMs: 150,
+  workSigma: 0.7,
+  targetMs: 400,
+  clientTimeoutMs: 1_500,
+  routeTimeoutMs: 750,
+  worth: 2,
+  lateWorth: 1,
+  answerBytes: 400,
+  repeatable: false,
+};
+
+/** Made by servers that run a listing. */
+const HOLD: LoadClass = {
+  name: 'hold',
+  service: 'contracts',
+  rank: 1,
+  perSecond: 0,
+  workMs: 22,
+  workSigma: 0.5,
+  targetMs: 100,
+  clientTimeoutMs: 250,
+  routeTimeoutMs: 250,
+  worth: 0,
+  lateWorth: 0,
+  answerBytes: 400,
+  repeatable: true,
+};
+
+const CATALOGUE = {
+  slots: 6,
+  classes: [LISTING, CONTRACT, HOLD],
+  durationMs: 20_000,
+};
+
+const CATALOGUE_SERVERS = serversOf('catalogue', {
+  a: [0.6, 1],
+  b: [1.6, 0.6],
+  c: [1],
+});
 
 const CONTROL = {
   slots: 12,
@@ -177,4 +255,21 @@
       loadFactor: isWithin(nowMs, 6_000, 12_000) ? 7 : 3,
     }),
   },
+  {
+    ...CATALOGUE,
+    name: 'calls',
+    summary: 'calls that depend on another service, which has capacity',
+    servers: [
+      ...CATALOGUE_SERVERS,
+      ...serversOf('contracts', {a: [0.6], b: [1], c: [1.4]}),
+    ],
+    conditionsAt: () => ({loadFactor: 0.9}),
+  },
+  {
+    ...CATALOGUE,
+    name: 'callee',
+    summary: 'calls that depend on another service, which has lost servers',
+    servers: [...CATALOGUE_SERVERS, ...serversOf('contracts', {c: [0.6]})],
+    conditionsAt: () => ({}),
+  },
 ];
--- a/packages/testkit/src/bench/load/load-server.ts
+++ b/packages/testkit/src/bench/load/load-server.ts
@@ -16,11 +16,14 @@
 /** Interval in ms between deadline checks of waiting calls; as in the node. */
 const SWEEP_INTERVAL_MS = 20;
 
-/** How an offer to a server ended. */
-export type OfferEnd = 'answered' | 'shed' | SlotRefusal;
+/** How an offer to a server ended. `failed`: a call that it made has failed. */
+export type OfferEnd = 'answered' | 'shed' | 'failed' | SlotRefusal;
 
-interface OfferedCall {
+/** A call as the server sees it. */
+export interface OfferedCall {
   workMs: number;
+  /** Makes the call that the run needs, if any, and reports its success. */
+  callInner: (onEnd: (succeeded: boolean) => void) => void;
   onEnd: (end: OfferEnd) => void;
 }
 
@@ -44,7 +47,7 @@
       nodeId: `n-${index}`,
       serverId: `s-${index}`,
       incarnation: 1,
-      group: 'service',
+      group: spec.service,
       dataCentre: spec.dataCentre,
       state: 'ready',
       slots,
@@ -53,12 +56,8 @@
     this.sweep();
   }
 
-  offer(
-    call: QueuedCall,
-    workMs: number,
-    onEnd: (end: OfferEnd) => void,
-  ): void {
-    this.offered.set(call.id, {workMs, onEnd});
+  offer(call: QueuedCall, offered: OfferedCall): void {
+    this.offered.set(call.id, offered);
     this.apply(this.queue.offer(call, this.events.nowMs));
   }
 
@@ -82,17 +81,27 @@
   }
 
   private start(id: number): void {
-    const {workMs} = this.offered.get(id) as OfferedCall;
+    const {workMs, callInner} = this.offered.get(id) as OfferedCall;
     this.runs += 1;
     const {slowdown, shedShare} = this.currentFault();
     const isShed = this.random.next() < shedShare;
     const runMs = isShed ? 1 : (workMs / this.spec.speed) * slowdown;
     this.events.after(runMs, () => {
-      this.apply(this.queue.finished(id, !isShed, this.events.nowMs));
-      this.end(id, isShed ? 'shed' : 'answered');
+      if (isShed) this.finish(id, 'shed');
+      else {
+        callInner(succeeded => {
+          this.finish(id, succeeded ? 'answered' : 'failed');
+        });
+      }
     });
   }
 
+  private finish(id: number, end: OfferEnd): void {
+    const isAnswered = end !== 'shed';
+    this.apply(this.queue.finished(id, isAnswered, this.events.nowMs));
+    this.end(id, end);
+  }
+
   private end(id: number, result: OfferEnd): void {
     const offered = this.offered.get(id);
     this.offered.delete(id);
--- a/packages/testkit/tests/bench/load/load-model.test.ts
+++ b/packages/testkit/tests/bench/load/load-model.test.ts
@@ -57,4 +57,16 @@
     // Per request, less than a tenth of an answer.
     expect(crossingBytes).to.be.below(9_000);
   });
+
+  it('serves all requests whose calls need another service with capacity', () => {
+    const {served, onTime} = runPattern('calls');
+    expect(Math.min(...Object.values(served))).to.be.at.least(0.99);
+    expect(onTime).to.be.at.least(0.97);
+  });
+
+  it('lets calls of requests that hold a slot elsewhere go first', () => {
+    const {served} = runPattern('callee');
+    // The slots of the callee can carry all calls that listings make.
+    expect(served['listing']).to.be.at.least(0.7);
+  });
 });
