routing: lengthen a planned wait by the calls that overtake

Load pattern: a service has lost all servers but one, and other servers need short calls from it while they hold slots of their own.

Cause: the queue multiplied the planned wait of each new call by 2.5, as more urgent calls may overtake it. A short call with a near target, which nothing overtakes, was refused although a slot came in time. The request that had made it failed after its server had done the work.

Change: the factor follows from the share of the slots that classes ahead of the call have used lately (class-loads.ts). One test demanded the fixed factor: of three equal calls at one slot the third would end in time and was to be refused; it now waits, and a new test demands the refusal where urgent calls do use half of the slots.

--- a/packages/routing/src/admission/slot-queue.ts
+++ b/packages/routing/src/admission/slot-queue.ts
@@ -6,6 +6,7 @@
  * an answer after their target, wait behind all other calls of their rank.
  */
 
+import {ClassLoads} from './class-loads.js';
 import {ServiceTimes} from './service-times.js';
 
 /** Minimum share of its class's mean time still expected of a running call. */
@@ -19,11 +20,8 @@
 const LATE_CALL_TIME_SHARE = 0.4;
 /** Minimum time in ms for which a late call may wait for a free slot. */
 const MIN_LATE_WAIT_MS = 100;
-/**
- * Factor on the planned wait of a new call: more urgent calls arrive meanwhile
- * and are queued ahead of it.
- */
-const NEW_CALL_WAIT_FACTOR = 2.5;
+/** Largest factor on the planned wait of a new call. */
+const MAX_FACTOR = 6;
 
 /** A call that needs a slot. */
 export interface QueuedCall {
@@ -63,6 +61,7 @@
 /** Slots and waiting calls of one incarnation of a server. */
 export class SlotQueue {
   readonly serviceTimes = new ServiceTimes();
+  private readonly loads = new ClassLoads();
   private readonly running = new Map<number, RunningCall>();
   /** In the order in which they get slots. */
   private waiting: WaitingCall[] = [];
@@ -78,6 +77,10 @@
 
   /** Runs, queues or refuses a new call; refuses calls that it displaces. */
   offer(call: QueuedCall, nowMs: number): SlotEffect[] {
+    const slackMs = call.targetMs - nowMs;
+    if (slackMs > 0 && !call.acceptsLate) {
+      this.loads.recordArrival(call.class, call.rank, slackMs);
+    }
     if (this.closedReason) return [refuse(call, this.closedReason)];
     if (this.isExpired(call, nowMs)) return [refuse(call, 'deadline')];
     if (this.hasSlot(call) && this.waiting.length === 0) {
@@ -92,6 +95,7 @@
     const run = this.running.get(id);
     if (!run) return [];
     this.running.delete(id);
+    this.loads.recordRun(run.call.class, nowMs - run.startMs, nowMs);
     if (answered) this.serviceTimes.record(run.call.class, nowMs - run.startMs);
     return this.dispatch(nowMs);
   }
@@ -165,7 +169,7 @@
     const overdue = this.waiting.filter(({call, latestEndMs}) => {
       const waitMs = Math.max(0, (freeAtMs[0] ?? nowMs) - nowMs);
       const expectedWaitMs =
-        call === added ? waitMs * NEW_CALL_WAIT_FACTOR : waitMs;
+        call === added ? waitMs * this.overtakingFactor(call, nowMs) : waitMs;
       const endMs =
         nowMs + expectedWaitMs + this.serviceTimes.meanMs(call.class);
       if (endMs > latestEndMs) return true;
@@ -175,6 +179,20 @@
     return this.refuseAll(overdue, nowMs);
   }
 
+  /**
+   * Factor by which a planned wait grows, as more urgent calls arrive meanwhile
+   * and are queued ahead. Squared: a call that is refused late has lost its
+   * time, one that is refused at once may go elsewhere.
+   */
+  private overtakingFactor(call: QueuedCall, nowMs: number): number {
+    const {rank, acceptsLate} = call;
+    // All calls on time go before a late one, so what runs now shows its place.
+    if (acceptsLate && this.running.size >= this.slots) return MAX_FACTOR;
+    const slackMs = call.targetMs - nowMs;
+    const share = this.loads.shareBefore(rank, slackMs, this.slots, nowMs);
+    return Math.min(MAX_FACTOR, Math.max(0, 1 - share) ** -2);
+  }
+
   private refuseAll(
     refused: readonly WaitingCall[],
     nowMs: number,
--- a/packages/routing/tests/admission/slot-queue.test.ts
+++ b/packages/routing/tests/admission/slot-queue.test.ts
@@ -54,7 +54,29 @@
     expect(results).to.deep.equal([
       ['run'],
       [],
+      [],
+      ['refuse overload'],
       ['refuse overload'],
+    ]);
+  });
+
+  it('refuses at once a call that more urgent arrivals would make late', () => {
+    const queue = trainedQueue(2);
+    // Urgent calls have used half of the slots for seconds.
+    let nowMs = 0;
+    for (; nowMs < 5_000; nowMs += 100) {
+      const urgent = call({class: 'urgent', rank: 0, targetMs: nowMs + 400});
+      queue.offer({...urgent, deadlineMs: nowMs + 1_500}, nowMs);
+      queue.finished(urgent.id, true, nowMs + 100);
+    }
+    const results = [1, 2, 3, 4].map(() => {
+      const late = call({targetMs: nowMs + 400, deadlineMs: nowMs + 1_500});
+      return summarize(queue.offer(late, nowMs));
+    });
+    // Without them, the fourth call would end after 200 of 400 ms.
+    expect(results).to.deep.equal([
+      ['run'],
+      ['run'],
       ['refuse overload'],
       ['refuse overload'],
     ]);
