sidecar: tell callers to return when a server or configuration may be back

Load pattern: all hosts lose power; nodes are back before their configuration and before they know servers.

Cause: a caller of a service without servers was told to return after 40 to 100 ms, one of a node without configuration after 200 ms.

Change: both return after 500 ms and jitter, within a third of their time.

Result: ingress-server.test, both new cases fail before.

--- a/packages/sidecar/src/ingress/ingress-server.ts
+++ b/packages/sidecar/src/ingress/ingress-server.ts
@@ -50,8 +50,11 @@
  * than an earlier attempt.
  */
 const MIN_TARGET_SHARE = 0.25;
-/** Time in ms after which a caller may retry at a node without a config. */
-const NO_CONFIG_RETRY_MS = 200;
+/**
+ * Time in ms in which a node that has just started is expected to have a
+ * configuration, or a service without a server to have one again.
+ */
+const RECOVERY_WAIT_MS = 500;
 /** Time in ms after which a caller may retry whose body had no room. */
 const NO_ROOM_RETRY_MS = 200;
 
@@ -195,8 +198,9 @@
     const {req} = caller;
     const {table, limits} = this;
     if (!table) {
+      const retryMs = this.retryDelayMs(remainingTimeMs(req), RECOVERY_WAIT_MS);
       const answer = {status: 503, reason: 'no configuration yet'};
-      this.reject(caller, {...answer, retryAfterMs: NO_CONFIG_RETRY_MS});
+      this.reject(caller, {...answer, retryAfterMs: retryMs});
       return;
     }
     const route = table.routes.match(req.headers.host ?? '', req.url ?? '/');
@@ -225,7 +229,7 @@
     if (caller.hasDisconnected) return;
     const request = this.routedRequest(caller, route, body, arrivedMs);
     if (request.deadlineMs > this.latestDeadlineMs) {
-      const retryMs = this.retryDelayMs(request, 0);
+      const retryMs = this.retryDelayMs(this.remainingMsOf(request), 0);
       const answer = {status: 503, reason: 'draining', retryAfterMs: retryMs};
       this.reject(caller, answer);
       return;
@@ -295,13 +299,18 @@
     if (mayHaveRun) {
       return {status: reason === 'deadline' ? 504 : 502, reason};
     }
-    const retryMs = this.retryDelayMs(request, failure.load.waitMs ?? 0);
+    const waitMs =
+      reason === 'no-server' ? RECOVERY_WAIT_MS : (failure.load.waitMs ?? 0);
+    const retryMs = this.retryDelayMs(this.remainingMsOf(request), waitMs);
     return {status: 503, reason, retryAfterMs: retryMs};
   }
 
-  private retryDelayMs(request: RoutedRequest, waitMs: number): number {
-    const {clock, random} = this.parts;
-    return retryAfterMs(waitMs, request.deadlineMs - clock.now(), random);
+  private remainingMsOf({deadlineMs}: RoutedRequest): number {
+    return deadlineMs - this.parts.clock.now();
+  }
+
+  private retryDelayMs(remainingMs: number, waitMs: number): number {
+    return retryAfterMs(waitMs, remainingMs, this.parts.random);
   }
 }
 
--- a/packages/sidecar/tests/ingress/ingress-server.test.ts
+++ b/packages/sidecar/tests/ingress/ingress-server.test.ts
@@ -3,7 +3,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 
 import type {MeshConfig} from '@turmericmill/config';
-import {Bus} from '@turmericmill/node';
+import {Bus, NO_LOAD, type CallFailure} from '@turmericmill/node';
 import {ManualClock, SeededRandom} from '@turmericmill/utils';
 import {expect} from 'chai';
 
@@ -37,6 +37,8 @@
   },
 };
 
+/** Time in ms that the caller waits. */
+const WAITS = 'x-turmericmill-request-deadline: 3000';
 const REQUEST = 'GET /d/x HTTP/1.1\r\nhost: shop.example\r\n\r\n';
 /** Bytes of bodies that count towards the budget and for which it has room. */
 const BODY_BUDGET_BYTES = 300_000;
@@ -54,16 +56,23 @@
   /** Answers a dispatched request; by default none is answered. */
   answer: ((caller: CallerRequest) => void) | undefined;
   readonly server: IngressServer;
+  /** Failure of all dispatched requests. */
+  failure: CallFailure | undefined;
   /** True if dispatched requests never end. */
   neverEnds = false;
   readonly bodyBudget = new BodyBudget(BODY_BUDGET_BYTES);
 
-  constructor() {
+  constructor({configured = true} = {}) {
     const bus = new Bus();
     const dispatch = {
       dispatch: (request: RoutedRequest) => {
         this.dispatched.push(request);
         if (this.neverEnds) return new Promise(() => undefined);
+        const {failure} = this;
+        if (failure) {
+          const failed = {kind: 'failed', tries: 0, mayHaveRun: false};
+          return Promise.resolve({...failed, failure, asked: undefined});
+        }
         this.answer?.(request.caller);
         const kind = this.answer ? 'answered' : 'left';
         return Promise.resolve({kind, status: 200, tries: 1});
@@ -82,7 +91,7 @@
       onBrokenOff: () => undefined,
       onUndelivered: () => undefined,
     });
-    bus.publish('mesh-config', {config: CONFIG});
+    if (configured) bus.publish('mesh-config', {config: CONFIG});
   }
 }
 
@@ -102,6 +111,39 @@
 
   afterEach(() => fixture.server.stop());
 
+  /** Returns the status and the Retry-After header in seconds. */
+  async function retryAfter(port: number): Promise<[string, number]> {
+    const socket = connect(port, '127.0.0.1');
+    socket.write(REQUEST.replace('\r\n\r\n', `\r\n${WAITS}\r\n\r\n`));
+    const [chunk] = (await once(socket, 'data')) as [Buffer];
+    socket.destroy();
+    const text = chunk.toString();
+    const [, seconds] = /retry-after: (\S+)/i.exec(text) ?? [];
+    return [text.slice(9, 12), Number(seconds)];
+  }
+
+  it('lets callers of a service without servers return when one may be back', async () => {
+    fixture.failure = {
+      outcome: 'not-run',
+      reason: 'no-server',
+      detail: '',
+      load: {...NO_LOAD},
+    };
+    const [status, seconds] = await retryAfter(fixture.server.port);
+    expect(status).to.equal('503');
+    // A third of the route's timeout, which is all that callers wait.
+    expect(seconds).to.be.closeTo(0.8 / 3, 0.001);
+  });
+
+  it('lets callers return when a node that has just started is configured', async () => {
+    const unconfigured = new Fixture({configured: false});
+    await unconfigured.server.start();
+    const [status, seconds] = await retryAfter(unconfigured.server.port);
+    await unconfigured.server.stop();
+    expect(status).to.equal('503');
+    expect(seconds).to.be.within(0.5, 0.6);
+  });
+
   async function send(): Promise<Socket> {
     const socket = connect(fixture.server.port, '127.0.0.1');
     socket.on('error', () => undefined);
