sidecar: follow changed settings for the service and server of a host

Cause: the service of the callers and the address of the server were read from the settings at the start only. A host whose settings name another service would send a wrong caller service with its requests.

Change: both are read from the settings in force. A new address counts from the next start of the server.

Result: sidecar-path.test, failing before.

--- a/packages/sidecar/src/ingress/ingress-server.ts
+++ b/packages/sidecar/src/ingress/ingress-server.ts
@@ -60,8 +60,8 @@
 
 export interface IngressServerParts {
   listen: HostAddress;
-  /** Service on this host whose requests arrive here. */
-  callerService: string;
+  /** Returns the service on this host whose requests arrive here. */
+  callerService(): string;
   dispatch: RequestDispatch;
   bodyBudget: BodyBudget;
   bus: Bus;
@@ -259,7 +259,7 @@
     arrivedMs: number,
   ): RoutedRequest {
     const {req} = caller;
-    const {callerService} = this.parts;
+    const callerService = this.parts.callerService();
     const method = req.method ?? 'GET';
     const path = req.url ?? '/';
     const {name, timeoutMs, targetLatencyMs} = route;
--- a/packages/sidecar/src/server/server-runner.ts
+++ b/packages/sidecar/src/server/server-runner.ts
@@ -13,6 +13,7 @@
   type InitialBody,
   type QuarantineTask,
 } from '@turmericmill/node';
+import type {HostAddress} from '@turmericmill/platform-adapter';
 import type {Clock} from '@turmericmill/utils';
 import type Logger from 'bunyan';
 
@@ -28,9 +29,8 @@
   logger: Logger;
   quarantine: QuarantineTask;
   answerBudget: AnswerBudget;
-  /** Address at which the server of this node listens. */
-  address: string;
-  port: number;
+  /** Returns the address at which the server of this node listens. */
+  address(): HostAddress;
 }
 
 /** Starts a new session for each start of the server and retires the last. */
@@ -84,7 +84,8 @@
   }
 
   private publish(): void {
-    const {bus, address, port} = this.parts;
+    const {bus} = this.parts;
+    const {address, port} = this.parts.address();
     const {session} = this;
     if (!session) return;
     const {serverId, service, bornMs, slots, warmUntilMs} = session.server;
--- a/packages/sidecar/src/server/server-session.ts
+++ b/packages/sidecar/src/server/server-session.ts
@@ -56,7 +56,8 @@
     private readonly parts: ServerRunnerParts,
     private readonly onStateChanged: () => void,
   ) {
-    const {address, port, clock, answerBudget} = parts;
+    const {clock, answerBudget} = parts;
+    const {address, port} = parts.address();
     this.queue = new SlotQueue(current.slots);
     this.pool = new ServerPool(address, port, clock, answerBudget);
     this.scheduleSweep();
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -111,15 +111,13 @@
       logger,
     });
     const quarantine = new QuarantineTask(nodeId, bus, clock, random, logger);
-    const {address, port} = settings.server;
     this.server = new ServerRunner({
       bus,
       clock,
       logger,
       quarantine,
       answerBudget: this.answerBudget,
-      address,
-      port,
+      address: () => this.settings.server,
     });
     this.incoming = new IncomingCalls(bus, this.server, clock);
     this.requestLog = new RequestLog(clock, logger);
@@ -325,7 +323,7 @@
 
   private createIngress(): IngressServer {
     const {bus, clock, random} = this;
-    const {nodeId, dataCentre, service, listen, retries} = this.settings;
+    const {nodeId, dataCentre, listen, retries} = this.settings;
     const dispatch = new RequestDispatch({
       nodeId,
       local: this.server,
@@ -348,7 +346,7 @@
     });
     return new IngressServer({
       listen: listen.callers,
-      callerService: service,
+      callerService: () => this.settings.service,
       dispatch,
       bodyBudget: BodyBudget.ofProcess(this.settings.memoryMb),
       bus,
--- a/packages/sidecar/tests/ingress/entry-mesh.ts
+++ b/packages/sidecar/tests/ingress/entry-mesh.ts
@@ -265,7 +265,7 @@
     });
     return new IngressServer({
       listen: {address: '127.0.0.1', port: 0},
-      callerService: 'desk',
+      callerService: () => 'desk',
       dispatch,
       bodyBudget: new BodyBudget(bufferBytes),
       bus,
--- a/packages/sidecar/tests/ingress/ingress-server.test.ts
+++ b/packages/sidecar/tests/ingress/ingress-server.test.ts
@@ -80,7 +80,7 @@
     } as unknown as RequestDispatch;
     this.server = new IngressServer({
       listen: {address: '127.0.0.1', port: 0},
-      callerService: 'desk',
+      callerService: () => 'desk',
       dispatch,
       bodyBudget: this.bodyBudget,
       bus,
--- a/packages/testkit/tests/platform/sidecar-path.test.ts
+++ b/packages/testkit/tests/platform/sidecar-path.test.ts
@@ -167,6 +167,13 @@
     expect(run?.remainingMs).to.be.within(1, 800);
   });
 
+  it('names the service that the settings in force give to its host', async () => {
+    const [entry, vault] = await start();
+    entry!.node.reload({...entry!.settings, service: 'kiosk'});
+    await call(entry!, '/v/x');
+    expect(vault!.app.runs.at(-1)?.callerService).to.equal('kiosk');
+  });
+
   it('answers 404 for a path without a route', async () => {
     const [entry] = await start();
     expect((await call(entry!, '/none/')).status).to.equal(404);
