utils: let both timers of a test be due before either runs

The test took two timers of one delay, set in one turn, to run together.

Change: the test blocks the event loop until both are due. What it asserts is unchanged.

--- a/packages/utils/tests/deadline-timer.test.ts
+++ b/packages/utils/tests/deadline-timer.test.ts
@@ -40,8 +40,11 @@
     },
     {
       name: 'cleared between its delay and its callback',
-      // Timers with the same delay run together, before any immediate.
-      change: timer => void setTimeout(() => timer.clear(), DELAY_MS),
+      change: timer => {
+        setTimeout(() => timer.clear(), DELAY_MS);
+        // Timers that are both overdue run together, before any immediate.
+        blockEventLoop(2 * DELAY_MS);
+      },
     },
     {
       name: 'set again',
