routing, sidecar: name a bound after what it limits; sort imports

Cause: read as a newcomer, MAX_FACTOR of the slot queue does not say of what, and one import of sidecar.ts stood out of order.

Change: MAX_WAIT_FACTOR; the import is moved. No logic changes.

Result: build and lint pass.

--- a/packages/routing/src/admission/slot-queue.ts
+++ b/packages/routing/src/admission/slot-queue.ts
@@ -21,7 +21,7 @@
 /** Minimum time in ms for which a late call may wait for a free slot. */
 const MIN_LATE_WAIT_MS = 100;
 /** Largest factor on the planned wait of a new call. */
-const MAX_FACTOR = 6;
+const MAX_WAIT_FACTOR = 6;
 
 /** A call that needs a slot. */
 export interface QueuedCall {
@@ -187,10 +187,10 @@
   private overtakingFactor(call: QueuedCall, nowMs: number): number {
     const {rank, acceptsLate} = call;
     // All calls on time go before a late one, so what runs now shows its place.
-    if (acceptsLate && this.running.size >= this.slots) return MAX_FACTOR;
+    if (acceptsLate && this.running.size >= this.slots) return MAX_WAIT_FACTOR;
     const slackMs = call.targetMs - nowMs;
     const share = this.loads.shareBefore(rank, slackMs, this.slots, nowMs);
-    return Math.min(MAX_FACTOR, Math.max(0, 1 - share) ** -2);
+    return Math.min(MAX_WAIT_FACTOR, Math.max(0, 1 - share) ** -2);
   }
 
   private refuseAll(
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -1,5 +1,6 @@
 /** The node on one of the platform's hosts: its tasks, wired together. */
 
+import type {Endpoint} from '@turmericmill/membership';
 import {
   Bus,
   CandidateIndex,
@@ -9,7 +10,6 @@
   RemoteRunner,
   TransportTask,
 } from '@turmericmill/node';
-import type {Endpoint} from '@turmericmill/membership';
 import {HttpStore, type HostSettings} from '@turmericmill/platform-adapter';
 import {LeastExpectedCostBalancer} from '@turmericmill/routing';
 import {
