platform, sidecar: refuse reports of servers that name none

Cause: an odd report of another writer was taken if its used fields could be decoded.

A service has to be named by the configuration in force, unless the report is about the server in use: it may leave after its service was removed.

The stand-in of a server reports a zone.

--- a/packages/sidecar/src/config/config-follower.ts
+++ b/packages/sidecar/src/config/config-follower.ts
@@ -107,6 +107,12 @@
     return this.inForce?.config.version ?? 0;
   }
 
+  /** True if the configuration names the service, or while there is none. */
+  isServiceKnown(name: string): boolean {
+    const services = this.inForce?.config.services;
+    return !services || services.some(service => service.name === name);
+  }
+
   override start(): void {
     void this.follow();
     this.beaconTimer = setInterval(() => this.sendBeacon(), BEACON_INTERVAL_MS);
--- a/packages/sidecar/src/control/report-server.ts
+++ b/packages/sidecar/src/control/report-server.ts
@@ -14,10 +14,12 @@
   parseDeparture,
   parseHeartbeat,
   parseReportPath,
+  type FieldFinding,
   type HostAddress,
   type ReportPath,
+  type ServerHeartbeat,
 } from '@turmericmill/platform-adapter';
-import {sleep, type Clock} from '@turmericmill/utils';
+import {Err, Ok, sleep, type Clock, type Result} from '@turmericmill/utils';
 import type Logger from 'bunyan';
 
 import {HttpTask} from '../tasks/http-task.js';
@@ -44,6 +46,8 @@
   listen: HostAddress;
   clock: Clock;
   logger: Logger;
+  /** True if a server may belong to the service. */
+  isServiceKnown(name: string): boolean;
   /** Called with the server after each change. */
   onServer(server: CurrentServer): void;
   /** Resolves once the departed starts are stored beyond this process. */
@@ -126,9 +130,9 @@
     const {clock, logger} = this.parts;
     const change =
       type === 'heartbeat'
-        ? parseHeartbeat(serverId, text).map(report =>
-            this.reported.applyReport(report, clock.now()),
-          )
+        ? parseHeartbeat(serverId, text)
+            .andThen(report => this.checkService(report))
+            .map(report => this.reported.applyReport(report, clock.now()))
         : parseDeparture(serverId, text).map(({bornMs}) =>
             this.reported.applyDeparture(serverId, bornMs, clock.now()),
           );
@@ -151,6 +155,21 @@
     return {status: 200, body: {}};
   }
 
+  /**
+   * Refuses a report of another writer, which would replace the server of this
+   * host. A server whose service was removed may still report that it leaves.
+   */
+  private checkService(
+    report: ServerHeartbeat,
+  ): Result<ServerHeartbeat, FieldFinding[]> {
+    const {serverId, service} = report;
+    const {current} = this.reported;
+    const isCurrent =
+      current?.serverId === serverId && current.service === service;
+    if (isCurrent || this.parts.isServiceKnown(service)) return Ok(report);
+    return Err([{path: 'service', message: `"${service}" is not known`}]);
+  }
+
   /** Stores departures, but does not delay the acknowledgement for long. */
   private async saveNewDepartures(): Promise<void> {
     const {departures} = this.reported;
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -316,6 +316,7 @@
       listen: this.settings.listen.reports,
       clock,
       logger,
+      isServiceKnown: name => this.config.isServiceKnown(name),
       onServer: server => this.server.update(server),
       saveDeparted: departed => this.seeds.saveDeparted(departed),
     });
--- a/packages/testkit/src/platform/app-server.ts
+++ b/packages/testkit/src/platform/app-server.ts
@@ -75,7 +75,7 @@
     return this.post(`/api/instances/${id}/heartbeat`, {
       service,
       address: `${address}:${port}`,
-      zone: '',
+      zone: 'zone-1',
       version: 'v1',
       slots,
       state,
