testkit: name all services of the hosts in test configurations

Cause: since reports of services that the configuration does not name are refused, cases of sidecar-shutdown.test failed in two of six runs beside load ('started': no report accepted in 10 s). Their configuration lacked the service of the second host. A report that came before the restarted node had read the configuration was taken, any later one was refused.

Change: the configurations name both services; a case for isServiceKnown.

--- a/packages/sidecar/tests/config/config-follower.test.ts
+++ b/packages/sidecar/tests/config/config-follower.test.ts
@@ -221,6 +221,13 @@
     expect(bytesOf(notice)).to.be.below(document(5).length / 20);
   });
 
+  it('knows the services that its configuration names, any without one', () => {
+    const {follower} = new FollowerNode(lastId);
+    expect(follower.isServiceKnown('vault')).to.equal(true);
+    expect(reader.follower.isServiceKnown('desk')).to.equal(true);
+    expect(reader.follower.isServiceKnown('vault')).to.equal(false);
+  });
+
   it('asks for the whole document when it lacks the previous version', async () => {
     reader.store.publish(document(5));
     await waitUntilSettled();
--- a/packages/testkit/tests/platform/sidecar-path.test.ts
+++ b/packages/testkit/tests/platform/sidecar-path.test.ts
@@ -21,6 +21,9 @@
   'traffic_split',
 ];
 
+/** Services of the hosts; a configuration names all that exist. */
+const SERVICES = ['desk', 'vault'];
+
 /** Builds a configuration; `routes` maps path prefixes to services. */
 function buildConfig(version: number, routes: Record<string, string>): string {
   const rows = Object.entries(routes).map(([prefix, service]) => [
@@ -40,11 +43,7 @@
     routes: {columns: ROUTE_COLUMNS, rows},
     services: {
       columns: ['name', 'health_check_path', 'max_connections'],
-      rows: [...new Set(Object.values(routes))].map(name => [
-        name,
-        '/health',
-        100,
-      ]),
+      rows: SERVICES.map(name => [name, '/health', 100]),
     },
     limits: {
       max_header_bytes: 16_384,
--- a/packages/testkit/tests/platform/sidecar-shutdown.test.ts
+++ b/packages/testkit/tests/platform/sidecar-shutdown.test.ts
@@ -32,7 +32,10 @@
   },
   services: {
     columns: ['name', 'health_check_path', 'max_connections'],
-    rows: [['desk', '/health', 100]],
+    rows: [
+      ['desk', '/health', 100],
+      ['vault', '/health', 100],
+    ],
   },
   limits: {
     max_header_bytes: 16_384,
