membership: compare views often after a join

Cause: a node that has got a first view compares it with others only each ten seconds. When all nodes start at once, the member that sent the view may know as little, and records that arrive meanwhile are not passed on. Since changes cross data centres from their origin alone, so each gap is left to the digests.

Change: after a join, the mean period of the digests starts at 1 s and doubles with each up to 10 s.

--- a/packages/membership/src/anti-entropy.ts
+++ b/packages/membership/src/anti-entropy.ts
@@ -28,7 +28,12 @@
 /** Mean time in ms between digests sent to a random member. */
 const DIGEST_PERIOD_MS = 10_000;
 
-/** Mean time in ms between digests until the initial view has arrived. */
+/**
+ * Mean time in ms between digests until the initial view has arrived. From then
+ * on it doubles with each digest: the initial view may come from a member that
+ * is joining too, and the updates of other joining members may have been sent
+ * before this node was known.
+ */
 const JOINING_PERIOD_MS = 1_000;
 
 /**
@@ -52,6 +57,8 @@
 
 export class AntiEntropy {
   private nextDigestAtMs: number;
+  /** Mean time in ms to the digest after the next one. */
+  private periodMs = JOINING_PERIOD_MS;
   private readonly bucket: TokenBucket;
   private joining = true;
   /** Time in ms at which this node announces itself for the second time. */
@@ -79,8 +86,10 @@
       this.updates.announceOwn();
     }
     if (nowMs < this.nextDigestAtMs) return [];
-    const periodMs = this.joining ? JOINING_PERIOD_MS : DIGEST_PERIOD_MS;
-    this.nextDigestAtMs = nowMs + (0.5 + random.next()) * periodMs;
+    this.nextDigestAtMs = nowMs + (0.5 + random.next()) * this.periodMs;
+    if (!this.joining) {
+      this.periodMs = Math.min(2 * this.periodMs, DIGEST_PERIOD_MS);
+    }
     const peer = this.pickPeer(random);
     return peer ? [this.sendDigest(peer)] : [];
   }
