membership: contact further seeds after a join

Cause: once a node has joined, it contacts seeds that are not members only each 30 s. Nodes that start at once may join in separate groups, each of which takes its members for all.

Change: 1.5 s after a join, up to three seeds of the directory that are not members get a digest.

--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -214,19 +214,19 @@
     nowMs: number,
     random: RandomSource,
   ): MembershipEffect[] {
-    const effects: MembershipEffect[] = [];
+    const targets: Endpoint[] = [];
+    const isMember = (endpoint: Endpoint) => this.isMemberEndpoint(endpoint);
     if (this.updates.isAlone) {
       if (this.seeds.isJoinDue(nowMs, random)) {
-        const targets = this.seeds.joinTargets(random);
-        effects.push(...targets.map(to => this.antiEntropy.sendDigest(to)));
+        targets.push(...this.seeds.joinTargets(random));
       }
     } else {
-      this.seeds.resetJoinBackoff();
+      this.seeds.recordJoin(nowMs);
+      targets.push(...this.seeds.secondJoinTargets(nowMs, random, isMember));
     }
-    const target = this.seeds.contactTarget(nowMs, random, endpoint =>
-      this.isMemberEndpoint(endpoint),
-    );
-    if (target) effects.push(this.antiEntropy.sendDigest(target));
+    const contact = this.seeds.contactTarget(nowMs, random, isMember);
+    if (contact) targets.push(contact);
+    const effects = targets.map(to => this.antiEntropy.sendDigest(to));
     if (this.seeds.isPersistDue(nowMs, random) && this.isSeed()) {
       const {address, port} = this.identity;
       effects.push({type: 'persist-seed', endpoint: {address, port}});
--- a/packages/membership/src/seed-contacts.ts
+++ b/packages/membership/src/seed-contacts.ts
@@ -17,6 +17,12 @@
 /** Number of seeds contacted in one attempt. */
 const JOIN_FAN_OUT = 3;
 
+/**
+ * Time in ms from a join to the contact with further seeds: nodes that start at
+ * the same time may have joined in separate groups.
+ */
+const SECOND_JOIN_DELAY_MS = 1_500;
+
 /** Mean time in ms between contacts with seeds that are not members. */
 const CONTACT_PERIOD_MS = 30_000;
 
@@ -28,8 +34,12 @@
 
 export class SeedContacts {
   private endpoints: Endpoint[] = [];
+  /** Those that were not added as the source of a message. */
+  private given: readonly Endpoint[] = [];
   private attempt = 0;
   private nextJoinAtMs: number;
+  /** Infinity before the join and after the contact. */
+  private secondJoinAtMs = Infinity;
   private nextContactAtMs: number;
   private nextPersistAtMs: number;
 
@@ -40,9 +50,10 @@
   }
 
   setEndpoints(endpoints: readonly Endpoint[], own: Endpoint): void {
-    this.endpoints = endpoints.filter(
+    this.given = endpoints.filter(
       ({address, port}) => address !== own.address || port !== own.port,
     );
+    this.endpoints = [...this.given];
   }
 
   /**
@@ -72,8 +83,10 @@
   }
 
   /** Resets the backoff after a successful join. */
-  resetJoinBackoff(): void {
+  recordJoin(nowMs: number): void {
+    if (this.attempt === 0) return;
     this.attempt = 0;
+    this.secondJoinAtMs = nowMs + SECOND_JOIN_DELAY_MS;
   }
 
   /** Random seeds for one attempt to join. */
@@ -81,6 +94,18 @@
     return random.sample(this.endpoints, JOIN_FAN_OUT);
   }
 
+  /** Random given seeds that are not members, once after each join. */
+  secondJoinTargets(
+    nowMs: number,
+    random: RandomSource,
+    isMember: (endpoint: Endpoint) => boolean,
+  ): Endpoint[] {
+    if (nowMs < this.secondJoinAtMs) return [];
+    this.secondJoinAtMs = Infinity;
+    const others = this.given.filter(endpoint => !isMember(endpoint));
+    return random.sample(others, JOIN_FAN_OUT);
+  }
+
   /** A seed to contact when a contact is due; schedules the next one. */
   contactTarget(
     nowMs: number,
--- a/packages/membership/tests/joint-restart.test.ts
+++ b/packages/membership/tests/joint-restart.test.ts
@@ -12,6 +12,7 @@
 const CATCH_UP_MS = 4_000;
 const CASES = [
   {nodes: 11, lostShare: 0},
+  {nodes: 11, lostShare: 0.05},
   {nodes: 60, lostShare: 0.05},
 ];
 
