--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -25,7 +25,8 @@
 const ROOT = fileURLToPath(new URL('../..', import.meta.url));
 const RUN_LINE = /^run = "(?<command>[^"]*)"$/m;
 const READY_INTERVAL_MS = 100;
-const RESTART_DELAY_MS = 300;
+/** Time in ms until the platform starts a process again that has ended. */
+export const RESTART_DELAY_MS = 300;
 /** Requests that a server runs at once, as in the site file. */
 const SLOTS = 12;
 
@@ -115,13 +116,6 @@
     await this.ended;
   }
 
-  /** Kills the process; the platform starts it again after a short delay. */
-  async restart() {
-    await this.kill();
-    await sleep(RESTART_DELAY_MS);
-    this.start();
-  }
-
   isReady() {
     const {address: host, port} = hostPort(this.fields.listen.ready);
     return new Promise(resolve => {
