--- a/review/lib/backend.mjs
+++ b/review/lib/backend.mjs
@@ -65,7 +65,7 @@
   /**
    * `run(req, connection)` returns or resolves with the bytes to write, or with
    * undefined to write none. `connection` is an object for the case's own use,
-   * with `write(bytes)` and `reset()`.
+   * with `write(bytes)`, `end()` and `reset()`.
    */
   constructor({id, service, address, port, control, slots, run, record}) {
     this.options = {id, service, address, port, control, slots};
@@ -149,6 +149,7 @@
     this.sockets.add(socket);
     const connection = {
       write: bytes => socket.write(bytes),
+      end: () => socket.end(),
       reset: () => socket.resetAndDestroy(),
     };
     const reader = new RequestReader(req => void this.serve(req, connection));
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -87,6 +87,13 @@
     return {host, port};
   }
 
+  /** Options of the server beside this machine's node, without `run`. */
+  serverOptions(id) {
+    const {service, app_address: address} = this.fields;
+    const {control} = this;
+    return {id, service, ...hostPort(address), control, slots: SLOTS};
+  }
+
   start() {
     writeFileSync(this.settingsPath, renderSettings(this.fields));
     this.fields.bootstrap = false;
@@ -222,17 +229,11 @@
    * `createRun` gets the name and the index of a server, and returns its `run`.
    */
   async startBackends(createRun) {
-    const backends = this.machines.map(({fields, control}, index) => {
+    const backends = this.machines.map((machine, index) => {
       const id = `i-${index + 1}`;
-      return new Backend({
-        id,
-        service: fields.service,
-        ...hostPort(fields.app_address),
-        control,
-        slots: SLOTS,
-        run: createRun(`server ${id}`, index),
-        record: this.record,
-      });
+      const run = createRun(`server ${id}`, index);
+      const {record} = this;
+      return new Backend({...machine.serverOptions(id), run, record});
     });
     for (const backend of backends) await backend.listen();
     await this.whenReady();
