review: case 3, pipelined requests are lost in a planned stop

Cause: from SIGTERM on each response closes its connection, also if requests that were read behind it have been passed on to servers. It takes the place of the second case of a departure, whose script now stands beside the first one in review/4, as both break the same rule. The stand-in of the client formats and parses for both kinds of connection.

--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -1,4 +1,4 @@
-/** Stand-in for a client: one request on a new connection. */
+/** Stand-in for a client. */
 
 import {connect} from 'node:net';
 
@@ -13,22 +13,15 @@
   return `${prefix}${lastId.toString(16).padStart(8, '0')}`;
 }
 
-/**
- * Sends one request. Resolves with `status`, `headers` and `body`, or with
- * `ended` if the connection ended before a complete answer: `closed`, an error
- * code, or `timeout`.
- */
-export function send(
-  {address, port},
-  {
-    method = 'GET',
-    host,
-    path,
-    body = '',
-    deadlineMs,
-    requestId = newRequestId(),
-  },
-) {
+/** Formats a request with its body. */
+export function formatRequest({
+  method = 'GET',
+  host,
+  path,
+  body = '',
+  deadlineMs,
+  requestId,
+}) {
   const lines = [
     `${method} ${path} HTTP/1.1`,
     `Host: ${host}`,
@@ -36,6 +29,16 @@
     `X-Turmericmill-Request-Deadline: ${deadlineMs}`,
   ];
   if (method !== 'GET') lines.push(`Content-Length: ${body.length}`);
+  return `${lines.join('\r\n')}${HEAD_END}${body}`;
+}
+
+/**
+ * Sends one request on a new connection. Resolves with `status`, `headers` and
+ * `body`, or with `ended` if the connection ended before a complete answer:
+ * `closed`, an error code, or `timeout`.
+ */
+export function send({address, port}, req) {
+  const {requestId = newRequestId(), deadlineMs} = req;
   const sentMs = Date.now();
   return new Promise(resolve => {
     const socket = connect({host: address, port, noDelay: true});
@@ -47,7 +50,7 @@
     };
     const timer = setTimeout(() => finish({ended: 'timeout'}), deadlineMs);
     socket.on('connect', () => {
-      socket.write(`${lines.join('\r\n')}${HEAD_END}${body}`);
+      socket.write(formatRequest({...req, requestId}));
     });
     socket.on('data', chunk => {
       bytes = Buffer.concat([bytes, chunk]);
@@ -59,8 +62,11 @@
   });
 }
 
-/** Returns undefined until the answer is complete. */
-function parseAnswer(bytes) {
+/**
+ * Parses an answer at the start of `bytes`; its `bytes` are those that it takes.
+ * Returns undefined until the answer is complete.
+ */
+export function parseAnswer(bytes) {
   const headEnd = bytes.indexOf(HEAD_END);
   if (headEnd < 0) return undefined;
   const [statusLine, ...headerLines] = bytes
@@ -76,5 +82,6 @@
   const begin = headEnd + HEAD_END.length;
   if (bytes.length < begin + length) return undefined;
   const body = bytes.toString('latin1', begin, begin + length);
-  return {status: Number(statusLine.split(' ')[1]), headers, body};
+  const status = Number(statusLine.split(' ')[1]);
+  return {status, headers, body, bytes: begin + length};
 }
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -297,9 +297,12 @@
   };
 }
 
-/** Runs a case and exits; `play` resolves with one of the exit codes. */
-export async function runCase(moduleUrl, play) {
-  const recordPath = join(dirname(fileURLToPath(moduleUrl)), 'record.txt');
+/**
+ * Runs a case and exits; `play` resolves with one of the exit codes. What
+ * happens is written to `recordName` in the folder of the module.
+ */
+export async function runCase(moduleUrl, play, recordName = 'record.txt') {
+  const recordPath = join(dirname(fileURLToPath(moduleUrl)), recordName);
   const deployment = new Deployment(recordPath);
   let code;
   try {
