--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -308,7 +308,7 @@
   try {
     code = await play(deployment);
   } catch (err) {
-    deployment.record(`could not run: ${err.stack}`);
+    deployment.record(`could not run: ${err.message}`);
     code = COULD_NOT_RUN;
   }
   await deployment.stop();
