sidecar: log how departures of a server are stored and restored

What was missing: after a restart, the log does not tell whether an earlier departure was never stored, was stored and not read, or was read and ignored. All three end in the same `server started` line. Change: one line for the outcome of each save, for the departures that the entry of a node names, and for the end of the wait for them.

--- a/packages/sidecar/src/control/report-server.ts
+++ b/packages/sidecar/src/control/report-server.ts
@@ -74,10 +74,13 @@
 
   override async start(): Promise<void> {
     await super.start();
-    this.restoreTimer = setTimeout(
-      () => this.restoreDeparted([]),
-      MAX_RESTORE_MS,
-    );
+    this.restoreTimer = setTimeout(() => {
+      this.parts.logger.warn(
+        {afterMs: MAX_RESTORE_MS},
+        'departures not read from the store in time',
+      );
+      this.restoreDeparted([]);
+    }, MAX_RESTORE_MS);
   }
 
   override async stop(): Promise<void> {
@@ -175,8 +178,12 @@
     const {departures} = this.reported;
     if (departures === this.savedDepartures) return;
     this.savedDepartures = departures;
-    const saved = this.parts.saveDeparted(this.reported.departedStarts);
-    await Promise.race([saved, sleep(MAX_SAVE_MS)]);
+    const {saveDeparted, logger} = this.parts;
+    const departed = this.reported.departedStarts;
+    const saved = saveDeparted(departed).then(() => 'stored' as const);
+    const outcome = await Promise.race([saved, sleep(MAX_SAVE_MS)]);
+    if (outcome === 'stored') logger.info({departed}, 'departures stored');
+    else logger.warn({departed}, 'departures acknowledged before stored');
   }
 }
 
--- a/packages/sidecar/src/tasks/store-seeds.ts
+++ b/packages/sidecar/src/tasks/store-seeds.ts
@@ -88,6 +88,7 @@
   /** Keeps what the entry names and what has departed meanwhile. */
   private restore({departed = [], epoch = 0}: Partial<NodeEntry> = {}): void {
     if (this.stopped) return;
+    this.parts.logger.info({departed, epoch}, 'departures restored');
     this.epoch = Math.max(this.epoch, epoch);
     this.departed = [...departed, ...this.departed];
     this.parts.onDeparted(departed);
