sidecar: use a server after a restart only on its own word

What callers saw: requests were sent to a server for up to 10 s after its node had acknowledged that it leaves (DRAIN), if the node was restarted in between. Such a server ends at any moment, and what runs there is lost. Cause: the new process took the absence of a stored departure for the proof that there was none, and a heartbeat, which may be seconds late, for the server's present state. The store does not name a departure that was acknowledged while it was away, and can't be asked while it is away. Change: after a restart, a server is used once it answers its health check as healthy, which a leaving server does not, or once a heartbeat arrives too late after the restart to be from before (RestartGuard). Departures are written until the process ends, and a planned stop waits for such a write within the grace period; no report is taken once the node closes. Why it works: the server itself always knows that it leaves, whatever happened to its node and to the store. New units: RestartGuard, askHealthyServerId.

--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -10,6 +10,14 @@
 export type * from './membership-types.js';
 export * from './roles.js';
 export * from './server-registry.js';
-export * from './reported-server.js';
+export {
+  ReportedServer,
+  type CurrentServer,
+  type ReportChange,
+  type ReportedState,
+  type ServerReport,
+  type ServerStart,
+} from './reported-server.js';
+export * from './restart-guard.js';
 export type {ServerLifeState} from './server-state.js';
 export {TokenBucket} from './token-bucket.js';
--- a/packages/membership/src/reported-server.ts
+++ b/packages/membership/src/reported-server.ts
@@ -46,10 +46,10 @@
 /** Maximum number of departed starts kept; more than are reported late. */
 const MAX_DEPARTED = 16;
 /**
- * Time in ms for which late reports of a start that departed before its first
- * report are ignored. Reports may be several seconds late.
+ * Time in ms for which late reports are expected after a departure or a restart
+ * of the node. Reports may be several seconds late.
  */
-const LATE_REPORT_WINDOW_MS = 10_000;
+export const LATE_REPORT_WINDOW_MS = 10_000;
 /**
  * Difference in ms between two estimates of the end of a warm-up up to which
  * the first one is kept: reports are delayed by different times.
@@ -196,7 +196,8 @@
   return isSame ? warmUntilMs : estimateMs;
 }
 
-function startKey({serverId, bornMs}: ServerStart): string {
+/** Identifies a start in a map. */
+export function startKey({serverId, bornMs}: ServerStart): string {
   return `${serverId}@${bornMs}`;
 }
 
--- a/packages/sidecar/src/config/config-follower.ts
+++ b/packages/sidecar/src/config/config-follower.ts
@@ -113,6 +113,12 @@
     return !services || services.some(service => service.name === name);
   }
 
+  /** Path of a service's health check; undefined if it is not known. */
+  healthCheckPath(service: string): string | undefined {
+    const services = this.inForce?.config.services ?? [];
+    return services.find(({name}) => name === service)?.healthCheckPath;
+  }
+
   override start(): void {
     void this.follow();
     this.beaconTimer = setInterval(() => this.sendBeacon(), BEACON_INTERVAL_MS);
--- a/packages/sidecar/src/control/report-server.ts
+++ b/packages/sidecar/src/control/report-server.ts
@@ -4,6 +4,7 @@
 
 import {
   ReportedServer,
+  RestartGuard,
   type CurrentServer,
   type ServerStart,
 } from '@turmericmill/membership';
@@ -36,6 +37,9 @@
  * servers wait for a second.
  */
 const MAX_SAVE_MS = 300;
+/** Base and cap in ms of the delay between health checks of a server. */
+const HEALTH_RETRY_BASE_MS = 200;
+const HEALTH_RETRY_CAP_MS = 1_000;
 
 interface Reply {
   status: number;
@@ -46,28 +50,37 @@
   listen: HostAddress;
   clock: Clock;
   logger: Logger;
+  /** True if no process of this node has run before. */
+  isFirstStart: boolean;
   /** True if a server may belong to the service. */
   isServiceKnown(name: string): boolean;
   /** Called with the server after each change. */
   onServer(server: CurrentServer): void;
-  /** Resolves once the departed starts are stored beyond this process. */
-  saveDeparted(departed: readonly ServerStart[]): Promise<void>;
+  /** Resolves with true if the server states that it is not leaving. */
+  isHealthy(server: CurrentServer): Promise<boolean>;
+  /** Resolves with true once the starts are stored beyond this process. */
+  saveDeparted(departed: readonly ServerStart[]): Promise<boolean>;
 }
 
 /**
- * Acknowledges a report once it is in effect on this node. After a start of the
- * node, the server is used only once its earlier departures are known: late
- * reports would bring back a server that has left.
+ * Acknowledges a report once it is in effect on this node. After a restart of
+ * the node, the server is used only once it has stated that it is not leaving:
+ * the process before may have acknowledged that it leaves, and late reports
+ * would bring it back.
  */
 export class ReportServer extends HttpTask {
   private readonly reported = new ReportedServer();
+  private readonly guard: RestartGuard;
   /** Number of departures that have been handed over to be stored. */
   private savedDepartures = 0;
   private isRestored = false;
   private restoreTimer: NodeJS.Timeout | undefined;
+  private isCheckingHealth = false;
+  private stopped = false;
 
   constructor(private readonly parts: ReportServerParts) {
     super(parts.listen);
+    this.guard = new RestartGuard(parts.clock.now(), parts.isFirstStart);
     this.server.requestTimeout = REQUEST_TIMEOUT_MS;
     this.server.headersTimeout = REQUEST_TIMEOUT_MS;
   }
@@ -84,6 +97,7 @@
   }
 
   override async stop(): Promise<void> {
+    this.stopped = true;
     clearTimeout(this.restoreTimer);
     await super.stop();
   }
@@ -98,7 +112,36 @@
 
   private publish(): void {
     const {current} = this.reported;
-    if (current && this.isRestored) this.parts.onServer(current);
+    if (!current || !this.isRestored || !this.guard.isCleared(current)) return;
+    this.parts.onServer(current);
+  }
+
+  /** The current server, if it could be used but for the restart guard. */
+  private get uncleared(): CurrentServer | undefined {
+    const {current} = this.reported;
+    if (current?.state !== 'ready' || this.guard.isCleared(current)) {
+      return undefined;
+    }
+    return current;
+  }
+
+  /**
+   * Asks the server whether it is leaving until it may be used. Later, its next
+   * report is enough.
+   */
+  private async checkHealth(): Promise<void> {
+    const {clock, logger, isHealthy} = this.parts;
+    for (let delayMs = HEALTH_RETRY_BASE_MS; !this.stopped; delayMs *= 2) {
+      const server = this.uncleared;
+      if (!server || clock.now() >= this.guard.lateReportsUntilMs) break;
+      if (await isHealthy(server)) {
+        this.guard.recordHealthy(server);
+        logger.info({server}, 'server healthy after a restart of its node');
+        this.publish();
+        continue;
+      }
+      await sleep(Math.min(delayMs, HEALTH_RETRY_CAP_MS));
+    }
   }
 
   protected override async serve(
@@ -152,12 +195,28 @@
         const {current} = this.reported;
         logger.info({server: current}, `server ${change.value}`);
       }
-      this.publish();
+      this.applyChange();
     }
     await this.saveNewDepartures();
     return {status: 200, body: {}};
   }
 
+  private applyChange(): void {
+    const {clock, logger} = this.parts;
+    const {current} = this.reported;
+    if (current) this.guard.recordReport(current, clock.now());
+    this.publish();
+    if (!this.uncleared || this.isCheckingHealth) return;
+    this.isCheckingHealth = true;
+    this.checkHealth()
+      .catch((err: unknown) => {
+        logger.error({err}, 'health of the server not checked');
+      })
+      .finally(() => {
+        this.isCheckingHealth = false;
+      });
+  }
+
   /**
    * Refuses a report of another writer, which would replace the server of this
    * host. A server whose service was removed may still report that it leaves.
@@ -180,9 +239,9 @@
     this.savedDepartures = departures;
     const {saveDeparted, logger} = this.parts;
     const departed = this.reported.departedStarts;
-    const saved = saveDeparted(departed).then(() => 'stored' as const);
-    const outcome = await Promise.race([saved, sleep(MAX_SAVE_MS)]);
-    if (outcome === 'stored') logger.info({departed}, 'departures stored');
+    const saved = saveDeparted(departed);
+    const isStored = await Promise.race([saved, sleep(MAX_SAVE_MS)]);
+    if (isStored === true) logger.info({departed}, 'departures stored');
     else logger.warn({departed}, 'departures acknowledged before stored');
   }
 }
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -1,6 +1,6 @@
 /** The node on one of the platform's hosts: its tasks, wired together. */
 
-import type {Endpoint} from '@turmericmill/membership';
+import type {CurrentServer, Endpoint} from '@turmericmill/membership';
 import {
   Bus,
   CandidateIndex,
@@ -23,6 +23,7 @@
 
 import {createAnswerBudget, type AnswerBudget} from './answer-budget.js';
 import {ConfigFollower} from './config/config-follower.js';
+import {askHealthyServerId} from './control/health-check.js';
 import {ReportServer} from './control/report-server.js';
 import {AnswerSizes} from './ingress/answer-sizes.js';
 import {BodyBudget} from './ingress/body-budget.js';
@@ -185,6 +186,7 @@
     this.isStopping = true;
     this.processMonitor.stop();
     this.membership.stopWithoutLeaving();
+    this.seeds.close();
     this.config.stop();
     this.store.close();
     this.server.close();
@@ -222,8 +224,11 @@
       if (next !== phase) this.enterPhase(next, times);
       phase = next;
     }
+    // A departure that was acknowledged from now on could not be stored.
+    await this.reports.stop();
     await this.ingress.stop();
-    await this.transport.stop(times.exitMs);
+    const {exitMs} = times;
+    await Promise.all([this.transport.stop(exitMs), this.seeds.flush(exitMs)]);
     this.server.close();
     this.store.close();
     this.processMonitor.stop();
@@ -316,12 +321,24 @@
       listen: this.settings.listen.reports,
       clock,
       logger,
+      isFirstStart: this.settings.isFirstStart,
       isServiceKnown: name => this.config.isServiceKnown(name),
       onServer: server => this.server.update(server),
+      isHealthy: server => this.isHealthy(server),
       saveDeparted: departed => this.seeds.saveDeparted(departed),
     });
   }
 
+  private async isHealthy({
+    serverId,
+    service,
+  }: CurrentServer): Promise<boolean> {
+    const path = this.config.healthCheckPath(service);
+    if (path === undefined) return false;
+    const {server} = this.settings;
+    return (await askHealthyServerId(server, path)) === serverId;
+  }
+
   private createIngress(): IngressServer {
     const {bus, clock, random} = this;
     const {nodeId, dataCentre, listen, retries} = this.settings;
--- a/packages/sidecar/src/tasks/store-seeds.ts
+++ b/packages/sidecar/src/tasks/store-seeds.ts
@@ -38,24 +38,45 @@
  * written only if the store does not have it: a restart takes one call.
  */
 export class StoreSeeds extends SeedDirectory {
+  /** Set when the reads end; departures are still written. */
   private stopped = false;
+  /** Set when the writes end. */
+  private closed = false;
   private departed: readonly ServerStart[] = [];
   /** Epoch of the last write of the entry. */
   private epoch = 0;
-  private lastWrite: Promise<void> = Promise.resolve();
+  private lastWrite: Promise<boolean> = Promise.resolve(true);
 
   constructor(private readonly parts: StoreSeedsParts) {
     super();
   }
 
-  /** Resolves once the entry of this node names the departed starts. */
-  saveDeparted(departed: readonly ServerStart[]): Promise<void> {
+  /**
+   * Resolves with true once the entry of this node names the departed starts,
+   * with false if this directory was closed before.
+   */
+  saveDeparted(departed: readonly ServerStart[]): Promise<boolean> {
     this.departed = departed;
     // Writes follow one another, so that a late one does not undo a newer one.
-    this.lastWrite = this.lastWrite.then(() => this.writeUntilDone());
+    this.lastWrite = this.lastWrite.then(() =>
+      this.writeUntilDone(() => this.closed),
+    );
     return this.lastWrite;
   }
 
+  /** Waits until all departures are stored or `deadlineMs`, then closes. */
+  async flush(deadlineMs: number): Promise<void> {
+    const remainingMs = Math.max(0, deadlineMs - this.parts.clock.now());
+    await Promise.race([this.lastWrite, sleep(remainingMs)]);
+    this.close();
+  }
+
+  /** Ends all attempts to read or write. */
+  close(): void {
+    this.stopped = true;
+    this.closed = true;
+  }
+
   override start(onSeeds: (endpoints: Endpoint[]) => void): void {
     void this.run(onSeeds);
   }
@@ -72,12 +93,17 @@
   private async run(onSeeds: (endpoints: Endpoint[]) => void): Promise<void> {
     // Nodes that start together first write, so that their reads find others.
     if (this.parts.isFirstStart) {
-      await this.retryUntilDone(() => this.writeEntry(FIRST_EPOCH));
+      await this.retryUntilDone(
+        () => this.writeEntry(FIRST_EPOCH),
+        () => this.stopped,
+      );
     }
     const entries = await this.readUntilDone(onSeeds);
     const own = entries.find(({nodeId}) => nodeId === this.parts.nodeId);
     this.restore(own);
-    if (!own || !this.isAtOwnEndpoint(own)) await this.writeUntilDone();
+    if (!own || !this.isAtOwnEndpoint(own)) {
+      await this.writeUntilDone(() => this.stopped);
+    }
     for (;;) {
       await sleep(REREAD_DELAY_MS);
       if (this.stopped || this.parts.hasPeers()) return;
@@ -94,21 +120,24 @@
     this.parts.onDeparted(departed);
   }
 
-  private async writeUntilDone(): Promise<void> {
-    await this.retryUntilDone(() => {
+  private writeUntilDone(isOver: () => boolean): Promise<boolean> {
+    return this.retryUntilDone(() => {
       this.epoch = Math.max(this.epoch + 1, this.parts.clock.now());
       return this.writeEntry(this.epoch);
-    });
+    }, isOver);
   }
 
   private async readUntilDone(
     onSeeds: (endpoints: Endpoint[]) => void,
   ): Promise<NodeEntry[]> {
     let entries: NodeEntry[] | undefined;
-    await this.retryUntilDone(async () => {
-      entries = await this.readEntries();
-      return entries !== undefined;
-    });
+    await this.retryUntilDone(
+      async () => {
+        entries = await this.readEntries();
+        return entries !== undefined;
+      },
+      () => this.stopped,
+    );
     if (entries) onSeeds(entries.map(({endpoint}) => endpoint));
     return entries ?? [];
   }
@@ -118,9 +147,13 @@
     return endpoint.address === own.address && endpoint.port === own.port;
   }
 
-  private async retryUntilDone(step: () => Promise<boolean>): Promise<void> {
-    for (let failures = 0; !this.stopped; failures++) {
-      if (await step()) return;
+  /** Resolves with false if `isOver` before the step has succeeded. */
+  private async retryUntilDone(
+    step: () => Promise<boolean>,
+    isOver: () => boolean,
+  ): Promise<boolean> {
+    for (let failures = 0; !isOver(); failures++) {
+      if (await step()) return true;
       const jitterMs = this.parts.random.jitter(
         RETRY_BASE_MS,
         failures,
@@ -128,6 +161,7 @@
       );
       await sleep(RETRY_BASE_MS + jitterMs);
     }
+    return false;
   }
 
   /** Writes the entry of this node, unless a newer one has been written. */
--- a/packages/sidecar/tests/tasks/store-seeds.test.ts
+++ b/packages/sidecar/tests/tasks/store-seeds.test.ts
@@ -1,6 +1,6 @@
 import type {Endpoint, ServerStart} from '@turmericmill/membership';
 import {Store, type KeyedRecord} from '@turmericmill/platform-adapter';
-import {ManualClock, Ok, SeededRandom} from '@turmericmill/utils';
+import {Err, ManualClock, Ok, SeededRandom} from '@turmericmill/utils';
 import bunyan from 'bunyan';
 import {expect} from 'chai';
 
@@ -12,6 +12,8 @@
 
 /** Time in ms that exceeds the delay of another read. */
 const REREAD_MS = 1_700;
+/** Time in ms within which a write is tried again. */
+const FLUSH_MS = 2_000;
 
 interface WrittenEntry extends Endpoint {
   departed: unknown[];
@@ -23,6 +25,8 @@
   /** Calls of the store, in order. */
   readonly calls: string[] = [];
   readonly written: WrittenEntry[] = [];
+  /** True while writes are refused. */
+  isBusy = false;
 
   constructor(
     private readonly entries: Readonly<Record<string, string | Uint8Array>>,
@@ -48,6 +52,10 @@
 
   override put(topic: string, key: string, value: Uint8Array) {
     this.calls.push('put');
+    if (this.isBusy) {
+      const code = 'unavailable' as const;
+      return Promise.resolve(Err({code, message: 'busy'}));
+    }
     this.written.push(
       JSON.parse(Buffer.from(value).toString()) as WrittenEntry,
     );
@@ -168,6 +176,33 @@
     expect(second!.epoch).to.be.above(first!.epoch);
   });
 
+  describe('while the store refuses writes', () => {
+    // The store may be back before the process ends: nothing else keeps it.
+    it('continues to write a departure after the stop', async () => {
+      const store = new FixedStore({'n-own': JSON.stringify(OWN)});
+      store.isBusy = true;
+      const seeds = createSeeds(store);
+      const saved = seeds.saveDeparted([LEFT]);
+      seeds.stop();
+      setTimeout(() => (store.isBusy = false), 100);
+      await seeds.flush(1_000 + FLUSH_MS);
+      expect(await saved).to.equal(true);
+      expect(store.written.at(-1)).to.deep.include({departed: [LEFT]});
+    });
+
+    it('gives up at the deadline and tells that nothing is stored', async () => {
+      const store = new FixedStore({'n-own': JSON.stringify(OWN)});
+      store.isBusy = true;
+      const seeds = createSeeds(store);
+      const saved = seeds.saveDeparted([LEFT]);
+      seeds.stop();
+      await seeds.flush(1_000 + 100);
+      store.isBusy = false;
+      expect(await saved).to.equal(false);
+      expect(store.written).to.deep.equal([]);
+    });
+  });
+
   for (const [name, entry] of Object.entries(ODD_ENTRIES)) {
     it(`skips an entry of another writer and keeps the others: ${name}`, async () => {
       const good: Endpoint = {address: '10.0.0.3', port: 7_660};
--- a/packages/testkit/src/platform/app-server.ts
+++ b/packages/testkit/src/platform/app-server.ts
@@ -7,6 +7,9 @@
   type ServerResponse,
 } from 'node:http';
 
+/** Path of the health check, to be named by the configurations of tests. */
+export const HEALTH_PATH = '/health';
+
 /** A request that the server has started to run. */
 export interface AppRun {
   requestId: string;
@@ -27,13 +30,20 @@
   slots: number;
 }
 
-/** Runs the requests that expect this server and answers 421 to all others. */
+/**
+ * Runs the requests that expect this server and answers 421 to all others.
+ * Health checks are answered by whether the server is leaving.
+ */
 export class AppServer {
   readonly runs: AppRun[] = [];
   /** Number of requests whose connection closed before the answer was sent. */
   cancelled = 0;
   /** Run time in ms of each request that arrives from now on. */
   workMs: number;
+  /** False once the server has reported that it leaves. */
+  isHealthy = true;
+  /** Number of health checks that were answered. */
+  healthChecks = 0;
   private sequence = 0;
   private readonly bornMs = Date.now();
   private readonly server = createServer((req, res) =>
@@ -59,6 +69,7 @@
   /** Reports a state; resolves with the HTTP status of the acknowledgement. */
   report(state: 'ready' | 'draining'): Promise<number> {
     this.sequence += 1;
+    if (state === 'draining') this.isHealthy = false;
     return this.sendReport(state, this.sequence);
   }
 
@@ -88,6 +99,7 @@
   /** Deregisters the server; resolves with the HTTP status of the answer. */
   deregister(): Promise<number> {
     const {id} = this.options;
+    this.isHealthy = false;
     return this.post(`/api/instances/${id}/deregister`, {born: this.bornMs});
   }
 
@@ -109,6 +121,12 @@
   private handleRequest(req: IncomingMessage, res: ServerResponse): void {
     const {id} = this.options;
     const {workMs} = this;
+    if (req.url === HEALTH_PATH) {
+      this.healthChecks += 1;
+      const status = this.isHealthy ? 200 : 503;
+      res.writeHead(status, {'x-turmericmill-instance-id': id}).end();
+      return;
+    }
     const header = (name: string) =>
       String(req.headers[`x-turmericmill-${name}`] ?? '');
     if (header('expected-instance') !== id) {
--- a/packages/testkit/src/platform/sidecar-mesh.ts
+++ b/packages/testkit/src/platform/sidecar-mesh.ts
@@ -54,6 +54,7 @@
   /** Restarts a node as after a crash; its server keeps running. */
   async restartNode(host: SidecarHost): Promise<void> {
     await host.node.abandon();
+    host.settings = {...host.settings, isFirstStart: false};
     host.node = createNode(host.settings);
     await host.node.start();
   }
