--- a/packages/testkit/tests/platform/sidecar-shutdown.test.ts
+++ b/packages/testkit/tests/platform/sidecar-shutdown.test.ts
@@ -58,16 +58,19 @@
   text = '';
   private nextRequest = 0;
 
-  private constructor(readonly socket: Socket) {
+  private constructor(
+    readonly socket: Socket,
+    readonly name: string,
+  ) {
     socket.on('data', (chunk: Buffer) => (this.text += chunk.toString()));
     socket.on('error', () => undefined);
   }
 
-  static async connect({settings}: SidecarHost): Promise<Caller> {
+  static async connect({settings}: SidecarHost, name = 'q'): Promise<Caller> {
     const {address, port} = settings.listen.callers;
     const socket = connect(port, address);
     await once(socket, 'connect');
-    return new Caller(socket);
+    return new Caller(socket, name);
   }
 
   /** Sends a request with a deadline in `budgetMs`. */
@@ -77,7 +80,7 @@
       [
         'GET /d/x HTTP/1.1',
         'host: shop.example',
-        `x-turmericmill-request-id: q-${this.nextRequest}`,
+        `x-turmericmill-request-id: ${this.name}-${this.nextRequest}`,
         `x-turmericmill-request-deadline: ${budgetMs}`,
         '\r\n',
       ].join('\r\n'),
@@ -189,6 +192,39 @@
     });
   }
 
+  // Guards against requests that come late in the grace period, are passed on
+  // and are cut at its end without an answer.
+  const ROLES = {'takes the requests': 1, 'is beside the server': 0};
+  for (const [role, index] of Object.entries(ROLES)) {
+    it(`answers all that runs to the end of the grace if its host ${role}`, async () => {
+      const [server, entry] = await start(300);
+      const stopping = mesh.hosts[index]!;
+      const node = await replaceByProcess(stopping);
+      await waitUntilServed(entry!, 300);
+      const {app} = server!;
+      app.workMs = 900;
+      const graceMs = stopping.settings.shutdownGraceMs;
+      const callers: Caller[] = [];
+      for (let atMs = 0; atMs < graceMs; atMs += 100) {
+        callers.push(await Caller.connect(entry!, `at-${atMs}`));
+      }
+      node.signal('SIGTERM');
+      for (const caller of callers) {
+        if (!caller.socket.destroyed) caller.send(4_000);
+        await sleep(100);
+      }
+      expect(await node.ended).to.deep.equal({code: 0, signal: null});
+      await sleep(1_500);
+      const ran = new Set(app.runs.map(({requestId}) => requestId));
+      const cut = callers.filter(
+        ({statuses, name}) => statuses.length === 0 && ran.has(`${name}-1`),
+      );
+      expect(cut.map(({name}) => name)).to.deep.equal([]);
+      const answered = callers.filter(({statuses}) => statuses.includes(200));
+      expect(answered.length).to.be.at.least(10);
+    });
+  }
+
   it('exits after the last answer has been sent', async () => {
     const [, entry] = await start(300);
     const node = await replaceByProcess(entry!);
