sidecar: refuse an answer whose head is joined of two

Cause: the parser skips a line of the head that is no header field. A late copy of an earlier answer that breaks off within its head was so joined with the answer that followed on the connection: the status, or "not executed", of one with the id, the seal and the body of the other. Change: each line of a head or of trailers has to be a header field, without folding; a status line within another line, and more than one length or transfer coding, are refused. The exchange then counts as lost, so that what may run once ends as 502.

--- /dev/null
+++ b/packages/sidecar/src/server/answer-lines.ts
@@ -0,0 +1,36 @@
+/**
+ * Checks the lines of an answer that are not its body. The parser skips a line
+ * that is no header field, and so joins a head that breaks off with the answer
+ * that follows on the connection.
+ */
+
+/** A header field; no folding over lines (RFC 9112, 5.2). */
+const HEADER_FIELD = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+:/;
+/** A status line that does not begin its line. */
+const INNER_STATUS_LINE = /.HTTP\/\d\.\d \d{3}/;
+
+/** Throws unless `line` may be a line of the head or of the trailers. */
+export function checkAnswerLine(state: string, line: string): void {
+  const isField = state === 'HEADER' || state === 'BODY_CHUNKTRAILERS';
+  if (!isField && state !== 'RESPONSE_LINE') return;
+  if (INNER_STATUS_LINE.test(line)) {
+    throw new Error('a status line within another line');
+  }
+  if (isField && line !== '' && !HEADER_FIELD.test(line)) {
+    throw new Error('a line that is no header field');
+  }
+}
+
+/** Throws if the fields, names and values in turn, state no single length. */
+export function checkFraming(headers: readonly string[]): void {
+  let lengths = 0;
+  let codings = 0;
+  for (let i = 0; i + 1 < headers.length; i += 2) {
+    const name = headers[i]?.toLowerCase();
+    if (name === 'content-length') lengths += 1;
+    if (name === 'transfer-encoding') codings += 1;
+  }
+  if (lengths + codings > 1) {
+    throw new Error('more than one length or transfer coding');
+  }
+}
--- a/packages/sidecar/src/server/answer-parser.ts
+++ b/packages/sidecar/src/server/answer-parser.ts
@@ -6,6 +6,7 @@
 
 import {AnswerBody} from './answer-body.js';
 import {AnswerLineLimits} from './answer-line-limits.js';
+import {checkAnswerLine, checkFraming} from './answer-lines.js';
 import {BLOCK_BYTES, BlockPool} from './block-pool.js';
 
 /** A complete answer. */
@@ -142,7 +143,7 @@
     this.reportBuffered(this.body.append(chunk));
   }
 
-  /** Reads a line as the library does, and checks the limits of its part. */
+  /** Reads a line as the library does, and checks it and its part's limits. */
   private countLine(
     consumeLine: ParserInternals['consumeLine'],
   ): string | undefined {
@@ -151,6 +152,7 @@
     const line = consumeLine.call(internals);
     const bytes = internals.offset - offset;
     this.lineLimits.recordLine(state, bytes);
+    if (line !== undefined) checkAnswerLine(state, line);
     if (internals.info.headers.length > 2 * MAX_HEADERS) {
       throw new Error('the answer has too many headers');
     }
@@ -185,6 +187,7 @@
 
   /** Throws on headers that cannot be forwarded or state no valid length. */
   private checkHeaders(): void {
+    checkFraming(this.headers);
     for (let i = 0; i + 1 < this.headers.length; i += 2) {
       const name = this.headers[i] ?? '';
       const value = this.headers[i + 1] ?? '';
