sidecar: an exception while an answer is passed on ends that request alone

The exception came out after the attempt had stopped watching its deadline, and was charged to the connection between nodes, which closed with all calls on it; for an answer that was streamed to free its buffer, it was charged to the request that needed the bytes. Change: the attempt that passes an answer on catches what that throws and ends: as a failure while nothing has been sent, else by closing its caller's connection. The Trailer line is dropped, as the node passes no trailers on; this covers the product's own caller side too, which passes headers to Node.js in the same way.

--- a/packages/node/src/calls/headers.ts
+++ b/packages/node/src/calls/headers.ts
@@ -9,6 +9,8 @@
   'proxy-authorization',
   'proxy-connection',
   'te',
+  // Announces trailers; Node.js refuses it beside a content-length.
+  'trailer',
   'transfer-encoding',
   'upgrade',
   'expect',
--- a/packages/sidecar/src/ingress/buffered-answer.ts
+++ b/packages/sidecar/src/ingress/buffered-answer.ts
@@ -23,6 +23,8 @@
   status = 0;
   /** Bytes of the body that have arrived. */
   bytes = 0;
+  /** Called if the answer cannot be streamed when its buffer is freed. */
+  onBroken: ((err: unknown) => void) | undefined;
   private headers: FlatHeaders = [];
   private chunks: Uint8Array[] = [];
   private streaming = false;
@@ -54,7 +56,12 @@
   }
 
   freeBuffer(): void {
-    this.stream();
+    // The exception would reach the answer that needs the bytes.
+    try {
+      this.stream();
+    } catch (err) {
+      this.onBroken?.(err);
+    }
   }
 
   /** Forwards what has arrived, and from now on each chunk as it arrives. */
@@ -80,9 +87,10 @@
 
   private forward(headers: FlatHeaders): void {
     const {caller, chunks} = this;
-    this.streaming = true;
     this.discard();
     caller.start(this.status, headers);
+    // Set only now: an answer whose start failed has not reached the caller.
+    this.streaming = true;
     for (const chunk of chunks) caller.data(chunk);
   }
 }
--- a/packages/sidecar/src/ingress/server-attempt.ts
+++ b/packages/sidecar/src/ingress/server-attempt.ts
@@ -27,7 +27,9 @@
     private readonly request: RoutedRequest,
     private readonly answer: BufferedAnswer,
     private readonly clock: Clock,
-  ) {}
+  ) {
+    answer.onBroken = err => this.breakOff(err);
+  }
 
   /** Starts the attempt and resolves when it has ended; called once. */
   run(start: (events: CallEvents) => CallLeg): Promise<AttemptEnd> {
@@ -56,17 +58,21 @@
     if (!this.settle) return;
     this.lastFrameMs = this.clock.now();
     this.load = load;
-    this.answer.start(status, headers);
+    this.passOn(() => this.answer.start(status, headers));
   }
 
   answerData(chunk: Uint8Array): void {
     if (!this.settle) return;
     this.lastFrameMs = this.clock.now();
-    this.answer.data(chunk);
+    this.passOn(() => this.answer.data(chunk));
   }
 
   answerEnd(): void {
     if (!this.settle) return;
+    this.passOn(() => this.endAnswer());
+  }
+
+  private endAnswer(): void {
     const {answer, load} = this;
     if (answer.end()) {
       this.finish({kind: 'answered', status: answer.status, load});
@@ -101,7 +107,7 @@
     if (step.kind === 'cancel') {
       this.abort({kind: 'failed', failure: deadlinePassed()});
     } else if (step.kind === 'stream') {
-      answer.stream();
+      this.passOn(() => answer.stream());
     } else {
       const {untilMs} = step;
       this.timer.set(untilMs - nowMs, () => {
@@ -111,6 +117,24 @@
     }
   }
 
+  /** Runs a step of the answer; an exception ends this attempt alone. */
+  private passOn(step: () => void): void {
+    try {
+      step();
+    } catch (err) {
+      this.breakOff(err);
+    }
+  }
+
+  private breakOff(err: unknown): void {
+    if (!this.settle) return;
+    const message = err instanceof Error ? err.message : String(err);
+    const detail = `The answer could not be passed on: ${message}`;
+    this.leg?.cancel();
+    const {load} = this;
+    this.failed({outcome: 'unknown', reason: 'server-failed', detail, load});
+  }
+
   private abort(end: AttemptEnd): void {
     this.leg?.cancel();
     this.finish(end);
