testkit: leave out a counter of health checks that no test reads

Cause: the stand-in of a server counted the health checks that it answered; no test reads the count. Change: removes it. No caller is concerned.

--- a/packages/testkit/src/platform/app-server.ts
+++ b/packages/testkit/src/platform/app-server.ts
@@ -42,8 +42,6 @@
   workMs: number;
   /** False once the server has reported that it leaves. */
   isHealthy = true;
-  /** Number of health checks that were answered. */
-  healthChecks = 0;
   private sequence = 0;
   private readonly bornMs = Date.now();
   private readonly server = createServer((req, res) =>
@@ -122,7 +120,6 @@
     const {id} = this.options;
     const {workMs} = this;
     if (req.url === HEALTH_PATH) {
-      this.healthChecks += 1;
       const status = this.isHealthy ? 200 : 503;
       res.writeHead(status, {'x-turmericmill-instance-id': id}).end();
       return;
