sidecar: pass on that a server leaves, whatever the restart guard knows of it

What callers would have seen: requests sent to a server after its node had acknowledged that it leaves (DRAIN). Cause: the guard held back every report of a start that it had not cleared, also that it leaves. If the server was started again under its id within 10 s of the restart of its node, the session of the start before stayed in use and sent calls under the same id. Change: only a start that is ready is held back. Test, failing before: report-server.test, "passes on the leaving of a start whose health is not known" (the start before was still the last one passed on).

--- a/packages/sidecar/src/control/report-server.ts
+++ b/packages/sidecar/src/control/report-server.ts
@@ -112,11 +112,14 @@
 
   private publish(): void {
     const {current} = this.reported;
-    if (!current || !this.isRestored || !this.guard.isCleared(current)) return;
+    if (!current || !this.isRestored || this.uncleared) return;
     this.parts.onServer(current);
   }
 
-  /** The current server, if it could be used but for the restart guard. */
+  /**
+   * The current server, if only the restart guard keeps it from being used. One
+   * that leaves is passed on in any case.
+   */
   private get uncleared(): CurrentServer | undefined {
     const {current} = this.reported;
     if (current?.state !== 'ready' || this.guard.isCleared(current)) {
--- a/packages/sidecar/tests/control/report-server.test.ts
+++ b/packages/sidecar/tests/control/report-server.test.ts
@@ -183,6 +183,17 @@
     expect(received.at(-1)).to.include({bornMs: 900});
   });
 
+  // The session of the start before would go on sending calls under its id.
+  it('passes on the leaving of a start whose health is not known', async () => {
+    await restart();
+    health = [true, false];
+    await report({sequence: 9});
+    await sleep(50);
+    await report({born: 900, sequence: 1});
+    await report({born: 900, sequence: 2, state: 'draining'});
+    expect(received.at(-1)).to.include({bornMs: 900, state: 'leaving'});
+  });
+
   it('checks again after a check that failed with an exception', async () => {
     await restart();
     health = [new Error('no socket'), true];
