sidecar: log where a configuration comes from and who asks whom for it

Callers saw answers of an older version than the one confirmed. The log named the version in force only, so it could not tell late notices, repeated requests and late takeovers apart. Now each version in force names its source and form, and a line each tells a request for a document, the answer to it, and the start and end of a takeover. No decision changes; the tests of the package pass as before.

--- a/packages/sidecar/src/config/config-follower.ts
+++ b/packages/sidecar/src/config/config-follower.ts
@@ -11,7 +11,12 @@
   type Store,
 } from '@turmericmill/platform-adapter';
 import {sleep, type Clock, type RandomSource} from '@turmericmill/utils';
-import type {ConfigNotice, MemberRecord, Message} from '@turmericmill/wire';
+import type {
+  ConfigAsk,
+  ConfigNotice,
+  MemberRecord,
+  Message,
+} from '@turmericmill/wire';
 import type Logger from 'bunyan';
 
 import {
@@ -53,6 +58,12 @@
 /** `unchanged`: a read that waits for changes has brought none. */
 type ReadResult = 'changed' | 'unchanged' | 'failed';
 
+/** Where a document came from, and whether as a whole or as a change. */
+interface Origin {
+  source: string;
+  form: 'whole' | 'change';
+}
+
 interface InForce {
   config: MeshConfig;
   document: Uint8Array;
@@ -96,10 +107,7 @@
     bus.onPeerMessage('configNotice', ({body, peer}) => {
       this.onNotice(body, peer);
     });
-    bus.onPeerMessage('configAsk', ({body, peer}) => {
-      if (this.version <= body.version) return;
-      this.send(peer.nodeId, this.createFullNotice());
-    });
+    bus.onPeerMessage('configAsk', ({body, peer}) => this.onAsk(body, peer));
   }
 
   /** Version in force; 0 while there is none. */
@@ -196,6 +204,11 @@
     const hasLowerRank = sinceNoticeMs <= this.times.staleAfterMs;
     if (this.isForwarding || hasLowerRank || !this.inForce) return;
     this.isActing = true;
+    const {version, rank} = this;
+    this.parts.logger.info(
+      {rank, version, sinceNoticeMs},
+      'reader: takes over',
+    );
     this.sendBeacon();
   }
 
@@ -204,7 +217,7 @@
     const newest = records.filter(({key}) => key === CONFIG_KEY).at(-1);
     if (!newest || newest.value.length === 0) return;
     const before = this.inForce;
-    if (!this.adopt(newest.value)) return;
+    if (!this.adopt(newest.value, {source: 'store', form: 'whole'})) return;
     if (this.isForwarding) this.forward(before);
   }
 
@@ -224,7 +237,7 @@
   }
 
   /** Puts a document in force and returns true if it is valid and newer. */
-  private adopt(document: Uint8Array): boolean {
+  private adopt(document: Uint8Array, origin: Origin): boolean {
     const {logger, bus} = this.parts;
     const config = parsePublishedConfig(document);
     if (config.isErr()) {
@@ -236,7 +249,8 @@
     if (version <= this.version) return false;
     const before = this.version;
     this.inForce = {config: config.value, document};
-    logger.info({version, before}, 'configuration in force');
+    const bytes = document.length;
+    logger.info({version, before, bytes, ...origin}, 'configuration in force');
     bus.publish('mesh-config', {config: config.value});
     return true;
   }
@@ -245,13 +259,18 @@
     const {version, ageMs} = notice;
     if (version > this.version) {
       const document = this.documentOf(notice);
-      if (document) this.adopt(document);
-      else this.send(peer.nodeId, this.createAsk());
+      const form = notice.change ? 'change' : 'whole';
+      if (document) this.adopt(document, {source: peer.nodeId, form});
+      else this.ask(peer.nodeId, version);
     }
     // A version that was not adopted does not confirm that the source works.
     if (version !== this.version) return;
     if (this.isFromLowerRank(peer) && ageMs <= this.times.staleAfterMs) {
       this.lowerRankNoticeMs = this.parts.clock.now();
+      if (this.isActing) {
+        const {logger} = this.parts;
+        logger.info({peerId: peer.nodeId, ageMs}, 'reader: hands back');
+      }
       this.isActing = false;
     }
     this.confirmedMs = Math.max(
@@ -260,6 +279,13 @@
     );
   }
 
+  private onAsk({version: have}: ConfigAsk, {nodeId: peerId}: Peer): void {
+    const {version} = this;
+    if (version <= have) return;
+    this.parts.logger.info({peerId, have, version}, 'configuration sent');
+    this.send(peerId, this.createFullNotice());
+  }
+
   private isFromLowerRank({nodeId}: Peer): boolean {
     const rank = this.localNodeIds.indexOf(nodeId);
     return rank >= 0 && rank < this.rank;
@@ -298,12 +324,15 @@
   private askPeers(): void {
     const {random} = this.parts;
     for (const nodeId of random.sample(this.peerIds, ASK_FAN_OUT)) {
-      this.send(nodeId, this.createAsk());
+      this.ask(nodeId);
     }
   }
 
-  private createAsk(): Message {
-    return {type: 'configAsk', body: {version: this.version}};
+  /** Asks a peer for its configuration; `announced` if a notice named it. */
+  private ask(peerId: string, announced?: number): void {
+    const {version} = this;
+    this.parts.logger.info({peerId, version, announced}, 'configuration asked');
+    this.send(peerId, {type: 'configAsk', body: {version}});
   }
 
   private createNotice(content: Partial<ConfigNotice> = {}): Message {
