--- a/packages/sidecar/tests/config/config-follower.test.ts
+++ b/packages/sidecar/tests/config/config-follower.test.ts
@@ -16,60 +16,16 @@
   rankNodes,
   sourceTimes,
 } from '../../src/config/source-choice.js';
+import {publishedDocument} from './published-document.js';
 
 const NODES = ['n-0', 'n-1', 'n-2', 'n-3'];
 const BOUND_MS = 2_000;
-const {staleAfterMs} = sourceTimes(BOUND_MS);
+const {staleAfterMs, readWaitMs} = sourceTimes(BOUND_MS);
 /** Interval in ms at which the store's calls are checked. */
 const CHECK_INTERVAL_MS = 20;
 /** Turns of the event loop in which a read and its notices are processed. */
 const TURNS = 10;
 
-function document(version: number): Buffer {
-  const routes = Array.from({length: 300}, (unused, index) => [
-    `r-${index}`,
-    'shop.example',
-    `/p${(index * 104_729) % 9973}/`,
-    'safe',
-    '800ms',
-    '400ms',
-    1,
-    'desk',
-    2,
-    null,
-  ]);
-  return Buffer.from(
-    JSON.stringify({
-      version: `r${version}`,
-      routes: {
-        columns: [
-          'name',
-          'host',
-          'path_prefix',
-          'kind',
-          'timeout',
-          'target_latency',
-          'priority',
-          'service',
-          'max_attempts',
-          'traffic_split',
-        ],
-        rows: routes,
-      },
-      services: {
-        columns: ['name', 'health_check_path', 'max_connections'],
-        rows: [['desk', '/health', 100]],
-      },
-      limits: {
-        max_header_bytes: 16_384,
-        max_body_bytes: 100_000,
-        header_timeout: '3000ms',
-        idle_timeout: '15000ms',
-      },
-    }),
-  );
-}
-
 /** A store that answers a read when the test publishes. */
 class ScriptedStore extends Store {
   private waiting: ((page: KeyedPage) => void) | undefined;
@@ -107,6 +63,13 @@
     });
   }
 
+  /** Ends a read that waits without a record. */
+  endWait(): void {
+    const {waiting, endOffset} = this;
+    this.waiting = undefined;
+    waiting?.({records: [], endOffset});
+  }
+
   override put(): Promise<Result<void, StoreError>> {
     return Promise.resolve(Ok(undefined));
   }
@@ -204,7 +167,7 @@
 
   /** Publishes a version; delivers the reader's messages and returns them. */
   async function publish(version: number): Promise<Message[]> {
-    reader.store.publish(document(version));
+    reader.store.publish(publishedDocument(version));
     await waitUntilSettled();
     const messages = reader.takeSentTo(nonReaderId);
     for (const message of messages) nonReader.deliver(message, readerId);
@@ -218,7 +181,7 @@
   it('forwards a change in a small fraction of the document', async () => {
     const [notice] = await publish(5);
     expect(nonReader.follower.version).to.equal(5);
-    expect(bytesOf(notice)).to.be.below(document(5).length / 20);
+    expect(bytesOf(notice)).to.be.below(publishedDocument(5).length / 20);
   });
 
   it('knows the services that its configuration names, any without one', () => {
@@ -229,7 +192,7 @@
   });
 
   it('asks for the whole document when it lacks the previous version', async () => {
-    reader.store.publish(document(5));
+    reader.store.publish(publishedDocument(5));
     await waitUntilSettled();
     reader.takeSentTo(nonReaderId);
     await publish(6);
@@ -243,6 +206,41 @@
     expect(nonReader.follower.version).to.equal(6);
   });
 
+  it('asks once while a document is on its way', () => {
+    const change = {baseVersion: 5, delta: Buffer.from('of another base')};
+    const notices = [{version: 6, ageMs: 0, change}];
+    for (let i = 0; i < 3; i++) {
+      notices.push({version: 6, ageMs: 0} as never);
+      nonReader.clock.advance(BEACON_INTERVAL_MS / 3);
+    }
+    for (const body of notices) {
+      nonReader.deliver({type: 'configNotice', body}, readerId);
+      nonReader.deliver({type: 'configNotice', body}, lastId);
+    }
+    const asks = nonReader.sent.filter(
+      ({message}) => message.type === 'configAsk',
+    );
+    expect(asks.map(({nodeId}) => nodeId)).to.deep.equal([readerId]);
+  });
+
+  it('answers a request with a change if it has the version named', async () => {
+    await publish(5);
+    await publish(6);
+    reader.deliver({type: 'configAsk', body: {version: 2}}, lastId);
+    const [answer] = reader.takeSentTo(lastId);
+    expect(answer).to.have.nested.property('body.version', 6);
+    expect(bytesOf(answer)).to.be.below(publishedDocument(6).length / 20);
+  });
+
+  it('announces nothing while the answers of the store are late', async () => {
+    reader.clock.advance(readWaitMs + staleAfterMs + 1);
+    reader.store.endWait();
+    await waitUntilSettled();
+    reader.sent.length = 0;
+    await new Promise(resolve => setTimeout(resolve, 2 * BEACON_INTERVAL_MS));
+    expect(reader.takeSentTo(nonReaderId)).to.deep.equal([]);
+  });
+
   it('reads the newest document after a pause in reading', async () => {
     nonReader.follower.start();
     await waitUntilSettled();
@@ -254,7 +252,7 @@
       // The reader is back; the read that waits at the store ends.
       const notice = {version: 2, ageMs: 0};
       nonReader.deliver({type: 'configNotice', body: notice}, readerId);
-      nonReader.store.publish(document(2));
+      nonReader.store.publish(publishedDocument(2));
       await waitUntilSettled();
     }
     nonReader.follower.stop();
@@ -275,7 +273,7 @@
       type: 'configNotice',
       body: {version: 2, ageMs: 0},
     });
-    nonReader.store.publish(document(7));
+    nonReader.store.publish(publishedDocument(7));
     await waitUntilSettled();
     nonReader.follower.stop();
     const [notice] = nonReader.takeSentTo(lastId);
@@ -284,7 +282,7 @@
 
   it('does not stand in for the reader with its first read', async () => {
     const newcomer = new FollowerNode(nonReaderId);
-    newcomer.store.first = document(2);
+    newcomer.store.first = publishedDocument(2);
     newcomer.follower.start();
     await waitUntilSettled();
     newcomer.follower.stop();
@@ -295,7 +293,7 @@
 
   it('pauses between reads of a store that does not wait for changes', async () => {
     const newcomer = new FollowerNode(readerId);
-    newcomer.store.first = document(2);
+    newcomer.store.first = publishedDocument(2);
     newcomer.store.waits = false;
     newcomer.follower.start();
     await new Promise(resolve => setTimeout(resolve, 600));
--- a/packages/sidecar/tests/config/document-transfer.test.ts
+++ b/packages/sidecar/tests/config/document-transfer.test.ts
@@ -6,6 +6,13 @@
   compress,
   decompress,
 } from '../../src/config/document-transfer.js';
+import {publishedDocument} from './published-document.js';
+
+/** Hosts of a data centre, beside the reader. */
+const HOSTS = 22;
+/** 4.9 Mbit/s. */
+const THIN_LINK_BYTES_PER_MS = 612;
+const CONFIG_IN_FORCE_MS = 2_500;
 
 /** Returns a document of many routes, of which one has the given timeout. */
 function document(version: number, timeoutMs: number): Buffer {
@@ -30,6 +37,14 @@
     expect(Buffer.from(result.unwrap()).equals(next)).to.equal(true);
   });
 
+  it('encodes many new routes for thin links to a data centre in time', () => {
+    const before = publishedDocument(1, 1_100);
+    const after = publishedDocument(2, 3_000);
+    const {delta} = createChange(1, before, after);
+    const transferMs = (HOSTS * delta.length) / THIN_LINK_BYTES_PER_MS;
+    expect(transferMs).to.be.below(CONFIG_IN_FORCE_MS);
+  });
+
   it('refuses a change of another document', () => {
     const change = createChange(7, base, next);
     const other = Buffer.from(base.map(byte => byte ^ 1));
--- a/packages/sidecar/tests/config/source-choice.test.ts
+++ b/packages/sidecar/tests/config/source-choice.test.ts
@@ -75,6 +75,14 @@
     });
   }
 
+  for (const boundMs of [2_000, 2_500, 3_000]) {
+    it(`puts a change in force at any rank without a notice: ${boundMs} ms`, () => {
+      const state = {rank: 40, isActing: false, confirmedMs: 0};
+      const readMs = boundMs - TRANSIT_MS;
+      expect(mustReadStore(state, sourceTimes(boundMs), readMs)).to.equal(true);
+    });
+  }
+
   it('lets nodes of high ranks retry rarely', () => {
     expect(retryCapMs(20)).to.be.above(retryCapMs(0));
   });
