sidecar: a node requests a document once, and gets a change from its own version

Cause: a node kept no record of a request that was under way, and a peer could answer with the whole document only. Change: one request at a time, until its answer, the end of the connection or a fifth of the bound. The answer is a change if the peer keeps the version that the node has; both are encoded once for all nodes.

--- a/packages/sidecar/src/config/config-follower.ts
+++ b/packages/sidecar/src/config/config-follower.ts
@@ -19,12 +19,13 @@
 } from '@turmericmill/wire';
 import type Logger from 'bunyan';
 
+import {DocumentHistory} from './document-history.js';
 import {
-  applyChange,
-  createChange,
-  compress,
-  decompress,
-} from './document-transfer.js';
+  createRequest,
+  mayRequest,
+  type DocumentRequest,
+} from './document-request.js';
+import {applyChange, decompress} from './document-transfer.js';
 import {
   BEACON_INTERVAL_MS,
   mustReadStore,
@@ -71,6 +72,11 @@
 
 export class ConfigFollower extends Task {
   private inForce: InForce | undefined;
+  private readonly history = new DocumentHistory();
+  /** The last request for a document; undefined once a version is adopted. */
+  private request: DocumentRequest | undefined;
+  /** Set if the content of a notice did not result in a document. */
+  private needsWhole = false;
   /**
    * Offset of the next read. Undefined at first and after a pause or a failed
    * read: the next read then gets only the newest document, which is a fraction
@@ -108,6 +114,9 @@
       this.onNotice(body, peer);
     });
     bus.onPeerMessage('configAsk', ({body, peer}) => this.onAsk(body, peer));
+    bus.subscribe('peer-lost', ({nodeId}) => {
+      if (nodeId === this.request?.peerId) this.request = undefined;
+    });
   }
 
   /** Version in force; 0 while there is none. */
@@ -216,24 +225,17 @@
     this.offset = endOffset;
     const newest = records.filter(({key}) => key === CONFIG_KEY).at(-1);
     if (!newest || newest.value.length === 0) return;
-    const before = this.inForce;
+    const before = this.version;
     if (!this.adopt(newest.value, {source: 'store', form: 'whole'})) return;
     if (this.isForwarding) this.forward(before);
   }
 
   /**
-   * Sends the version in force to the nodes of this data centre, as a change
-   * from `before` if possible. A node without `before` requests the whole
-   * document.
+   * Sends the version in force to the nodes of this data centre, for those that
+   * have version `before`. Others request what they lack.
    */
-  private forward(before: InForce | undefined): void {
-    const message =
-      before && this.inForce
-        ? this.createChangeNotice(before, this.inForce)
-        : this.createFullNotice();
-    for (const nodeId of this.localNodeIds) {
-      if (nodeId !== this.parts.nodeId) this.send(nodeId, message);
-    }
+  private forward(before: number): void {
+    this.announce(this.createNotice(this.history.contentFor(before)));
   }
 
   /** Puts a document in force and returns true if it is valid and newer. */
@@ -249,6 +251,9 @@
     if (version <= this.version) return false;
     const before = this.version;
     this.inForce = {config: config.value, document};
+    this.history.add(version, document);
+    this.request = undefined;
+    this.needsWhole = false;
     const bytes = document.length;
     logger.info({version, before, bytes, ...origin}, 'configuration in force');
     bus.publish('mesh-config', {config: config.value});
@@ -261,7 +266,7 @@
       const document = this.documentOf(notice);
       const form = notice.change ? 'change' : 'whole';
       if (document) this.adopt(document, {source: peer.nodeId, form});
-      else this.ask(peer.nodeId, version);
+      else this.requestFrom(peer.nodeId, version);
     }
     // A version that was not adopted does not confirm that the source works.
     if (version !== this.version) return;
@@ -283,7 +288,7 @@
     const {version} = this;
     if (version <= have) return;
     this.parts.logger.info({peerId, have, version}, 'configuration sent');
-    this.send(peerId, this.createFullNotice());
+    this.send(peerId, this.createNotice(this.history.contentFor(have)));
   }
 
   private isFromLowerRank({nodeId}: Peer): boolean {
@@ -300,6 +305,7 @@
         ? applyChange(inForce.document, change)
         : document && decompress(document);
     if (result?.isErr()) {
+      this.needsWhole = true;
       const {error} = result;
       this.parts.logger.warn(
         {error},
@@ -314,7 +320,10 @@
     if (!this.inForce || !this.isForwarding) return;
     const ageMs = this.parts.clock.now() - this.ownReadMs;
     if (ageMs > this.times.staleAfterMs) return;
-    const notice = this.createNotice({ageMs});
+    this.announce(this.createNotice({ageMs}));
+  }
+
+  private announce(notice: Message): void {
     for (const nodeId of this.localNodeIds) {
       if (nodeId !== this.parts.nodeId) this.send(nodeId, notice);
     }
@@ -328,11 +337,20 @@
     }
   }
 
-  /** Asks a peer for its configuration; `announced` if a notice named it. */
+  /** Requests a version that a peer has announced, once until a deadline. */
+  private requestFrom(peerId: string, announced: number): void {
+    const {clock, configInForceMs} = this.parts;
+    const now = clock.now();
+    if (!mayRequest(this.request, now)) return;
+    this.request = createRequest(peerId, configInForceMs, now);
+    this.ask(peerId, announced);
+  }
+
   private ask(peerId: string, announced?: number): void {
     const {version} = this;
     this.parts.logger.info({peerId, version, announced}, 'configuration asked');
-    this.send(peerId, {type: 'configAsk', body: {version}});
+    const body = {version: this.needsWhole ? 0 : version};
+    this.send(peerId, {type: 'configAsk', body});
   }
 
   private createNotice(content: Partial<ConfigNotice> = {}): Message {
@@ -341,17 +359,6 @@
     return {type: 'configNotice', body};
   }
 
-  private createFullNotice(): Message {
-    const {inForce} = this;
-    return this.createNotice(inForce && {document: compress(inForce.document)});
-  }
-
-  private createChangeNotice(before: InForce, after: InForce): Message {
-    const {version} = before.config;
-    const change = createChange(version, before.document, after.document);
-    return this.createNotice({change});
-  }
-
   private send(nodeId: string, message: Message): void {
     this.parts.bus.publish('send-peer', {nodeId, message});
   }
--- a/packages/sidecar/tests/config/config-follower.test.ts
+++ b/packages/sidecar/tests/config/config-follower.test.ts
@@ -223,6 +223,26 @@
     expect(asks.map(({nodeId}) => nodeId)).to.deep.equal([readerId]);
   });
 
+  it('asks another peer once the first has left or not answered', () => {
+    const body = {version: 6, ageMs: 0};
+    const notice = {type: 'configNotice', body} as const;
+    nonReader.deliver(notice, readerId);
+    nonReader.bus.publish('peer-lost', {nodeId: readerId, opened: true});
+    nonReader.deliver(notice, lastId);
+    nonReader.clock.advance(BOUND_MS / 2);
+    nonReader.deliver(notice, readerId);
+    const asks = nonReader.sent.map(({nodeId}) => nodeId);
+    expect(asks).to.deep.equal([readerId, lastId, readerId]);
+  });
+
+  it('asks for the whole document after a change that is damaged', () => {
+    const change = {baseVersion: 2, delta: Buffer.from('damaged')};
+    const body = {version: 9, ageMs: 0, change};
+    nonReader.deliver({type: 'configNotice', body}, readerId);
+    const [ask] = nonReader.takeSentTo(readerId);
+    expect(ask?.body).to.deep.equal({version: 0});
+  });
+
   it('answers a request with a change if it has the version named', async () => {
     await publish(5);
     await publish(6);
