sidecar: every node reads the store in time when no notice arrives

Cause: takeovers followed one another at a fixed step, so that the ranks from seven on came past the bound. A node that gets no notice, since those before it are gone, their links are full or they do not know it yet, waited for them. Change: the first three ranks keep their steps; the others follow ever closer and end at 0.8 of the bound. A node wakes when its takeover falls due, no longer up to 250 ms later.

--- a/packages/sidecar/src/config/config-follower.ts
+++ b/packages/sidecar/src/config/config-follower.ts
@@ -28,16 +28,16 @@
 import {applyChange, decompress} from './document-transfer.js';
 import {
   BEACON_INTERVAL_MS,
-  mustReadStore,
   rankNodes,
   retryCapMs,
   sourceTimes,
+  takeoverMs,
   type SourceTimes,
 } from './source-choice.js';
 
 /** Base in ms of the jittered delay after a failed read. */
 const RETRY_BASE_MS = 100;
-/** Interval in ms at which a node that is not a reader checks its source. */
+/** Longest time in ms between two checks of a node that is not a reader. */
 const SOURCE_CHECK_INTERVAL_MS = 250;
 /** Least time in ms between two reads that bring no records. */
 const MIN_READ_INTERVAL_MS = 250;
@@ -156,17 +156,19 @@
     return this.rank === 0 || this.isActing;
   }
 
-  private get mustReadStore(): boolean {
+  /** Time in ms until this node has to read the store itself. */
+  private get untilTakeoverMs(): number {
     const {rank, isActing, confirmedMs, times} = this;
-    const state = {rank, isActing, confirmedMs};
-    return mustReadStore(state, times, this.parts.clock.now());
+    const dueMs = takeoverMs({rank, isActing, confirmedMs}, times);
+    return dueMs - this.parts.clock.now();
   }
 
   private async follow(): Promise<void> {
     while (!this.stopped) {
-      if (this.inForce && !this.mustReadStore) {
+      const {untilTakeoverMs} = this;
+      if (this.inForce && untilTakeoverMs >= 0) {
         this.offset = undefined;
-        await sleep(SOURCE_CHECK_INTERVAL_MS);
+        await sleep(Math.min(SOURCE_CHECK_INTERVAL_MS, untilTakeoverMs + 1));
         continue;
       }
       const startMs = this.parts.clock.now();
--- a/packages/sidecar/src/config/source-choice.ts
+++ b/packages/sidecar/src/config/source-choice.ts
@@ -4,7 +4,8 @@
  * the whole fleet. One node of each data centre waits for changes at the store
  * and forwards them to the others there, so that store calls and bytes between
  * data centres do not grow with the fleet. If no fresh notice arrives, the other
- * nodes take over one by one, in the order of their ranks.
+ * nodes take over one by one, in the order of their ranks: the first few with
+ * time for a notice of the one before, all in time to read the store themselves.
  */
 
 import {rendezvousTop} from '@turmericmill/utils';
@@ -14,8 +15,15 @@
 
 /** Share of the bound after which a configuration without a notice is stale. */
 const STALE_SHARE = 0.55;
-/** Share of the bound between the takeovers of two nodes. */
+/** Share of the bound between the takeovers of ranks 1, 2 and 3. */
 const TAKEOVER_STEP_SHARE = 0.075;
+/** Highest rank with such a step to the rank before. */
+const LAST_STEP_RANK = 3;
+/**
+ * Share of the bound after which no node waits for the others any more. The
+ * ranks behind the steps get ever closer to it.
+ */
+const LAST_TAKEOVER_SHARE = 0.8;
 /** Time in ms for the answer of a read and a notice to arrive. */
 const TRANSIT_MS = 300;
 /** Ranks of the nodes that retry often while the store does not answer. */
@@ -30,8 +38,10 @@
 export interface SourceTimes {
   /** Age of a configuration from which the node of the next rank takes over. */
   staleAfterMs: number;
-  /** Time between the takeovers of two nodes. */
+  /** Time between the takeovers of ranks 1, 2 and 3. */
   takeoverStepMs: number;
+  /** Age of a configuration before which all nodes have taken over. */
+  lastTakeoverMs: number;
   /** Time for which a read waits at the store for a change; an integer. */
   readWaitMs: number;
 }
@@ -42,6 +52,7 @@
   return {
     staleAfterMs,
     takeoverStepMs: configInForceMs * TAKEOVER_STEP_SHARE,
+    lastTakeoverMs: configInForceMs * LAST_TAKEOVER_SHARE,
     readWaitMs: Math.floor(staleAfterMs - BEACON_INTERVAL_MS - TRANSIT_MS),
   };
 }
@@ -64,15 +75,24 @@
   confirmedMs: number;
 }
 
-/** True if the node has to read the store itself. */
-export function mustReadStore(
+/** Returns the time in ms from which the node has to read the store itself. */
+export function takeoverMs(
   {rank, isActing, confirmedMs}: SourceState,
-  {staleAfterMs, takeoverStepMs}: SourceTimes,
-  nowMs: number,
-): boolean {
-  if (rank === 0 || isActing) return true;
-  const takeoverMs = staleAfterMs + (rank - 1) * takeoverStepMs;
-  return nowMs - confirmedMs > takeoverMs;
+  times: SourceTimes,
+): number {
+  if (rank === 0 || isActing) return -Infinity;
+  return confirmedMs + takeoverAgeMs(rank, times);
+}
+
+/** Age in ms of a configuration from which a node reads the store itself. */
+function takeoverAgeMs(
+  rank: number,
+  {staleAfterMs, takeoverStepMs, lastTakeoverMs}: SourceTimes,
+): number {
+  const steps = Math.min(rank, LAST_STEP_RANK) - 1;
+  const steppedMs = staleAfterMs + steps * takeoverStepMs;
+  const ranksBehind = Math.max(0, rank - LAST_STEP_RANK);
+  return lastTakeoverMs - (lastTakeoverMs - steppedMs) / (1 + ranksBehind);
 }
 
 /** Longest retry delay in ms of a node whose read has failed. */
--- a/packages/sidecar/tests/config/source-choice.test.ts
+++ b/packages/sidecar/tests/config/source-choice.test.ts
@@ -2,10 +2,10 @@
 
 import {
   BEACON_INTERVAL_MS,
-  mustReadStore,
   rankNodes,
   retryCapMs,
   sourceTimes,
+  takeoverMs,
   type SourceState,
 } from '../../src/config/source-choice.js';
 
@@ -24,7 +24,7 @@
     confirmedMs: CONFIRMED_MS,
     ...state,
   };
-  return mustReadStore(whole, TIMES, CONFIRMED_MS + ageMs);
+  return takeoverMs(whole, TIMES) < CONFIRMED_MS + ageMs;
 }
 
 describe('source choice', () => {
@@ -78,11 +78,20 @@
   for (const boundMs of [2_000, 2_500, 3_000]) {
     it(`puts a change in force at any rank without a notice: ${boundMs} ms`, () => {
       const state = {rank: 40, isActing: false, confirmedMs: 0};
-      const readMs = boundMs - TRANSIT_MS;
-      expect(mustReadStore(state, sourceTimes(boundMs), readMs)).to.equal(true);
+      const inForceMs = takeoverMs(state, sourceTimes(boundMs)) + TRANSIT_MS;
+      expect(inForceMs).to.be.below(boundMs);
     });
   }
 
+  it('spreads the takeovers of a large data centre', () => {
+    const dueMs = Array.from({length: 40}, (unused, index) =>
+      takeoverMs({rank: index + 1, isActing: false, confirmedMs: 0}, TIMES),
+    );
+    const sorted = [...dueMs].sort((a, b) => a - b);
+    expect(dueMs).to.deep.equal(sorted);
+    expect(new Set(dueMs)).to.have.property('size', dueMs.length);
+  });
+
   it('lets nodes of high ranks retry rarely', () => {
     expect(retryCapMs(20)).to.be.above(retryCapMs(0));
   });
