sidecar: count the time of a read as age; a node behind a full link forwards nothing

Cause: a read counted as fresh when its answer arrived, however long its messages had waited at the link of the reader. Such a reader announced old versions as fresh, and kept the others from taking over. Change: the age counts from the time at which the store surely had what it answered. The time by which a read outlasts its wait is the delay of the link; beyond the 300 ms that the times of the takeover allow for it, the node neither forwards nor takes over, so that the next ones do. The part that requests and decodes documents moves to DocumentExchange.

--- a/packages/sidecar/src/config/config-follower.ts
+++ b/packages/sidecar/src/config/config-follower.ts
@@ -19,20 +19,18 @@
 } from '@turmericmill/wire';
 import type Logger from 'bunyan';
 
-import {DocumentHistory} from './document-history.js';
-import {
-  createRequest,
-  mayRequest,
-  type DocumentRequest,
-} from './document-request.js';
-import {applyChange, decompress} from './document-transfer.js';
+import {DocumentExchange} from './document-exchange.js';
 import {
   BEACON_INTERVAL_MS,
+  confirmedByReadMs,
+  mayForward,
   rankNodes,
+  readTransitMs,
   retryCapMs,
   sourceTimes,
   takeoverMs,
   type SourceTimes,
+  type StoreRead,
 } from './source-choice.js';
 
 /** Base in ms of the jittered delay after a failed read. */
@@ -65,28 +63,21 @@
   form: 'whole' | 'change';
 }
 
-interface InForce {
-  config: MeshConfig;
-  document: Uint8Array;
-}
-
 export class ConfigFollower extends Task {
-  private inForce: InForce | undefined;
-  private readonly history = new DocumentHistory();
-  /** The last request for a document; undefined once a version is adopted. */
-  private request: DocumentRequest | undefined;
-  /** Set if the content of a notice did not result in a document. */
-  private needsWhole = false;
+  private inForce: MeshConfig | undefined;
+  private readonly documents: DocumentExchange;
   /**
    * Offset of the next read. Undefined at first and after a pause or a failed
    * read: the next read then gets only the newest document, which is a fraction
    * of all that were published meanwhile.
    */
   private offset: number | undefined;
-  /** Time in ms of the last store read that succeeded, here or at a peer. */
+  /** Time in ms at which the store had this version, read here or by a peer. */
   private confirmedMs = -Infinity;
-  /** Time in ms of the last store read of this node that succeeded. */
+  /** The same by the last read of this node. */
   private ownReadMs = -Infinity;
+  /** Time in ms that messages to and from the store have taken lately. */
+  private transitMs = 0;
   /**
    * Time in ms of the last fresh notice of a node of a lower rank; at first that
    * of the start, as notices arrive only once other nodes know this one.
@@ -109,30 +100,29 @@
     const {bus, clock, configInForceMs} = parts;
     this.lowerRankNoticeMs = clock.now();
     this.times = sourceTimes(configInForceMs);
+    this.documents = new DocumentExchange(configInForceMs, parts.logger);
     bus.subscribe('view-changed', ({members}) => this.onViewChanged(members));
     bus.onPeerMessage('configNotice', ({body, peer}) => {
       this.onNotice(body, peer);
     });
     bus.onPeerMessage('configAsk', ({body, peer}) => this.onAsk(body, peer));
-    bus.subscribe('peer-lost', ({nodeId}) => {
-      if (nodeId === this.request?.peerId) this.request = undefined;
-    });
+    bus.subscribe('peer-lost', ({nodeId}) => this.documents.onPeerLost(nodeId));
   }
 
   /** Version in force; 0 while there is none. */
   get version(): number {
-    return this.inForce?.config.version ?? 0;
+    return this.inForce?.version ?? 0;
   }
 
   /** True if the configuration names the service, or while there is none. */
   isServiceKnown(name: string): boolean {
-    const services = this.inForce?.config.services;
+    const services = this.inForce?.services;
     return !services || services.some(service => service.name === name);
   }
 
   /** Path of a service's health check; undefined if it is not known. */
   healthCheckPath(service: string): string | undefined {
-    const services = this.inForce?.config.services ?? [];
+    const services = this.inForce?.services ?? [];
     return services.find(({name}) => name === service)?.healthCheckPath;
   }
 
@@ -153,7 +143,7 @@
 
   /** True while this node forwards what it reads to its data centre. */
   private get isForwarding(): boolean {
-    return this.rank === 0 || this.isActing;
+    return (this.rank === 0 || this.isActing) && mayForward(this.transitMs);
   }
 
   /** Time in ms until this node has to read the store itself. */
@@ -187,11 +177,13 @@
 
   private async readStore(): Promise<ReadResult> {
     const {store, clock, logger} = this.parts;
-    const {offset, times} = this;
+    const {offset} = this;
+    const waitMs = offset === undefined ? 0 : this.times.readWaitMs;
+    const sentMs = clock.now();
     const page =
       offset === undefined
         ? await store.newest(CONFIG_TOPIC)
-        : await store.read(CONFIG_TOPIC, offset, times.readWaitMs);
+        : await store.read(CONFIG_TOPIC, offset, waitMs);
     if (page.isErr()) {
       this.failures += 1;
       if (!this.isStoreLost) logger.warn({err: page.error}, 'store lost');
@@ -201,19 +193,31 @@
     if (this.isStoreLost) logger.info('store regained');
     this.isStoreLost = false;
     this.failures = 0;
-    this.ownReadMs = clock.now();
-    this.confirmedMs = this.ownReadMs;
+    const isUnchanged = offset !== undefined && page.value.records.length === 0;
+    this.recordRead({sentMs, receivedMs: clock.now(), waitMs, isUnchanged});
     this.applyPage(page.value);
     this.startActing();
-    const isUnchanged = offset !== undefined && page.value.records.length === 0;
     return isUnchanged ? 'unchanged' : 'changed';
   }
 
+  private recordRead(read: StoreRead): void {
+    const {transitMs: before, rank, parts} = this;
+    this.transitMs = readTransitMs(read, before);
+    this.ownReadMs = confirmedByReadMs(read, this.transitMs);
+    this.confirmedMs = Math.max(this.confirmedMs, this.ownReadMs);
+    const {transitMs} = this;
+    if (mayForward(transitMs) !== mayForward(before)) {
+      parts.logger.info({rank, transitMs, before}, 'reader: transit of reads');
+    }
+    if (!mayForward(transitMs)) this.isActing = false;
+  }
+
   /** From now on forwards what it reads, as no node of a lower rank does. */
   private startActing(): void {
     const sinceNoticeMs = this.parts.clock.now() - this.lowerRankNoticeMs;
     const hasLowerRank = sinceNoticeMs <= this.times.staleAfterMs;
     if (this.isForwarding || hasLowerRank || !this.inForce) return;
+    if (!mayForward(this.transitMs)) return;
     this.isActing = true;
     const {version, rank} = this;
     this.parts.logger.info(
@@ -237,7 +241,7 @@
    * have version `before`. Others request what they lack.
    */
   private forward(before: number): void {
-    this.announce(this.createNotice(this.history.contentFor(before)));
+    this.announce(this.createNotice(this.documents.contentFor(before)));
   }
 
   /** Puts a document in force and returns true if it is valid and newer. */
@@ -252,10 +256,8 @@
     const {version} = config.value;
     if (version <= this.version) return false;
     const before = this.version;
-    this.inForce = {config: config.value, document};
-    this.history.add(version, document);
-    this.request = undefined;
-    this.needsWhole = false;
+    this.inForce = config.value;
+    this.documents.add(version, document);
     const bytes = document.length;
     logger.info({version, before, bytes, ...origin}, 'configuration in force');
     bus.publish('mesh-config', {config: config.value});
@@ -264,33 +266,34 @@
 
   private onNotice(notice: ConfigNotice, peer: Peer): void {
     const {version, ageMs} = notice;
+    const now = this.parts.clock.now();
     if (version > this.version) {
-      const document = this.documentOf(notice);
+      const document = this.documents.documentOf(notice);
       const form = notice.change ? 'change' : 'whole';
-      if (document) this.adopt(document, {source: peer.nodeId, form});
-      else this.requestFrom(peer.nodeId, version);
+      if (document) {
+        this.adopt(document, {source: peer.nodeId, form});
+      } else if (this.documents.startRequest(peer.nodeId, now)) {
+        this.ask(peer.nodeId, version);
+      }
     }
     // A version that was not adopted does not confirm that the source works.
     if (version !== this.version) return;
     if (this.isFromLowerRank(peer) && ageMs <= this.times.staleAfterMs) {
-      this.lowerRankNoticeMs = this.parts.clock.now();
+      this.lowerRankNoticeMs = now;
       if (this.isActing) {
         const {logger} = this.parts;
         logger.info({peerId: peer.nodeId, ageMs}, 'reader: hands back');
       }
       this.isActing = false;
     }
-    this.confirmedMs = Math.max(
-      this.confirmedMs,
-      this.parts.clock.now() - ageMs,
-    );
+    this.confirmedMs = Math.max(this.confirmedMs, now - ageMs);
   }
 
   private onAsk({version: have}: ConfigAsk, {nodeId: peerId}: Peer): void {
     const {version} = this;
     if (version <= have) return;
     this.parts.logger.info({peerId, have, version}, 'configuration sent');
-    this.send(peerId, this.createNotice(this.history.contentFor(have)));
+    this.send(peerId, this.createNotice(this.documents.contentFor(have)));
   }
 
   private isFromLowerRank({nodeId}: Peer): boolean {
@@ -298,25 +301,6 @@
     return rank >= 0 && rank < this.rank;
   }
 
-  /** Returns the document of a notice; undefined if none can be decoded. */
-  private documentOf({document, change}: ConfigNotice): Uint8Array | undefined {
-    const {inForce} = this;
-    const isBase = change?.baseVersion === this.version;
-    const result =
-      change && inForce && isBase
-        ? applyChange(inForce.document, change)
-        : document && decompress(document);
-    if (result?.isErr()) {
-      this.needsWhole = true;
-      const {error} = result;
-      this.parts.logger.warn(
-        {error},
-        'document of a configuration notice could not be decoded',
-      );
-    }
-    return result?.isOk() ? result.value : undefined;
-  }
-
   /** Announces the version in force while the reads of this node succeed. */
   private sendBeacon(): void {
     if (!this.inForce || !this.isForwarding) return;
@@ -339,20 +323,10 @@
     }
   }
 
-  /** Requests a version that a peer has announced, once until a deadline. */
-  private requestFrom(peerId: string, announced: number): void {
-    const {clock, configInForceMs} = this.parts;
-    const now = clock.now();
-    if (!mayRequest(this.request, now)) return;
-    this.request = createRequest(peerId, configInForceMs, now);
-    this.ask(peerId, announced);
-  }
-
   private ask(peerId: string, announced?: number): void {
-    const {version} = this;
-    this.parts.logger.info({peerId, version, announced}, 'configuration asked');
-    const body = {version: this.needsWhole ? 0 : version};
-    this.send(peerId, {type: 'configAsk', body});
+    const {ask} = this.documents;
+    this.parts.logger.info({peerId, ...ask, announced}, 'configuration asked');
+    this.send(peerId, {type: 'configAsk', body: ask});
   }
 
   private createNotice(content: Partial<ConfigNotice> = {}): Message {
--- a/packages/sidecar/src/config/source-choice.ts
+++ b/packages/sidecar/src/config/source-choice.ts
@@ -25,7 +25,7 @@
  */
 const LAST_TAKEOVER_SHARE = 0.8;
 /** Time in ms for the answer of a read and a notice to arrive. */
-const TRANSIT_MS = 300;
+const MAX_TRANSIT_MS = 300;
 /** Ranks of the nodes that retry often while the store does not answer. */
 const FREQUENT_RANKS = 3;
 /** Longest retry delay in ms of these nodes, and of the others. */
@@ -53,7 +53,7 @@
     staleAfterMs,
     takeoverStepMs: configInForceMs * TAKEOVER_STEP_SHARE,
     lastTakeoverMs: configInForceMs * LAST_TAKEOVER_SHARE,
-    readWaitMs: Math.floor(staleAfterMs - BEACON_INTERVAL_MS - TRANSIT_MS),
+    readWaitMs: Math.floor(staleAfterMs - BEACON_INTERVAL_MS - MAX_TRANSIT_MS),
   };
 }
 
@@ -95,6 +95,50 @@
   return lastTakeoverMs - (lastTakeoverMs - steppedMs) / (1 + ranksBehind);
 }
 
+/** A read of the store that has succeeded. */
+export interface StoreRead {
+  sentMs: number;
+  receivedMs: number;
+  /** Time in ms for which the store waits for a change; 0 if it does not. */
+  waitMs: number;
+  /** True if the store has waited without a change. */
+  isUnchanged: boolean;
+}
+
+/**
+ * Returns the time in ms that the messages of a read take to and from the store,
+ * given that of the reads before. The time of a document's transfer tells
+ * nothing of the link, but a short one does.
+ */
+export function readTransitMs(
+  {sentMs, receivedMs, waitMs, isUnchanged}: StoreRead,
+  beforeMs: number,
+): number {
+  const elapsedMs = Math.max(0, receivedMs - sentMs - waitMs);
+  if (waitMs === 0) return Math.min(beforeMs, elapsedMs);
+  return isUnchanged ? elapsedMs : beforeMs;
+}
+
+/**
+ * Returns the time in ms at which the store surely had what a read has brought.
+ * Bytes may have waited at a full link since.
+ */
+export function confirmedByReadMs(
+  {sentMs, receivedMs, waitMs}: StoreRead,
+  transitMs: number,
+): number {
+  if (waitMs === 0) return sentMs;
+  return Math.max(sentMs, receivedMs - transitMs);
+}
+
+/**
+ * True if a node may send to its data centre what it reads. Behind a full link
+ * its messages are late, and keep back those of the calls on it.
+ */
+export function mayForward(transitMs: number): boolean {
+  return transitMs <= MAX_TRANSIT_MS;
+}
+
 /** Longest retry delay in ms of a node whose read has failed. */
 export function retryCapMs(rank: number): number {
   return rank < FREQUENT_RANKS ? FREQUENT_RETRY_CAP_MS : RARE_RETRY_CAP_MS;
--- a/packages/sidecar/tests/config/source-choice.test.ts
+++ b/packages/sidecar/tests/config/source-choice.test.ts
@@ -2,7 +2,10 @@
 
 import {
   BEACON_INTERVAL_MS,
+  confirmedByReadMs,
+  mayForward,
   rankNodes,
+  readTransitMs,
   retryCapMs,
   sourceTimes,
   takeoverMs,
@@ -92,6 +95,36 @@
     expect(new Set(dueMs)).to.have.property('size', dueMs.length);
   });
 
+  describe('age of a read', () => {
+    const WAIT_MS = 800;
+    const SENT_MS = 10_000;
+    const BEFORE_MS = 20;
+
+    /** Time in ms of the answer, if unchanged, transit and confirmed after it. */
+    const cases: [string, number, number, boolean, number, number][] = [
+      ['a read of the newest version', 90, 0, false, 20, 0],
+      ['a short read of the newest version', 8, 0, false, 8, 0],
+      ['a wait without a change', 808, WAIT_MS, true, 8, 800],
+      ['a wait behind a full link', 1_800, WAIT_MS, true, 1_000, 800],
+      ['a change soon after the start', 10, WAIT_MS, false, 20, 0],
+      ['a change within the wait', 500, WAIT_MS, false, 20, 480],
+      ['a store that does not wait', 8, WAIT_MS, true, 0, 8],
+    ];
+    for (const [title, answerMs, waitMs, isUnchanged, transitMs, ms] of cases) {
+      it(`is counted from what the store surely had: ${title}`, () => {
+        const receivedMs = SENT_MS + answerMs;
+        const read = {sentMs: SENT_MS, receivedMs, waitMs, isUnchanged};
+        expect(readTransitMs(read, BEFORE_MS)).to.equal(transitMs);
+        expect(confirmedByReadMs(read, transitMs)).to.equal(SENT_MS + ms);
+      });
+    }
+
+    it('keeps a node behind a full link from forwarding', () => {
+      expect(mayForward(20)).to.equal(true);
+      expect(mayForward(1_000)).to.equal(false);
+    });
+  });
+
   it('lets nodes of high ranks retry rarely', () => {
     expect(retryCapMs(20)).to.be.above(retryCapMs(0));
   });
