sidecar: an answer to a request does not end a takeover

A node that forwards in place of others stopped for 1.4 s, half of the bound, when a node before it in the order answered one of its requests: in that time its data centre got no notice. Cause: any fresh notice counted as the word of a node that forwards. Change: only a beacon does, which none but such nodes send. Test: config-follower.test 'goes on forwarding when a node before it only answers a request' failed before.

--- a/packages/sidecar/src/config/config-follower.ts
+++ b/packages/sidecar/src/config/config-follower.ts
@@ -79,8 +79,8 @@
   /** Time in ms that messages to and from the store have taken lately. */
   private transitMs = 0;
   /**
-   * Time in ms of the last fresh notice of a node of a lower rank; at first that
-   * of the start, as notices arrive only once other nodes know this one.
+   * Time in ms of the last fresh beacon of a node of a lower rank; at first that
+   * of the start, as beacons arrive only once other nodes know this one.
    */
   private lowerRankNoticeMs: number;
   /** True while this node reads in place of nodes of lower ranks. */
@@ -278,15 +278,18 @@
     }
     // A version that was not adopted does not confirm that the source works.
     if (version !== this.version) return;
-    if (this.isFromLowerRank(peer) && ageMs <= this.times.staleAfterMs) {
-      this.lowerRankNoticeMs = now;
-      if (this.isActing) {
-        const {logger} = this.parts;
-        logger.info({peerId: peer.nodeId, ageMs}, 'reader: hands back');
-      }
-      this.isActing = false;
-    }
     this.confirmedMs = Math.max(this.confirmedMs, now - ageMs);
+    if (this.isFromLowerRank(peer) && isBeacon(notice)) {
+      this.onLowerRankBeacon(peer.nodeId, ageMs);
+    }
+  }
+
+  private onLowerRankBeacon(peerId: string, ageMs: number): void {
+    if (ageMs > this.times.staleAfterMs) return;
+    this.lowerRankNoticeMs = this.parts.clock.now();
+    if (!this.isActing) return;
+    this.parts.logger.info({peerId, ageMs}, 'reader: hands back');
+    this.isActing = false;
   }
 
   private onAsk({version: have}: ConfigAsk, {nodeId: peerId}: Peer): void {
@@ -354,3 +357,8 @@
     this.peerIds = alive.map(({id}) => id).filter(id => id !== nodeId);
   }
 }
+
+/** True for the regular notice of a node that forwards what it reads. */
+function isBeacon({document, change}: ConfigNotice): boolean {
+  return !document && !change;
+}
--- a/packages/sidecar/tests/config/config-follower.test.ts
+++ b/packages/sidecar/tests/config/config-follower.test.ts
@@ -11,6 +11,7 @@
 import {expect} from 'chai';
 
 import {ConfigFollower} from '../../src/config/config-follower.js';
+import {compress} from '../../src/config/document-transfer.js';
 import {
   BEACON_INTERVAL_MS,
   rankNodes,
@@ -300,6 +301,20 @@
     expect(notice).to.have.nested.property('body.version', 7);
   });
 
+  it('goes on forwarding when a node before it only answers a request', async () => {
+    nonReader.follower.start();
+    nonReader.clock.advance(staleAfterMs + 1);
+    await waitForCalls(nonReader.store, 2);
+    const document = compress(publishedDocument(3));
+    const body = {version: 3, ageMs: 0, document};
+    nonReader.deliver({type: 'configNotice', body}, readerId);
+    nonReader.sent.length = 0;
+    await new Promise(resolve => setTimeout(resolve, 2 * BEACON_INTERVAL_MS));
+    nonReader.follower.stop();
+    const [beacon] = nonReader.takeSentTo(lastId);
+    expect(beacon).to.have.nested.property('body.version', 3);
+  });
+
   it('does not stand in for the reader with its first read', async () => {
     const newcomer = new FollowerNode(nonReaderId);
     newcomer.store.first = publishedDocument(2);
