sidecar: notices of the configuration go to suspected hosts too

Cause: its link was full, so its answers to probes were late and the others suspected it. The follower sent notices to hosts that are alive in its view only. Change: suspected hosts get them too, as the product's own distribution does. The order of the takeovers counts live hosts only, as before. Test: config-follower.test 'sends a change to a host that is suspected, and none to a dead one' failed before.

--- a/packages/sidecar/src/config/config-follower.ts
+++ b/packages/sidecar/src/config/config-follower.ts
@@ -88,6 +88,8 @@
   /** Ids of the live nodes of this data centre, this one included, by rank. */
   private localNodeIds: string[] = [];
   private readonly times: SourceTimes;
+  /** Ids of the nodes of this data centre that may live, without this node. */
+  private localPeerIds: string[] = [];
   /** Ids of the live nodes of all data centres, without this node. */
   private peerIds: string[] = [];
   private stopped = false;
@@ -313,9 +315,7 @@
   }
 
   private announce(notice: Message): void {
-    for (const nodeId of this.localNodeIds) {
-      if (nodeId !== this.parts.nodeId) this.send(nodeId, notice);
-    }
+    for (const nodeId of this.localPeerIds) this.send(nodeId, notice);
   }
 
   /** Asks peers for a newer version while the store does not answer. */
@@ -352,9 +352,16 @@
   private onViewChanged(members: readonly MemberRecord[]): void {
     const {nodeId, dataCentre} = this.parts;
     const alive = members.filter(({status}) => status === 'alive');
-    const local = alive.filter(member => member.dataCentre === dataCentre);
-    this.localNodeIds = rankNodes(local.map(({id}) => id));
     this.peerIds = alive.map(({id}) => id).filter(id => id !== nodeId);
+    const local = members.filter(member => member.dataCentre === dataCentre);
+    this.localNodeIds = rankNodes(
+      local.filter(({status}) => status === 'alive').map(({id}) => id),
+    );
+    // A host behind a full link is suspected, and needs the notices most.
+    this.localPeerIds = local
+      .filter(({status}) => status === 'alive' || status === 'suspect')
+      .map(({id}) => id)
+      .filter(id => id !== nodeId);
   }
 }
 
--- a/packages/sidecar/tests/config/config-follower.test.ts
+++ b/packages/sidecar/tests/config/config-follower.test.ts
@@ -107,7 +107,16 @@
       random: new SeededRandom(1),
       logger: bunyan.createLogger({name: 'test', level: bunyan.FATAL + 1}),
     });
-    const members = NODES.map(id => ({id, dataCentre: 'a', status: 'alive'}));
+    this.setStatus();
+  }
+
+  /** Puts all nodes in the view, alive but for those named. */
+  setStatus(statuses: Readonly<Record<string, string>> = {}): void {
+    const members = NODES.map(id => ({
+      id,
+      dataCentre: 'a',
+      status: statuses[id] ?? 'alive',
+    }));
     this.bus.publish('view-changed', {
       members: members as unknown as MemberRecord[],
     });
@@ -253,6 +262,15 @@
     expect(bytesOf(answer)).to.be.below(publishedDocument(6).length / 20);
   });
 
+  it('sends a change to a host that is suspected, and none to a dead one', async () => {
+    reader.setStatus({[nonReaderId]: 'suspect', [lastId]: 'dead'});
+    reader.store.publish(publishedDocument(5));
+    await waitUntilSettled();
+    const receivers = reader.sent.map(({nodeId}) => nodeId);
+    expect(receivers).to.include(nonReaderId);
+    expect(receivers).not.to.include(lastId);
+  });
+
   it('announces nothing while the answers of the store are late', async () => {
     reader.clock.advance(readWaitMs + staleAfterMs + 1);
     reader.store.endWait();
