sidecar: a host without notices asks peers beside the store; ages count the way

Cause: the store was the only source of a host without notices; a reader behind a full link sent nothing at all, also no small change. Change: such a host also asks two peers, whose change is a tenth of the document. A reader behind a full link leaves out large contents only; its announcements count the way of a message behind that link in their age, and an acting node hands back to one that reads without delay only. Test: config-follower.test 'asks peers beside the store once no notice arrives' failed before.

--- a/packages/sidecar/src/config/config-follower.ts
+++ b/packages/sidecar/src/config/config-follower.ts
@@ -23,7 +23,7 @@
 import {
   BEACON_INTERVAL_MS,
   confirmedByReadMs,
-  mayForward,
+  maySendToAll,
   rankNodes,
   readTransitMs,
   retryCapMs,
@@ -39,8 +39,6 @@
 const SOURCE_CHECK_INTERVAL_MS = 250;
 /** Least time in ms between two reads that bring no records. */
 const MIN_READ_INTERVAL_MS = 250;
-/** Peers that are asked for a newer version after each failed read. */
-const ASK_FAN_OUT = 2;
 
 export interface ConfigFollowerParts {
   nodeId: string;
@@ -145,7 +143,7 @@
 
   /** True while this node forwards what it reads to its data centre. */
   private get isForwarding(): boolean {
-    return (this.rank === 0 || this.isActing) && mayForward(this.transitMs);
+    return this.rank === 0 || this.isActing;
   }
 
   /** Time in ms until this node has to read the store itself. */
@@ -163,6 +161,8 @@
         await sleep(Math.min(SOURCE_CHECK_INTERVAL_MS, untilTakeoverMs + 1));
         continue;
       }
+      // Behind a full link, a change of a peer is here long before a document.
+      if (this.inForce && !this.isForwarding) this.askPeers();
       const startMs = this.parts.clock.now();
       const result = await this.readStore();
       if (result === 'failed') {
@@ -203,15 +203,9 @@
   }
 
   private recordRead(read: StoreRead): void {
-    const {transitMs: before, rank, parts} = this;
-    this.transitMs = readTransitMs(read, before);
+    this.transitMs = readTransitMs(read, this.transitMs);
     this.ownReadMs = confirmedByReadMs(read, this.transitMs);
     this.confirmedMs = Math.max(this.confirmedMs, this.ownReadMs);
-    const {transitMs} = this;
-    if (mayForward(transitMs) !== mayForward(before)) {
-      parts.logger.info({rank, transitMs, before}, 'reader: transit of reads');
-    }
-    if (!mayForward(transitMs)) this.isActing = false;
   }
 
   /** From now on forwards what it reads, as no node of a lower rank does. */
@@ -219,11 +213,10 @@
     const sinceNoticeMs = this.parts.clock.now() - this.lowerRankNoticeMs;
     const hasLowerRank = sinceNoticeMs <= this.times.staleAfterMs;
     if (this.isForwarding || hasLowerRank || !this.inForce) return;
-    if (!mayForward(this.transitMs)) return;
     this.isActing = true;
-    const {version, rank} = this;
+    const {version, rank, transitMs} = this;
     this.parts.logger.info(
-      {rank, version, sinceNoticeMs},
+      {rank, version, sinceNoticeMs, transitMs},
       'reader: takes over',
     );
     this.sendBeacon();
@@ -243,7 +236,10 @@
    * have version `before`. Others request what they lack.
    */
   private forward(before: number): void {
-    this.announce(this.createNotice(this.documents.contentFor(before)));
+    const content = this.documents.contentFor(before);
+    const {length} = content.change?.delta ?? content.document ?? [];
+    const maySend = maySendToAll(length, this.transitMs);
+    this.announce(this.createNotice(maySend ? content : {}));
   }
 
   /** Puts a document in force and returns true if it is valid and newer. */
@@ -287,7 +283,7 @@
   }
 
   private onLowerRankBeacon(peerId: string, ageMs: number): void {
-    if (ageMs > this.times.staleAfterMs) return;
+    if (ageMs > this.times.promptAgeMs) return;
     this.lowerRankNoticeMs = this.parts.clock.now();
     if (!this.isActing) return;
     this.parts.logger.info({peerId, ageMs}, 'reader: hands back');
@@ -309,20 +305,27 @@
   /** Announces the version in force while the reads of this node succeed. */
   private sendBeacon(): void {
     if (!this.inForce || !this.isForwarding) return;
-    const ageMs = this.parts.clock.now() - this.ownReadMs;
+    const ageMs = this.ageOnArrivalMs(this.ownReadMs);
     if (ageMs > this.times.staleAfterMs) return;
     this.announce(this.createNotice({ageMs}));
   }
 
+  /** Age in ms that a message has on its arrival, behind the link of this node. */
+  private ageOnArrivalMs(confirmedMs: number): number {
+    return this.parts.clock.now() - confirmedMs + this.transitMs;
+  }
+
   private announce(notice: Message): void {
     for (const nodeId of this.localPeerIds) this.send(nodeId, notice);
   }
 
-  /** Asks peers for a newer version while the store does not answer. */
+  /** Asks a node of this data centre and any other one for a newer version. */
   private askPeers(): void {
     const {random} = this.parts;
-    for (const nodeId of random.sample(this.peerIds, ASK_FAN_OUT)) {
-      this.ask(nodeId);
+    const local = random.pick(this.localPeerIds);
+    const other = random.pick(this.peerIds.filter(id => id !== local));
+    for (const nodeId of [local, other]) {
+      if (nodeId !== undefined) this.ask(nodeId);
     }
   }
 
@@ -333,7 +336,7 @@
   }
 
   private createNotice(content: Partial<ConfigNotice> = {}): Message {
-    const ageMs = this.parts.clock.now() - this.confirmedMs;
+    const ageMs = this.ageOnArrivalMs(this.confirmedMs);
     const body: ConfigNotice = {version: this.version, ageMs, ...content};
     return {type: 'configNotice', body};
   }
--- a/packages/sidecar/src/config/source-choice.ts
+++ b/packages/sidecar/src/config/source-choice.ts
@@ -26,6 +26,8 @@
 const LAST_TAKEOVER_SHARE = 0.8;
 /** Time in ms for the answer of a read and a notice to arrive. */
 const MAX_TRANSIT_MS = 300;
+/** Bytes that any link carries to all nodes of a data centre in a moment. */
+const SMALL_BYTES = 2_048;
 /** Ranks of the nodes that retry often while the store does not answer. */
 const FREQUENT_RANKS = 3;
 /** Longest retry delay in ms of these nodes, and of the others. */
@@ -42,6 +44,11 @@
   takeoverStepMs: number;
   /** Age of a configuration before which all nodes have taken over. */
   lastTakeoverMs: number;
+  /**
+   * Age of a beacon up to which its sender reads without delay. An acting node
+   * goes on beside one whose beacons are at times just fresh enough.
+   */
+  promptAgeMs: number;
   /** Time for which a read waits at the store for a change; an integer. */
   readWaitMs: number;
 }
@@ -53,6 +60,7 @@
     staleAfterMs,
     takeoverStepMs: configInForceMs * TAKEOVER_STEP_SHARE,
     lastTakeoverMs: configInForceMs * LAST_TAKEOVER_SHARE,
+    promptAgeMs: staleAfterMs / 2,
     readWaitMs: Math.floor(staleAfterMs - BEACON_INTERVAL_MS - MAX_TRANSIT_MS),
   };
 }
@@ -132,11 +140,11 @@
 }
 
 /**
- * True if a node may send to its data centre what it reads. Behind a full link
- * its messages are late, and keep back those of the calls on it.
+ * True if a node may send this many bytes to each node of its data centre.
+ * Behind a full link they would be late, and keep back the messages of calls.
  */
-export function mayForward(transitMs: number): boolean {
-  return transitMs <= MAX_TRANSIT_MS;
+export function maySendToAll(bytes: number, transitMs: number): boolean {
+  return bytes <= SMALL_BYTES || transitMs <= MAX_TRANSIT_MS;
 }
 
 /** Longest retry delay in ms of a node whose read has failed. */
--- a/packages/sidecar/tests/config/config-follower.test.ts
+++ b/packages/sidecar/tests/config/config-follower.test.ts
@@ -271,6 +271,17 @@
     expect(receivers).not.to.include(lastId);
   });
 
+  it('asks peers beside the store once no notice arrives', async () => {
+    nonReader.follower.start();
+    nonReader.clock.advance(staleAfterMs + 1);
+    await waitForCalls(nonReader.store, 1);
+    nonReader.follower.stop();
+    const asked = nonReader.sent.filter(
+      ({message}) => message.type === 'configAsk',
+    );
+    expect(asked).to.have.length(2);
+  });
+
   it('announces nothing while the answers of the store are late', async () => {
     reader.clock.advance(readWaitMs + staleAfterMs + 1);
     reader.store.endWait();
--- a/packages/sidecar/tests/config/source-choice.test.ts
+++ b/packages/sidecar/tests/config/source-choice.test.ts
@@ -3,7 +3,7 @@
 import {
   BEACON_INTERVAL_MS,
   confirmedByReadMs,
-  mayForward,
+  maySendToAll,
   rankNodes,
   readTransitMs,
   retryCapMs,
@@ -119,9 +119,10 @@
       });
     }
 
-    it('keeps a node behind a full link from forwarding', () => {
-      expect(mayForward(20)).to.equal(true);
-      expect(mayForward(1_000)).to.equal(false);
+    it('keeps a node behind a full link from sending many bytes', () => {
+      expect(maySendToAll(30_000, 20)).to.equal(true);
+      expect(maySendToAll(30_000, 1_000)).to.equal(false);
+      expect(maySendToAll(200, 1_000)).to.equal(true);
     });
   });
 
