sidecar: count the delay of notices as age

Cause: a notice counted as fresh by the age that its sender gave it, however long it had been on its way. Change: a notice tells when it was sent, by the clock of its sender. Nodes of earlier releases send no time; their notices count as before. Tests: config-follower.test 'reads the store while the notices that arrive were sent long before' and config-links.test 'puts a change in force at a host whose connections hold messages back' fail without it.

--- a/packages/sidecar/src/config/config-follower.ts
+++ b/packages/sidecar/src/config/config-follower.ts
@@ -20,6 +20,7 @@
 import type Logger from 'bunyan';
 
 import {DocumentExchange} from './document-exchange.js';
+import {NoticeDelays} from './notice-delays.js';
 import {
   BEACON_INTERVAL_MS,
   confirmedByReadMs,
@@ -64,6 +65,7 @@
 export class ConfigFollower extends Task {
   private inForce: MeshConfig | undefined;
   private readonly documents: DocumentExchange;
+  private readonly delays = new NoticeDelays();
   /**
    * Offset of the next read. Undefined at first and after a pause or a failed
    * read: the next read then gets only the newest document, which is a fraction
@@ -263,8 +265,11 @@
   }
 
   private onNotice(notice: ConfigNotice, peer: Peer): void {
-    const {version, ageMs} = notice;
+    const {version, sentMs} = notice;
     const now = this.parts.clock.now();
+    const delayMs =
+      sentMs === undefined ? 0 : this.delays.record(peer, sentMs, now);
+    const ageMs = notice.ageMs + delayMs;
     if (version > this.version) {
       const document = this.documents.documentOf(notice);
       const form = notice.change ? 'change' : 'whole';
@@ -336,8 +341,10 @@
   }
 
   private createNotice(content: Partial<ConfigNotice> = {}): Message {
+    const sentMs = this.parts.clock.now();
     const ageMs = this.ageOnArrivalMs(this.confirmedMs);
-    const body: ConfigNotice = {version: this.version, ageMs, ...content};
+    const {version} = this;
+    const body: ConfigNotice = {version, ageMs, sentMs, ...content};
     return {type: 'configNotice', body};
   }
 
--- a/packages/sidecar/tests/config/config-follower.test.ts
+++ b/packages/sidecar/tests/config/config-follower.test.ts
@@ -271,6 +271,21 @@
     expect(receivers).not.to.include(lastId);
   });
 
+  it('reads the store while the notices that arrive were sent long before', async () => {
+    const startMs = nonReader.clock.now();
+    const deliverSentAt = (sentMs: number) => {
+      const body = {version: 2, ageMs: 0, sentMs};
+      nonReader.deliver({type: 'configNotice', body}, readerId);
+    };
+    deliverSentAt(startMs);
+    nonReader.clock.advance(staleAfterMs + BEACON_INTERVAL_MS + 1);
+    deliverSentAt(startMs + BEACON_INTERVAL_MS);
+    nonReader.follower.start();
+    await waitUntilSettled();
+    nonReader.follower.stop();
+    expect(nonReader.store.calls[0]).to.equal('newest');
+  });
+
   it('asks peers beside the store once no notice arrives', async () => {
     nonReader.follower.start();
     nonReader.clock.advance(staleAfterMs + 1);
@@ -321,7 +336,7 @@
     const [beacon] = nonReader.takeSentTo(lastId);
     expect(beacon).to.deep.equal({
       type: 'configNotice',
-      body: {version: 2, ageMs: 0},
+      body: {version: 2, ageMs: 0, sentMs: nonReader.clock.now()},
     });
     nonReader.store.publish(publishedDocument(7));
     await waitUntilSettled();
--- a/packages/sidecar/tests/config/config-links.test.ts
+++ b/packages/sidecar/tests/config/config-links.test.ts
@@ -12,6 +12,8 @@
 const SETTLE_MS = 3_000;
 /** Time in ms between the two changes. */
 const NEXT_CHANGE_MS = 2_000;
+/** Time in ms for which connections hold messages back. */
+const HELD_BACK_MS = 3_000;
 const ROUTES = 1_100;
 const MANY_ROUTES = 3_000;
 
@@ -73,6 +75,15 @@
     expect(dataCentre.behind(2)).to.deep.equal([]);
   });
 
+  it('puts a change in force at a host whose connections hold messages back', async () => {
+    await start({});
+    dataCentre.holdBack(LAST_ID, HELD_BACK_MS);
+    await dataCentre.pass(2 * HELD_BACK_MS);
+    dataCentre.publish(publishedDocument(2, ROUTES + 1));
+    await dataCentre.pass(CONFIG_IN_FORCE_MS);
+    expect(dataCentre.behind(2)).to.deep.equal([]);
+  });
+
   it('reads the store in one node while nothing changes', async () => {
     await start({});
     const before = dataCentre.storeCalls;
--- a/packages/sidecar/tests/config/simulated-data-centre.ts
+++ b/packages/sidecar/tests/config/simulated-data-centre.ts
@@ -141,6 +141,7 @@
     toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval'],
   });
   private readonly topic = new SimulatedTopic();
+  private readonly heldBackMs = new Map<string, number>();
   private readonly nodes = new Map<string, SimulatedNode>();
 
   constructor(private readonly options: DataCentreOptions) {
@@ -160,6 +161,11 @@
     this.timers.uninstall();
   }
 
+  /** From now on, a connection to this node holds each message back. */
+  holdBack(nodeId: string, ms: number): void {
+    this.heldBackMs.set(nodeId, ms);
+  }
+
   /** Ends nodes without any message; they stay in the views of the others. */
   kill(nodeIds: readonly string[]): void {
     for (const id of nodeIds) {
@@ -240,7 +246,11 @@
     const bytes = encodeFrame(message).length;
     sender.linkFreeAtMs =
       Math.max(now, sender.linkFreeAtMs) + bytes / bytesPerMs;
-    const arrivalMs = sender.linkFreeAtMs + (queueMs[from] ?? 0) + TRANSIT_MS;
+    const arrivalMs =
+      sender.linkFreeAtMs +
+      (queueMs[from] ?? 0) +
+      (this.heldBackMs.get(to) ?? 0) +
+      TRANSIT_MS;
     const inOrderMs = Math.max(arrivalMs, sender.lastArrivalMs.get(to) ?? 0);
     const arrivedMs = inOrderMs + windowWaitMs(bytes, queueMs[to] ?? 0);
     sender.lastArrivalMs.set(to, arrivedMs);
--- a/packages/wire/src/message-shapes.ts
+++ b/packages/wire/src/message-shapes.ts
@@ -126,6 +126,7 @@
   configNotice: {
     version: integer,
     ageMs: age,
+    sentMs: optional(number),
     document: optional(bytes),
     change: optional(change),
   },
--- a/packages/wire/src/messages/configuration.ts
+++ b/packages/wire/src/messages/configuration.ts
@@ -78,6 +78,8 @@
   version: number;
   /** Time in ms since the sender's source last confirmed this version. */
   ageMs: number;
+  /** Time in ms by the sender's clock; absent from nodes of earlier releases. */
+  sentMs?: number;
   /** The published document, deflated; absent if only announced. */
   document?: Uint8Array;
   /** Sent in place of `document` to nodes that have the previous version. */
