sidecar: a host asks others soon after prompt notices fail to come

Cause: a host waited until its configuration was stale before it asked; behind a full link that leaves no time for the answer. Change: once no prompt notice has come for 2.5 intervals of the beacon, a host asks two live nodes of its data centre, which answer if they have a newer version. A notice that was held back for more than an interval is no prompt one. The stand-ins of config-follower.test move to follower-node.ts. Test: config-follower.test 'asks 2 nodes before it is stale' (none has come, late ones come) fails without it.

--- a/packages/sidecar/src/config/config-follower.ts
+++ b/packages/sidecar/src/config/config-follower.ts
@@ -25,6 +25,7 @@
   BEACON_INTERVAL_MS,
   confirmedByReadMs,
   maySendToAll,
+  NOTICE_GAP_MS,
   rankNodes,
   readTransitMs,
   retryCapMs,
@@ -40,6 +41,8 @@
 const SOURCE_CHECK_INTERVAL_MS = 250;
 /** Least time in ms between two reads that bring no records. */
 const MIN_READ_INTERVAL_MS = 250;
+/** Nodes of the data centre that are asked when prompt notices fail to come. */
+const ASK_FAN_OUT = 2;
 
 export interface ConfigFollowerParts {
   nodeId: string;
@@ -83,6 +86,8 @@
    * of the start, as beacons arrive only once other nodes know this one.
    */
   private lowerRankNoticeMs: number;
+  /** Time in ms from which others are asked, as no prompt notice has come. */
+  private nextAskMs: number;
   /** True while this node reads in place of nodes of lower ranks. */
   private isActing = false;
   /** Ids of the live nodes of this data centre, this one included, by rank. */
@@ -101,6 +106,7 @@
     super();
     const {bus, clock, configInForceMs} = parts;
     this.lowerRankNoticeMs = clock.now();
+    this.nextAskMs = clock.now() + NOTICE_GAP_MS;
     this.times = sourceTimes(configInForceMs);
     this.documents = new DocumentExchange(configInForceMs, parts.logger);
     bus.subscribe('view-changed', ({members}) => this.onViewChanged(members));
@@ -160,6 +166,7 @@
       const {untilTakeoverMs} = this;
       if (this.inForce && untilTakeoverMs >= 0) {
         this.offset = undefined;
+        this.askAfterGap();
         await sleep(Math.min(SOURCE_CHECK_INTERVAL_MS, untilTakeoverMs + 1));
         continue;
       }
@@ -270,6 +277,7 @@
     const delayMs =
       sentMs === undefined ? 0 : this.delays.record(peer, sentMs, now);
     const ageMs = notice.ageMs + delayMs;
+    if (delayMs <= BEACON_INTERVAL_MS) this.nextAskMs = now + NOTICE_GAP_MS;
     if (version > this.version) {
       const document = this.documents.documentOf(notice);
       const form = notice.change ? 'change' : 'whole';
@@ -334,6 +342,16 @@
     }
   }
 
+  /** Asks nodes of this data centre while prompt notices fail to come. */
+  private askAfterGap(): void {
+    const {clock, random, nodeId} = this.parts;
+    const now = clock.now();
+    if (now < this.nextAskMs) return;
+    this.nextAskMs = now + NOTICE_GAP_MS;
+    const others = this.localNodeIds.filter(id => id !== nodeId);
+    for (const peerId of random.sample(others, ASK_FAN_OUT)) this.ask(peerId);
+  }
+
   private ask(peerId: string, announced?: number): void {
     const {ask} = this.documents;
     this.parts.logger.info({peerId, ...ask, announced}, 'configuration asked');
--- a/packages/sidecar/src/config/source-choice.ts
+++ b/packages/sidecar/src/config/source-choice.ts
@@ -13,6 +13,12 @@
 /** Interval in ms at which a reader announces the version in force. */
 export const BEACON_INTERVAL_MS = 300;
 
+/**
+ * Time in ms without a prompt notice after which a node asks others. Behind a
+ * full link its questions are late, so that it can not wait until it is stale.
+ */
+export const NOTICE_GAP_MS = 2.5 * BEACON_INTERVAL_MS;
+
 /** Share of the bound after which a configuration without a notice is stale. */
 const STALE_SHARE = 0.55;
 /** Share of the bound between the takeovers of ranks 1, 2 and 3. */
--- a/packages/sidecar/tests/config/config-follower.test.ts
+++ b/packages/sidecar/tests/config/config-follower.test.ts
@@ -1,156 +1,23 @@
-import {Bus} from '@turmericmill/node';
-import {
-  CONFIG_KEY,
-  Store,
-  type KeyedPage,
-  type StoreError,
-} from '@turmericmill/platform-adapter';
-import {ManualClock, Ok, SeededRandom, type Result} from '@turmericmill/utils';
-import type {MemberRecord, Message} from '@turmericmill/wire';
-import bunyan from 'bunyan';
+import type {Message} from '@turmericmill/wire';
 import {expect} from 'chai';
 
-import {ConfigFollower} from '../../src/config/config-follower.js';
 import {compress} from '../../src/config/document-transfer.js';
 import {
   BEACON_INTERVAL_MS,
+  NOTICE_GAP_MS,
   rankNodes,
   sourceTimes,
 } from '../../src/config/source-choice.js';
+import {
+  BOUND_MS,
+  FollowerNode,
+  NODES,
+  waitForCalls,
+  waitUntilSettled,
+} from './follower-node.js';
 import {publishedDocument} from './published-document.js';
 
-const NODES = ['n-0', 'n-1', 'n-2', 'n-3'];
-const BOUND_MS = 2_000;
 const {staleAfterMs, readWaitMs} = sourceTimes(BOUND_MS);
-/** Interval in ms at which the store's calls are checked. */
-const CHECK_INTERVAL_MS = 20;
-/** Turns of the event loop in which a read and its notices are processed. */
-const TURNS = 10;
-
-/** A store that answers a read when the test publishes. */
-class ScriptedStore extends Store {
-  private waiting: ((page: KeyedPage) => void) | undefined;
-  private endOffset = 0;
-  /** False if a read returns at once, also without a record. */
-  waits = true;
-  /** The newest document at the first read. */
-  first: Uint8Array | undefined;
-  /** Calls of the store, in order. */
-  readonly calls: string[] = [];
-
-  publish(value: Uint8Array): void {
-    const offset = this.endOffset;
-    this.endOffset += 1;
-    const records = [{key: CONFIG_KEY, value, offset}];
-    const {waiting} = this;
-    this.waiting = undefined;
-    waiting?.({records, endOffset: this.endOffset});
-  }
-
-  override newest(): Promise<Result<KeyedPage, StoreError>> {
-    this.calls.push('newest');
-    const {first} = this;
-    const records = first ? [{key: CONFIG_KEY, value: first, offset: 0}] : [];
-    return Promise.resolve(Ok({records, endOffset: records.length}));
-  }
-
-  override read(): Promise<Result<KeyedPage, StoreError>> {
-    this.calls.push('read');
-    if (!this.waits) {
-      return Promise.resolve(Ok({records: [], endOffset: this.endOffset}));
-    }
-    return new Promise(resolve => {
-      this.waiting = page => resolve(Ok(page));
-    });
-  }
-
-  /** Ends a read that waits without a record. */
-  endWait(): void {
-    const {waiting, endOffset} = this;
-    this.waiting = undefined;
-    waiting?.({records: [], endOffset});
-  }
-
-  override put(): Promise<Result<void, StoreError>> {
-    return Promise.resolve(Ok(undefined));
-  }
-
-  override close(): void {
-    this.waiting = undefined;
-  }
-}
-
-interface Sent {
-  nodeId: string;
-  message: Message;
-}
-
-/** A node whose messages the test delivers. */
-class FollowerNode {
-  readonly bus = new Bus();
-  readonly store = new ScriptedStore();
-  readonly sent: Sent[] = [];
-  readonly follower: ConfigFollower;
-  readonly clock = new ManualClock(1_000);
-
-  constructor(readonly nodeId: string) {
-    this.bus.subscribe('send-peer', ({nodeId: to, message}) => {
-      this.sent.push({nodeId: to, message});
-    });
-    this.follower = new ConfigFollower({
-      nodeId,
-      dataCentre: 'a',
-      configInForceMs: BOUND_MS,
-      store: this.store,
-      bus: this.bus,
-      clock: this.clock,
-      random: new SeededRandom(1),
-      logger: bunyan.createLogger({name: 'test', level: bunyan.FATAL + 1}),
-    });
-    this.setStatus();
-  }
-
-  /** Puts all nodes in the view, alive but for those named. */
-  setStatus(statuses: Readonly<Record<string, string>> = {}): void {
-    const members = NODES.map(id => ({
-      id,
-      dataCentre: 'a',
-      status: statuses[id] ?? 'alive',
-    }));
-    this.bus.publish('view-changed', {
-      members: members as unknown as MemberRecord[],
-    });
-  }
-
-  /** Delivers a message of the node with the id `from`. */
-  deliver(message: Message, from: string): void {
-    const peer = {nodeId: from, incarnation: 1} as never;
-    this.bus.publishPeerMessage(peer, message);
-  }
-
-  /** Removes all sent messages and returns those to `nodeId`. */
-  takeSentTo(nodeId: string): Message[] {
-    const messages = this.sent.filter(one => one.nodeId === nodeId);
-    this.sent.length = 0;
-    return messages.map(({message}) => message);
-  }
-}
-
-async function waitUntilSettled(): Promise<void> {
-  for (let i = 0; i < TURNS; i++) {
-    await new Promise(resolve => setImmediate(resolve));
-  }
-}
-
-/** Resolves once the store has been called `count` times. */
-async function waitForCalls(
-  store: ScriptedStore,
-  count: number,
-): Promise<void> {
-  while (store.calls.length < count) {
-    await new Promise(resolve => setTimeout(resolve, CHECK_INTERVAL_MS));
-  }
-}
 
 function bytesOf(message: Message | undefined): number {
   return message ? JSON.stringify(message).length : 0;
@@ -286,6 +153,31 @@
     expect(nonReader.store.calls[0]).to.equal('newest');
   });
 
+  const gaps: [string, number, number][] = [
+    ['none has come', Infinity, 2],
+    ['late ones come', 2 * BEACON_INTERVAL_MS, 2],
+    ['prompt ones come', 0, 0],
+  ];
+  for (const [title, delayMs, asks] of gaps) {
+    it(`asks ${asks} nodes before it is stale if ${title}`, async () => {
+      const startMs = nonReader.clock.now();
+      const deliverSentAt = (sentMs: number) => {
+        const body = {version: 2, ageMs: 0, sentMs};
+        nonReader.deliver({type: 'configNotice', body}, readerId);
+      };
+      deliverSentAt(startMs);
+      nonReader.clock.advance(NOTICE_GAP_MS);
+      const sentMs = startMs + NOTICE_GAP_MS - delayMs;
+      if (sentMs > startMs) deliverSentAt(sentMs);
+      nonReader.follower.start();
+      await waitUntilSettled();
+      nonReader.follower.stop();
+      const types = nonReader.sent.map(({message}) => message.type);
+      expect(types).to.deep.equal(Array(asks).fill('configAsk'));
+      expect(nonReader.store.calls).to.deep.equal([]);
+    });
+  }
+
   it('asks peers beside the store once no notice arrives', async () => {
     nonReader.follower.start();
     nonReader.clock.advance(staleAfterMs + 1);
