sidecar: tell the era of the store in logs and metrics; read the topic in a unit of its own

The reads of the topic move from the follower to TopicReader, and what is told of the ends of requests to createRequestObserver; neither changes what a node does.

--- a/packages/sidecar/src/config/config-follower.ts
+++ b/packages/sidecar/src/config/config-follower.ts
@@ -4,7 +4,6 @@
 import {Task, type Bus, type Peer} from '@turmericmill/node';
 import {
   CONFIG_KEY,
-  CONFIG_TOPIC,
   formatFindings,
   parsePublishedConfig,
   type KeyedPage,
@@ -34,6 +33,7 @@
   type SourceTimes,
   type StoreRead,
 } from './source-choice.js';
+import {TopicReader, type TopicRead} from './topic-reader.js';
 
 /** Base in ms of the jittered delay after a failed read. */
 const RETRY_BASE_MS = 100;
@@ -56,9 +56,6 @@
   logger: Logger;
 }
 
-/** `unchanged`: a read that waits for changes has brought none. */
-type ReadResult = 'changed' | 'unchanged' | 'failed';
-
 /** Where a document came from, and whether as a whole or as a change. */
 interface Origin {
   source: string;
@@ -69,12 +66,7 @@
   private inForce: MeshConfig | undefined;
   private readonly documents: DocumentExchange;
   private readonly delays = new NoticeDelays();
-  /**
-   * Offset of the next read. Undefined at first and after a pause or a failed
-   * read: the next read then gets only the newest document, which is a fraction
-   * of all that were published meanwhile.
-   */
-  private offset: number | undefined;
+  private readonly topic: TopicReader;
   /** Time in ms at which the store had this version, read here or by a peer. */
   private confirmedMs = -Infinity;
   /** The same by the last read of this node. */
@@ -98,17 +90,17 @@
   /** Ids of the live nodes of all data centres, without this node. */
   private peerIds: string[] = [];
   private stopped = false;
-  private failures = 0;
-  private isStoreLost = false;
   private beaconTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly parts: ConfigFollowerParts) {
     super();
-    const {bus, clock, configInForceMs} = parts;
+    const {bus, clock, configInForceMs, store, logger} = parts;
     this.lowerRankNoticeMs = clock.now();
     this.nextAskMs = clock.now() + NOTICE_GAP_MS;
     this.times = sourceTimes(configInForceMs);
-    this.documents = new DocumentExchange(configInForceMs, parts.logger);
+    const waitMs = this.times.readWaitMs;
+    this.topic = new TopicReader({store, clock, logger, waitMs});
+    this.documents = new DocumentExchange(configInForceMs, logger);
     bus.subscribe('view-changed', ({members}) => this.onViewChanged(members));
     bus.onPeerMessage('configNotice', ({body, peer}) => {
       this.onNotice(body, peer);
@@ -165,7 +157,7 @@
     while (!this.stopped) {
       const {untilTakeoverMs} = this;
       if (this.inForce && untilTakeoverMs >= 0) {
-        this.offset = undefined;
+        this.topic.reset();
         this.askAfterGap();
         await sleep(Math.min(SOURCE_CHECK_INTERVAL_MS, untilTakeoverMs + 1));
         continue;
@@ -175,7 +167,6 @@
       const startMs = this.parts.clock.now();
       const result = await this.readStore();
       if (result === 'failed') {
-        this.offset = undefined;
         this.askPeers();
         await sleep(this.retryDelayMs());
       } else if (result === 'unchanged') {
@@ -186,29 +177,14 @@
     }
   }
 
-  private async readStore(): Promise<ReadResult> {
-    const {store, clock, logger} = this.parts;
-    const {offset} = this;
-    const waitMs = offset === undefined ? 0 : this.times.readWaitMs;
-    const sentMs = clock.now();
-    const page =
-      offset === undefined
-        ? await store.newest(CONFIG_TOPIC)
-        : await store.read(CONFIG_TOPIC, offset, waitMs);
-    if (page.isErr()) {
-      this.failures += 1;
-      if (!this.isStoreLost) logger.warn({err: page.error}, 'store lost');
-      this.isStoreLost = true;
-      return 'failed';
+  private async readStore(): Promise<TopicRead['result']> {
+    const read = await this.topic.read();
+    if (read.result !== 'failed') {
+      this.recordRead(read.timing);
+      this.applyPage(read.page);
+      this.startActing();
     }
-    if (this.isStoreLost) logger.info('store regained');
-    this.isStoreLost = false;
-    this.failures = 0;
-    const isUnchanged = offset !== undefined && page.value.records.length === 0;
-    this.recordRead({sentMs, receivedMs: clock.now(), waitMs, isUnchanged});
-    this.applyPage(page.value);
-    this.startActing();
-    return isUnchanged ? 'unchanged' : 'changed';
+    return read.result;
   }
 
   private recordRead(read: StoreRead): void {
@@ -231,8 +207,7 @@
     this.sendBeacon();
   }
 
-  private applyPage({records, endOffset}: KeyedPage): void {
-    this.offset = endOffset;
+  private applyPage({records}: KeyedPage): void {
     const newest = records.filter(({key}) => key === CONFIG_KEY).at(-1);
     if (!newest || newest.value.length === 0) return;
     const before = this.version;
@@ -371,7 +346,8 @@
   }
 
   private retryDelayMs(): number {
-    const {rank, failures} = this;
+    const {rank} = this;
+    const {failures} = this.topic;
     const capMs = retryCapMs(rank);
     const jitterMs = this.parts.random.jitter(RETRY_BASE_MS, failures, capMs);
     return RETRY_BASE_MS + jitterMs;
--- a/packages/sidecar/src/observe/sidecar-metrics.ts
+++ b/packages/sidecar/src/observe/sidecar-metrics.ts
@@ -16,6 +16,8 @@
 /** Values that are read whenever the page is requested. */
 export interface MetricSources {
   configVersion(): number;
+  /** Era of the store that is known; 0 while there is none. */
+  storeEra(): number;
   serverInFlight(): number;
   logLinesLeftOut(): number;
   logLinesDropped(): number;
@@ -87,6 +89,11 @@
       },
     });
     this.gauge('config_version', 'Version in force.', sources.configVersion);
+    this.gauge(
+      'store_era',
+      'Era of the store that this node knows; rises when it returns from a copy.',
+      sources.storeEra,
+    );
     this.gauge(
       'server_calls_in_flight',
       'Calls that hold a slot of the server beside this node.',
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -33,6 +33,7 @@
 import {MetricsServer} from './observe/metrics-server.js';
 import {ProcessMonitor} from './observe/process-monitor.js';
 import {RequestLog} from './observe/request-log.js';
+import {createRequestObserver} from './observe/request-observer.js';
 import {ShutdownLog, type WorkLeft} from './observe/shutdown-log.js';
 import {SidecarMetrics} from './observe/sidecar-metrics.js';
 import {ServerRunner} from './server/server-runner.js';
@@ -42,6 +43,7 @@
   type ShutdownPhase,
   type ShutdownTimes,
 } from './shutdown-phase.js';
+import {StoreEra} from './store-era.js';
 import {ReadinessServer} from './tasks/readiness-server.js';
 import {StoreSeeds} from './tasks/store-seeds.js';
 
@@ -69,6 +71,7 @@
   private readonly random = new SystemRandom();
   /** Serves as the incarnation, as it grows with each start. */
   private readonly startedMs = this.clock.now();
+  private readonly storeEra: StoreEra;
   private readonly store: HttpStore;
   private readonly transport: TransportTask;
   private readonly seeds: StoreSeeds;
@@ -97,7 +100,11 @@
     const {bus, clock, random} = this;
     const {nodeId, dataCentre, memoryMb} = settings;
     this.answerBudget = createAnswerBudget(memoryMb);
-    this.store = new HttpStore(() => this.settings.store);
+    this.storeEra = new StoreEra(logger);
+    this.store = new HttpStore(
+      () => this.settings.store,
+      era => this.storeEra.observe(era, 'store'),
+    );
     this.transport = this.createTransport();
     this.seeds = this.createSeeds();
     this.membership = this.createMembership();
@@ -122,14 +129,7 @@
     });
     this.incoming = new IncomingCalls(bus, this.server, clock);
     this.requestLog = new RequestLog(clock, logger);
-    this.metrics = new SidecarMetrics({
-      configVersion: () => this.config.version,
-      serverInFlight: () => this.server.inFlight,
-      logLinesLeftOut: () => this.requestLog.budget.leftOutTotal,
-      logLinesDropped: () => destination.dropped,
-      connectionsClosed: () => this.transport.closedCounts,
-      residentBytes: () => process.memoryUsage.rss(),
-    });
+    this.metrics = this.createMetrics(destination);
     this.processMonitor = new ProcessMonitor({
       clock,
       logger,
@@ -339,6 +339,18 @@
     return (await askHealthyServerId(server, path)) === serverId;
   }
 
+  private createMetrics(destination: LogDestination): SidecarMetrics {
+    return new SidecarMetrics({
+      configVersion: () => this.config.version,
+      storeEra: () => this.storeEra.current ?? 0,
+      serverInFlight: () => this.server.inFlight,
+      logLinesLeftOut: () => this.requestLog.budget.leftOutTotal,
+      logLinesDropped: () => destination.dropped,
+      connectionsClosed: () => this.transport.closedCounts,
+      residentBytes: () => process.memoryUsage.rss(),
+    });
+  }
+
   private createIngress(): IngressServer {
     const {bus, clock, random} = this;
     const {nodeId, dataCentre, listen, retries} = this.settings;
@@ -370,22 +382,7 @@
       bus,
       clock,
       random,
-      onEnded: (request, end, context, status) => {
-        this.requestLog.recordEnd(request, end, context, status);
-        this.metrics.recordEnd(request, end, context.latencyMs);
-      },
-      onRejected: (caller, answer, version) => {
-        this.requestLog.recordRejection(caller, answer, version);
-        this.metrics.recordRejection(answer.reason);
-      },
-      onBrokenOff: (caller, err) => {
-        this.requestLog.recordBrokenOff(caller, err);
-        this.metrics.recordBrokenOff();
-      },
-      onUndelivered: (caller, answer) => {
-        this.requestLog.recordUndelivered(caller, answer);
-        this.metrics.recordUndelivered(answer);
-      },
+      ...createRequestObserver(this.requestLog, this.metrics),
     });
   }
 }
--- a/packages/sidecar/tests/observe/sidecar-metrics.test.ts
+++ b/packages/sidecar/tests/observe/sidecar-metrics.test.ts
@@ -14,6 +14,7 @@
 function createMetrics(closed: Record<string, number> = {}): SidecarMetrics {
   return new SidecarMetrics({
     configVersion: () => 1,
+    storeEra: () => 6,
     serverInFlight: () => 2,
     logLinesLeftOut: () => 3,
     logLinesDropped: () => 4,
@@ -56,7 +57,8 @@
       )
       .and.include('turmericmill_requests_broken_off_total 1')
       .and.include('turmericmill_event_loop_delay_seconds_bucket{le="0.5"} 1')
-      .and.include('turmericmill_resident_memory_bytes 5');
+      .and.include('turmericmill_resident_memory_bytes 5')
+      .and.include('turmericmill_store_era 6');
   });
 
   it('counts each closed connection once, by cause', async () => {
