--- a/packages/testkit/src/platform/store-server.ts
+++ b/packages/testkit/src/platform/store-server.ts
@@ -7,10 +7,11 @@
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
 
-const LENGTH_BYTES = 4;
-const OFFSET_BYTES = 8;
+import {StoreTopic} from './store-topic.js';
+
 const PAGE_ITEMS = 500;
 const WHOLE_NUMBER = /^\d+$/;
+const FIRST_ERA = 1;
 
 /** Faults that the store simulates; all are off by default. */
 export interface StoreFaults {
@@ -22,17 +23,23 @@
   loseAnswers: boolean;
   /** Every call is refused with 429. */
   busy: boolean;
+  /** Appends are carried out, and answered, only once this is off again. */
+  holdAppends: boolean;
 }
 
-interface Topic {
-  /** Records from `firstOffset` on, without their length prefixes. */
-  records: Buffer[];
-  firstOffset: number;
-  newestByKey: Map<string, {value: Buffer; offset: number}>;
-  waitingReaders: Set<() => void>;
-  /** Highest epoch of each producer. */
-  epochs: Map<string, number>;
-}
+/**
+ * What becomes of the long polls that wait when the store returns from a copy.
+ * `ended`: their connections are closed. `hung`: they are never answered.
+ * `answered`: at once, from the copy. `stale`: at the end of their wait, as if
+ * the store had not returned.
+ */
+export type PollsAtReturn = 'ended' | 'hung' | 'answered' | 'stale';
+
+/** All topics as they were at one time. */
+export type StoreCopy = ReadonlyMap<string, StoreTopic>;
+
+/** Interval in ms at which held appends look whether they may go on. */
+const HOLD_CHECK_MS = 10;
 
 export class StoreServer {
   readonly faults: StoreFaults = {
@@ -40,10 +47,12 @@
     silent: false,
     loseAnswers: false,
     busy: false,
+    holdAppends: false,
   };
   /** Number of calls by path. */
   readonly calls = new Map<string, number>();
-  private readonly topics = new Map<string, Topic>();
+  private era = FIRST_ERA;
+  private topics = new Map<string, StoreTopic>();
   private readonly server = createServer((req, res) => {
     void this.handleRequest(req, res);
   });
@@ -64,21 +73,31 @@
 
   /** Appends a record, as the operator or a server would. */
   put(topic: string, key: string, value: string | Buffer): void {
-    const keyBytes = Buffer.from(key);
-    const content = Buffer.concat([
-      Buffer.from([keyBytes.length]),
-      keyBytes,
-      Buffer.from(value),
-    ]);
-    this.append(this.topic(topic), content);
+    this.topic(topic).put(key, value);
+  }
+
+  /** Returns the newest value of a key, undefined if there is none. */
+  valueOf(topic: string, key: string): Buffer | undefined {
+    const newest = this.topic(topic).newest('');
+    return newest.find(([name]) => name === key)?.[1].value;
   }
 
   /** Removes the history of a topic but keeps the newest value of each key. */
   trimHistory(name: string): void {
-    const topic = this.topic(name);
-    topic.firstOffset += topic.records.length;
-    topic.records = [];
-    wakeReaders(topic);
+    this.topic(name).trim();
+  }
+
+  copy(): StoreCopy {
+    return copyTopics(this.topics);
+  }
+
+  /** Loses all that was written since a copy; offsets are given out again. */
+  returnFrom(copy: StoreCopy, polls: PollsAtReturn): void {
+    const before = this.topics;
+    this.topics = copyTopics(copy);
+    this.era += 1;
+    if (polls === 'stale') return;
+    for (const topic of before.values()) topic.endPolls(polls);
   }
 
   private async handleRequest(
@@ -91,158 +110,116 @@
     const {down, silent, busy} = this.faults;
     if (silent) return;
     if (down || busy) {
-      send(res, down ? 503 : 429, {error: 'refused'});
+      this.send(res, down ? 503 : 429, {error: 'refused'});
       return;
     }
-    const topic = this.topic(url.searchParams.get('topic') ?? '');
+    const name = url.searchParams.get('topic') ?? '';
     if (path === '/api/log-append') {
-      await this.handleAppend(req, res, topic);
+      await this.handleAppend(req, res, url.searchParams);
     } else if (path === '/api/log-newest') {
-      this.handleNewest(res, topic, url.searchParams.get('after') ?? '');
+      this.handleNewest(res, name, url.searchParams.get('after') ?? '');
     } else if (path === '/api/log-read') {
       const from = url.searchParams.get('from') ?? '';
       const waitMs = url.searchParams.get('wait_ms') ?? '0';
       if (!WHOLE_NUMBER.test(from) || !WHOLE_NUMBER.test(waitMs)) {
-        send(res, 400, {error: 'from and wait_ms are whole numbers'});
+        this.send(res, 400, {error: 'from and wait_ms are whole numbers'});
         return;
       }
-      await this.handleRead(res, topic, Number(from), Number(waitMs));
+      await this.handleRead(res, name, Number(from), Number(waitMs));
     } else {
-      send(res, 404, {error: 'no such call'});
+      this.send(res, 404, {error: 'no such call'});
     }
   }
 
   private async handleAppend(
     req: IncomingMessage,
     res: ServerResponse,
-    topic: Topic,
+    query: URLSearchParams,
   ): Promise<void> {
     const chunks: Buffer[] = [];
     for await (const chunk of req) chunks.push(chunk as Buffer);
-    if (!this.acceptEpoch(req.url ?? '', topic)) {
-      send(res, 409, {why: 'fenced'});
-      return;
+    while (this.faults.holdAppends) {
+      await new Promise(resolve => setTimeout(resolve, HOLD_CHECK_MS));
     }
-    const body = Buffer.concat(chunks);
-    const offset = topic.firstOffset + topic.records.length;
-    for (let at = 0; at < body.length;) {
-      const length = body.readUInt32BE(at);
-      const begin = at + LENGTH_BYTES;
-      this.append(topic, body.subarray(begin, begin + length));
-      at = begin + length;
+    const topic = this.topic(query.get('topic') ?? '');
+    const producer = query.get('producer');
+    const epoch = Number(query.get('epoch'));
+    if (producer !== null && !topic.acceptEpoch(producer, epoch)) {
+      this.send(res, 409, {why: 'fenced'});
+      return;
     }
+    const offset = topic.end;
+    topic.appendAll(Buffer.concat(chunks));
     if (this.faults.loseAnswers) {
       res.destroy();
       return;
     }
-    const endOffset = topic.firstOffset + topic.records.length;
-    send(res, 200, {offset, end_offset: endOffset});
+    this.send(res, 200, {offset, end_offset: topic.end});
   }
 
-  /** False if a write of a higher epoch of the same producer was made. */
-  private acceptEpoch(path: string, {epochs}: Topic): boolean {
-    const {searchParams} = new URL(path, 'http://store');
-    const producer = searchParams.get('producer');
-    if (producer === null) return true;
-    const epoch = Number(searchParams.get('epoch'));
-    if (epoch < (epochs.get(producer) ?? 0)) return false;
-    epochs.set(producer, epoch);
-    return true;
-  }
-
-  private handleNewest(res: ServerResponse, topic: Topic, after: string): void {
-    const keys = [...topic.newestByKey.keys()]
-      .sort()
-      .filter(key => key > after);
-    const items = keys.slice(0, this.pageItems).map(key => {
-      const {value, offset} = topic.newestByKey.get(key) as {
-        value: Buffer;
-        offset: number;
-      };
-      return {key, value: value.toString('base64'), offset};
-    });
-    send(res, 200, {
+  private handleNewest(res: ServerResponse, name: string, after: string): void {
+    const topic = this.topic(name);
+    const newest = topic.newest(after);
+    const items = newest
+      .slice(0, this.pageItems)
+      .map(([key, {value, offset}]) => ({
+        key,
+        value: value.toString('base64'),
+        offset,
+      }));
+    this.send(res, 200, {
       items,
-      has_more: keys.length > items.length,
-      end_offset: topic.firstOffset + topic.records.length,
+      has_more: newest.length > items.length,
+      end_offset: topic.end,
     });
   }
 
   private async handleRead(
     res: ServerResponse,
-    topic: Topic,
+    name: string,
     from: number,
     waitMs: number,
   ): Promise<void> {
-    if (from >= topic.firstOffset + topic.records.length) {
-      await waitForAppend(topic, waitMs);
+    let topic = this.topic(name);
+    let {era} = this;
+    if (from === topic.end) {
+      const outcome = await topic.poll(waitMs);
+      if (outcome === 'ended') res.destroy();
+      if (outcome === 'ended' || outcome === 'hung') return;
+      if (outcome === 'answered') {
+        topic = this.topic(name);
+        ({era} = this);
+      }
     }
-    if (from < topic.firstOffset) {
-      send(res, 410, {first_offset: topic.firstOffset});
+    if (from < topic.first || from > topic.end) {
+      this.send(res, 410, {first_offset: topic.first}, era);
       return;
     }
-    const offsets = Buffer.alloc(2 * OFFSET_BYTES);
-    offsets.writeBigUInt64BE(
-      BigInt(topic.firstOffset + topic.records.length),
-      0,
-    );
-    offsets.writeBigUInt64BE(BigInt(topic.firstOffset), OFFSET_BYTES);
-    const parts = topic.records
-      .slice(from - topic.firstOffset)
-      .flatMap(record => {
-        const length = Buffer.alloc(LENGTH_BYTES);
-        length.writeUInt32BE(record.length, 0);
-        return [length, record];
-      });
-    res.writeHead(200).end(Buffer.concat([offsets, ...parts]));
-  }
-
-  private append(topic: Topic, content: Buffer): void {
-    const offset = topic.firstOffset + topic.records.length;
-    topic.records.push(content);
-    const keyLength = content[0] ?? 0;
-    const key = content.toString('utf8', 1, 1 + keyLength);
-    topic.newestByKey.set(key, {
-      value: content.subarray(1 + keyLength),
-      offset,
-    });
-    wakeReaders(topic);
+    const headers = {'store-era': era};
+    res.writeHead(200, headers).end(topic.page(from));
   }
 
-  private topic(name: string): Topic {
+  private topic(name: string): StoreTopic {
     let topic = this.topics.get(name);
     if (!topic) {
-      topic = {
-        records: [],
-        firstOffset: 0,
-        newestByKey: new Map(),
-        waitingReaders: new Set(),
-        epochs: new Map(),
-      };
+      topic = new StoreTopic();
       this.topics.set(name, topic);
     }
     return topic;
   }
-}
-
-function wakeReaders(topic: Topic): void {
-  for (const resolve of topic.waitingReaders) resolve();
-  topic.waitingReaders.clear();
-}
 
-function waitForAppend(topic: Topic, waitMs: number): Promise<void> {
-  return new Promise(resolve => {
-    const done = () => {
-      clearTimeout(timer);
-      topic.waitingReaders.delete(done);
-      resolve();
-    };
-    const timer = setTimeout(done, waitMs);
-    topic.waitingReaders.add(done);
-  });
+  private send(
+    res: ServerResponse,
+    status: number,
+    body: object,
+    era = this.era,
+  ): void {
+    const headers = {'content-type': 'application/json', 'store-era': era};
+    res.writeHead(status, headers);
+    res.end(JSON.stringify(body));
+  }
 }
 
-function send(res: ServerResponse, status: number, body: object): void {
-  res.writeHead(status, {'content-type': 'application/json'});
-  res.end(JSON.stringify(body));
+function copyTopics(topics: StoreCopy): Map<string, StoreTopic> {
+  return new Map([...topics].map(([name, topic]) => [name, topic.copy()]));
 }
--- a/packages/testkit/tests/platform/sidecar-departure.test.ts
+++ b/packages/testkit/tests/platform/sidecar-departure.test.ts
@@ -1,59 +1,16 @@
-import {request} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 
-import type {HostSettings} from '@turmericmill/platform-adapter';
 import {expect} from 'chai';
 
 import {waitUntil} from '../../src/mesh/wait-until.js';
-import {AppServer, HEALTH_PATH} from '../../src/platform/app-server.js';
-import {createSettings, PORTS} from '../../src/platform/host-settings.js';
-import {SidecarProcess} from '../../src/platform/sidecar-process.js';
+import {configDocument} from '../../src/platform/config-document.js';
+import {nextNetwork, ProcessHost} from '../../src/platform/process-host.js';
 import {
   StoreServer,
   type StoreFaults,
 } from '../../src/platform/store-server.js';
 
-const CONFIG = JSON.stringify({
-  version: 'r7',
-  routes: {
-    columns: [
-      'name',
-      'host',
-      'path_prefix',
-      'kind',
-      'timeout',
-      'target_latency',
-      'priority',
-      'service',
-      'max_attempts',
-      'traffic_split',
-    ],
-    rows: [
-      [
-        'r-d',
-        'shop.example',
-        '/d/',
-        'safe',
-        '800ms',
-        '400ms',
-        1,
-        'desk',
-        2,
-        null,
-      ],
-    ],
-  },
-  services: {
-    columns: ['name', 'health_check_path', 'max_connections'],
-    rows: [['desk', HEALTH_PATH, 100]],
-  },
-  limits: {
-    max_header_bytes: 16_384,
-    max_body_bytes: 100_000,
-    header_timeout: '3000ms',
-    idle_timeout: '15000ms',
-  },
-});
+const CONFIG = configDocument(7, {d: 'desk'});
 const GRACE_MS = 2_500;
 const REQUEST_INTERVAL_MS = 20;
 /** Time in ms of requests after the late heartbeat; departures are awaited 3 s. */
@@ -88,69 +45,6 @@
   {leaves: 'deregister', ends: 'SIGTERM'},
 ] as const;
 
-let lastNetwork = process.pid % 100;
-let lastRequest = 0;
-
-/** A host whose node is a process. */
-class ProcessHost {
-  readonly app: AppServer;
-  private settings: HostSettings;
-  private node: SidecarProcess;
-
-  constructor(network: number, index: number, storePort: number) {
-    const ip = `127.${network}.1.${index}`;
-    this.settings = createSettings(ip, storePort, {
-      nodeId: `node-${index}`,
-      shutdownGraceMs: GRACE_MS,
-    });
-    this.app = new AppServer({
-      id: `i-${index}`,
-      service: 'desk',
-      address: ip,
-      port: PORTS.server,
-      control: this.settings.listen.reports,
-      workMs: 5,
-      slots: 4,
-    });
-    this.node = new SidecarProcess(this.settings);
-  }
-
-  async end(signal: 'SIGKILL' | 'SIGTERM'): Promise<void> {
-    this.node.signal(signal);
-    await this.node.ended;
-  }
-
-  restart(): void {
-    this.settings = {...this.settings, isFirstStart: false};
-    this.node = new SidecarProcess(this.settings);
-  }
-
-  /** Sends a request; resolves with the status, 0 without an answer. */
-  call(): Promise<number> {
-    lastRequest += 1;
-    const {address: host, port} = this.settings.listen.callers;
-    const headers = {
-      host: 'shop.example',
-      'x-turmericmill-request-id': `q-${lastRequest}`,
-      'x-turmericmill-request-deadline': '900',
-    };
-    return new Promise(resolve => {
-      const options = {host, port, path: '/d/x', agent: false, headers};
-      const req = request(options, res => {
-        res.resume();
-        res.once('end', () => resolve(res.statusCode ?? 0));
-      });
-      req.once('error', () => resolve(0));
-      req.end();
-    });
-  }
-
-  /** Resolves with the status of a report, 0 if the node does not listen. */
-  reportLate(): Promise<number> {
-    return this.app.reportLate('ready').catch(() => 0);
-  }
-}
-
 async function eventually(isMet: () => Promise<boolean>, what: string) {
   expect(await waitUntil(isMet, START_TIMEOUT_MS), what).to.not.equal(
     undefined,
@@ -165,11 +59,12 @@
   const store = new StoreServer();
   const storePort = await store.listen();
   store.put('keyed.op', 'config', CONFIG);
-  lastNetwork += 1;
-  const network = 20 + (lastNetwork % 200);
+  const network = nextNetwork();
+  const settings = {shutdownGraceMs: GRACE_MS};
   const hosts = Array.from(
     {length: DEPARTURES.length + 1},
-    (unused, index) => new ProcessHost(network, index + 1, storePort),
+    (unused, index) =>
+      new ProcessHost({network, index: index + 1, storePort, settings}),
   );
   const [entry, ...leaving] = hosts as [ProcessHost, ...ProcessHost[]];
   const set = (fault: Fault | undefined, isOn: boolean) => {
@@ -178,12 +73,11 @@
   try {
     for (const {app} of hosts) await app.listen();
     for (const host of hosts) {
-      const isUp = async () =>
-        (await host.app.report('ready').catch(() => 0)) === 200;
+      const isUp = async () => (await host.report('ready')) === 200;
       await eventually(isUp, 'the report acknowledged');
     }
     await eventually(async () => {
-      await entry.call();
+      await entry.call('/d/x');
       return hosts.every(({app}) => app.runs.length > 0);
     }, 'all servers in use');
     set(untilRestart, true);
@@ -208,7 +102,7 @@
     const endMs = performance.now() + REQUESTS_MS;
     const answers: Promise<number>[] = [];
     while (performance.now() < endMs) {
-      answers.push(...hosts.map(host => host.call()));
+      answers.push(...hosts.map(host => host.call('/d/x')));
       await sleep(REQUEST_INTERVAL_MS);
     }
     expect(await Promise.all(answers)).to.include(200);
