sidecar: read the newest configuration once the store has returned from a copy

Callers got 404 for a route of a version confirmed more than the bound before. Cause: the store comes back from an older copy and gives offsets out again. A reader that stood at offset N went on from N, so that a version written before N since was never read, and it vouched for its old version to its data centre with each read.

A position in the log now belongs to an era of the store. An answer that shows a rise of Store-Era confirms nothing: the reader drops its position, reads the newest document and asks a node of each other data centre, as the store may have lost a version. A node that learns of a rise from the store tells its data centre (ConfigNotice.storeEra); long polls of before end at once, also those that hang.

--- a/packages/sidecar/src/config/config-follower.ts
+++ b/packages/sidecar/src/config/config-follower.ts
@@ -10,14 +10,11 @@
   type Store,
 } from '@turmericmill/platform-adapter';
 import {sleep, type Clock, type RandomSource} from '@turmericmill/utils';
-import type {
-  ConfigAsk,
-  ConfigNotice,
-  MemberRecord,
-  Message,
-} from '@turmericmill/wire';
+import type {ConfigAsk, ConfigNotice, Message} from '@turmericmill/wire';
 import type Logger from 'bunyan';
 
+import type {EraSource, StoreEra} from '../store-era.js';
+import {ConfigPeers} from './config-peers.js';
 import {DocumentExchange} from './document-exchange.js';
 import {NoticeDelays} from './notice-delays.js';
 import {
@@ -25,7 +22,6 @@
   confirmedByReadMs,
   maySendToAll,
   NOTICE_GAP_MS,
-  rankNodes,
   readTransitMs,
   retryCapMs,
   sourceTimes,
@@ -50,6 +46,7 @@
   /** Time in ms within which a change has to be in force. */
   configInForceMs: number;
   store: Store;
+  storeEra: StoreEra;
   bus: Bus;
   clock: Clock;
   random: RandomSource;
@@ -82,31 +79,28 @@
   private nextAskMs: number;
   /** True while this node reads in place of nodes of lower ranks. */
   private isActing = false;
-  /** Ids of the live nodes of this data centre, this one included, by rank. */
-  private localNodeIds: string[] = [];
+  private readonly peers: ConfigPeers;
   private readonly times: SourceTimes;
-  /** Ids of the nodes of this data centre that may live, without this node. */
-  private localPeerIds: string[] = [];
-  /** Ids of the live nodes of all data centres, without this node. */
-  private peerIds: string[] = [];
   private stopped = false;
   private beaconTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly parts: ConfigFollowerParts) {
     super();
-    const {bus, clock, configInForceMs, store, logger} = parts;
+    const {bus, clock, configInForceMs, store, storeEra, logger} = parts;
+    this.peers = new ConfigPeers(parts);
     this.lowerRankNoticeMs = clock.now();
     this.nextAskMs = clock.now() + NOTICE_GAP_MS;
     this.times = sourceTimes(configInForceMs);
     const waitMs = this.times.readWaitMs;
-    this.topic = new TopicReader({store, clock, logger, waitMs});
+    this.topic = new TopicReader({store, storeEra, clock, logger, waitMs});
     this.documents = new DocumentExchange(configInForceMs, logger);
-    bus.subscribe('view-changed', ({members}) => this.onViewChanged(members));
+    bus.subscribe('view-changed', ({members}) => this.peers.update(members));
     bus.onPeerMessage('configNotice', ({body, peer}) => {
       this.onNotice(body, peer);
     });
     bus.onPeerMessage('configAsk', ({body, peer}) => this.onAsk(body, peer));
     bus.subscribe('peer-lost', ({nodeId}) => this.documents.onPeerLost(nodeId));
+    storeEra.onRise(source => this.onStoreReturned(source));
   }
 
   /** Version in force; 0 while there is none. */
@@ -136,19 +130,15 @@
     clearInterval(this.beaconTimer);
   }
 
-  /** Rank of this node among those that read the store; 0 is the reader. */
-  private get rank(): number {
-    return Math.max(0, this.localNodeIds.indexOf(this.parts.nodeId));
-  }
-
   /** True while this node forwards what it reads to its data centre. */
   private get isForwarding(): boolean {
-    return this.rank === 0 || this.isActing;
+    return this.peers.rank === 0 || this.isActing;
   }
 
   /** Time in ms until this node has to read the store itself. */
   private get untilTakeoverMs(): number {
-    const {rank, isActing, confirmedMs, times} = this;
+    const {isActing, confirmedMs, times} = this;
+    const {rank} = this.peers;
     const dueMs = takeoverMs({rank, isActing, confirmedMs}, times);
     return dueMs - this.parts.clock.now();
   }
@@ -169,6 +159,9 @@
       if (result === 'failed') {
         this.askPeers();
         await sleep(this.retryDelayMs());
+      } else if (result === 'superseded') {
+        // Peers may have a version that the store has lost.
+        for (const peerId of this.peers.pickRemote()) this.ask(peerId);
       } else if (result === 'unchanged') {
         // A store that does not wait must not be called without a pause.
         const readMs = this.parts.clock.now() - startMs;
@@ -179,7 +172,7 @@
 
   private async readStore(): Promise<TopicRead['result']> {
     const read = await this.topic.read();
-    if (read.result !== 'failed') {
+    if (read.result === 'changed' || read.result === 'unchanged') {
       this.recordRead(read.timing);
       this.applyPage(read.page);
       this.startActing();
@@ -187,6 +180,14 @@
     return read.result;
   }
 
+  /**
+   * Tells the nodes of this data centre, as few of them call the store. Their
+   * long polls may hang, and what they wrote may be lost.
+   */
+  private onStoreReturned(source: EraSource): void {
+    if (source === 'store' && this.inForce) this.announce(this.createNotice());
+  }
+
   private recordRead(read: StoreRead): void {
     this.transitMs = readTransitMs(read, this.transitMs);
     this.ownReadMs = confirmedByReadMs(read, this.transitMs);
@@ -199,7 +200,8 @@
     const hasLowerRank = sinceNoticeMs <= this.times.staleAfterMs;
     if (this.isForwarding || hasLowerRank || !this.inForce) return;
     this.isActing = true;
-    const {version, rank, transitMs} = this;
+    const {version, transitMs} = this;
+    const {rank} = this.peers;
     this.parts.logger.info(
       {rank, version, sinceNoticeMs, transitMs},
       'reader: takes over',
@@ -247,7 +249,8 @@
   }
 
   private onNotice(notice: ConfigNotice, peer: Peer): void {
-    const {version, sentMs} = notice;
+    const {version, sentMs, storeEra} = notice;
+    if (storeEra !== undefined) this.parts.storeEra.observe(storeEra, 'peer');
     const now = this.parts.clock.now();
     const delayMs =
       sentMs === undefined ? 0 : this.delays.record(peer, sentMs, now);
@@ -265,7 +268,7 @@
     // A version that was not adopted does not confirm that the source works.
     if (version !== this.version) return;
     this.confirmedMs = Math.max(this.confirmedMs, now - ageMs);
-    if (this.isFromLowerRank(peer) && isBeacon(notice)) {
+    if (this.peers.isOfLowerRank(peer.nodeId) && isBeacon(notice)) {
       this.onLowerRankBeacon(peer.nodeId, ageMs);
     }
   }
@@ -285,11 +288,6 @@
     this.send(peerId, this.createNotice(this.documents.contentFor(have)));
   }
 
-  private isFromLowerRank({nodeId}: Peer): boolean {
-    const rank = this.localNodeIds.indexOf(nodeId);
-    return rank >= 0 && rank < this.rank;
-  }
-
   /** Announces the version in force while the reads of this node succeed. */
   private sendBeacon(): void {
     if (!this.inForce || !this.isForwarding) return;
@@ -304,27 +302,20 @@
   }
 
   private announce(notice: Message): void {
-    for (const nodeId of this.localPeerIds) this.send(nodeId, notice);
+    for (const nodeId of this.peers.local) this.send(nodeId, notice);
   }
 
   /** Asks a node of this data centre and any other one for a newer version. */
   private askPeers(): void {
-    const {random} = this.parts;
-    const local = random.pick(this.localPeerIds);
-    const other = random.pick(this.peerIds.filter(id => id !== local));
-    for (const nodeId of [local, other]) {
-      if (nodeId !== undefined) this.ask(nodeId);
-    }
+    for (const peerId of this.peers.pickAny()) this.ask(peerId);
   }
 
   /** Asks nodes of this data centre while prompt notices fail to come. */
   private askAfterGap(): void {
-    const {clock, random, nodeId} = this.parts;
-    const now = clock.now();
+    const now = this.parts.clock.now();
     if (now < this.nextAskMs) return;
     this.nextAskMs = now + NOTICE_GAP_MS;
-    const others = this.localNodeIds.filter(id => id !== nodeId);
-    for (const peerId of random.sample(others, ASK_FAN_OUT)) this.ask(peerId);
+    for (const peerId of this.peers.sampleLocal(ASK_FAN_OUT)) this.ask(peerId);
   }
 
   private ask(peerId: string, announced?: number): void {
@@ -338,6 +329,8 @@
     const ageMs = this.ageOnArrivalMs(this.confirmedMs);
     const {version} = this;
     const body: ConfigNotice = {version, ageMs, sentMs, ...content};
+    const storeEra = this.parts.storeEra.current;
+    if (storeEra !== undefined) body.storeEra = storeEra;
     return {type: 'configNotice', body};
   }
 
@@ -346,27 +339,11 @@
   }
 
   private retryDelayMs(): number {
-    const {rank} = this;
     const {failures} = this.topic;
-    const capMs = retryCapMs(rank);
+    const capMs = retryCapMs(this.peers.rank);
     const jitterMs = this.parts.random.jitter(RETRY_BASE_MS, failures, capMs);
     return RETRY_BASE_MS + jitterMs;
   }
-
-  private onViewChanged(members: readonly MemberRecord[]): void {
-    const {nodeId, dataCentre} = this.parts;
-    const alive = members.filter(({status}) => status === 'alive');
-    this.peerIds = alive.map(({id}) => id).filter(id => id !== nodeId);
-    const local = members.filter(member => member.dataCentre === dataCentre);
-    this.localNodeIds = rankNodes(
-      local.filter(({status}) => status === 'alive').map(({id}) => id),
-    );
-    // A host behind a full link is suspected, and needs the notices most.
-    this.localPeerIds = local
-      .filter(({status}) => status === 'alive' || status === 'suspect')
-      .map(({id}) => id)
-      .filter(id => id !== nodeId);
-  }
 }
 
 /** True for the regular notice of a node that forwards what it reads. */
--- a/packages/sidecar/src/config/topic-reader.ts
+++ b/packages/sidecar/src/config/topic-reader.ts
@@ -7,28 +7,40 @@
   CONFIG_TOPIC,
   type KeyedPage,
   type Store,
+  type StoreError,
 } from '@turmericmill/platform-adapter';
-import type {Clock} from '@turmericmill/utils';
+import type {Clock, Result} from '@turmericmill/utils';
 import type Logger from 'bunyan';
 
+import {isOutdated, type Era, type StoreEra} from '../store-era.js';
 import type {StoreRead} from './source-choice.js';
 
 export interface TopicReaderParts {
   store: Store;
+  storeEra: StoreEra;
   clock: Clock;
   logger: Logger;
   /** Time in ms for which a read waits at the store for a change; an integer. */
   waitMs: number;
 }
 
-/** `unchanged`: a read that waits for changes has brought none. */
+/**
+ * `unchanged`: a read that waits for changes has brought none. `superseded`: the
+ * store returned from a copy meanwhile, so that nothing is known of its records.
+ */
 export type TopicRead =
-  | {result: 'failed'}
+  | {result: 'failed' | 'superseded'}
   | {result: 'changed' | 'unchanged'; page: KeyedPage; timing: StoreRead};
 
+/** An offset, and the era in which the store had all records before it. */
+interface Position {
+  offset: number;
+  era: Era;
+}
+
 export class TopicReader {
-  /** Offset of the next read; undefined if that gets only the newest document. */
-  private offset: number | undefined;
+  /** Undefined if the next read gets only the newest document. */
+  private position: Position | undefined;
   private failureCount = 0;
   private isStoreLost = false;
 
@@ -41,29 +53,24 @@
 
   /** The next read gets only the newest document, as after a pause. */
   reset(): void {
-    this.offset = undefined;
+    this.position = undefined;
   }
 
   async read(): Promise<TopicRead> {
-    const {store, clock, logger} = this.parts;
-    const {offset} = this;
+    const {clock, storeEra} = this.parts;
+    const era = storeEra.current;
+    const offset = this.offsetIn(era);
     const waitMs = offset === undefined ? 0 : this.parts.waitMs;
     const sentMs = clock.now();
-    const page =
-      offset === undefined
-        ? await store.newest(CONFIG_TOPIC)
-        : await store.read(CONFIG_TOPIC, offset, waitMs);
+    const page = await this.request(offset);
+    this.position = undefined;
+    if (isOutdated(era, storeEra.current)) return {result: 'superseded'};
     if (page.isErr()) {
-      this.offset = undefined;
-      this.failureCount += 1;
-      if (!this.isStoreLost) logger.warn({err: page.error}, 'store lost');
-      this.isStoreLost = true;
+      this.recordFailure(page.error);
       return {result: 'failed'};
     }
-    if (this.isStoreLost) logger.info('store regained');
-    this.isStoreLost = false;
-    this.failureCount = 0;
-    this.offset = page.value.endOffset;
+    this.recordSuccess();
+    this.position = {offset: page.value.endOffset, era: storeEra.current};
     const isUnchanged = offset !== undefined && page.value.records.length === 0;
     const receivedMs = clock.now();
     return {
@@ -72,4 +79,37 @@
       timing: {sentMs, receivedMs, waitMs, isUnchanged},
     };
   }
+
+  private offsetIn(era: Era): number | undefined {
+    const {position} = this;
+    if (!position || isOutdated(position.era, era)) return undefined;
+    return position.offset;
+  }
+
+  /** A long poll ends once the store is known to have returned from a copy. */
+  private async request(
+    offset: number | undefined,
+  ): Promise<Result<KeyedPage, StoreError>> {
+    const {store, storeEra, waitMs} = this.parts;
+    if (offset === undefined) return store.newest(CONFIG_TOPIC);
+    const abort = new AbortController();
+    const unsubscribe = storeEra.onRise(() => abort.abort());
+    try {
+      return await store.read(CONFIG_TOPIC, offset, waitMs, abort.signal);
+    } finally {
+      unsubscribe();
+    }
+  }
+
+  private recordFailure(err: StoreError): void {
+    this.failureCount += 1;
+    if (!this.isStoreLost) this.parts.logger.warn({err}, 'store lost');
+    this.isStoreLost = true;
+  }
+
+  private recordSuccess(): void {
+    this.failureCount = 0;
+    if (this.isStoreLost) this.parts.logger.info('store regained');
+    this.isStoreLost = false;
+  }
 }
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -113,6 +113,7 @@
       dataCentre,
       configInForceMs: settings.configInForceMs,
       store: this.store,
+      storeEra: this.storeEra,
       bus,
       clock,
       random,
--- a/packages/sidecar/tests/config/config-follower.test.ts
+++ b/packages/sidecar/tests/config/config-follower.test.ts
@@ -285,4 +285,31 @@
     expect(nonReader.follower.version).to.equal(2);
     expect(nonReader.takeSentTo(readerId)[0]?.type).to.equal('configAsk');
   });
+
+  describe('once the store has returned from a copy', () => {
+    beforeEach(() => {
+      reader.storeEra.observe(1, 'store');
+      nonReader.storeEra.observe(1, 'store');
+      reader.sent.length = 0;
+    });
+
+    it('tells the others, who call no store', () => {
+      reader.storeEra.observe(2, 'store');
+      for (const message of reader.takeSentTo(nonReaderId)) {
+        nonReader.deliver(message, readerId);
+      }
+      expect(nonReader.storeEra.current).to.equal(2);
+      expect(nonReader.sent).to.deep.equal([]);
+    });
+
+    it('ends its long poll and reads the newest document', async () => {
+      const before = [...reader.store.calls];
+      expect(before.at(-1)).to.equal('read');
+      const notice = {version: 2, ageMs: 0, storeEra: 2};
+      reader.deliver({type: 'configNotice', body: notice}, nonReaderId);
+      await waitForCalls(reader.store, before.length + 2);
+      const after = reader.store.calls.slice(before.length);
+      expect(after).to.deep.equal(['newest', 'read']);
+    });
+  });
 });
--- a/packages/sidecar/tests/config/follower-node.ts
+++ b/packages/sidecar/tests/config/follower-node.ts
@@ -7,11 +7,20 @@
   type KeyedPage,
   type StoreError,
 } from '@turmericmill/platform-adapter';
-import {ManualClock, Ok, SeededRandom, type Result} from '@turmericmill/utils';
+import {
+  Err,
+  ManualClock,
+  Ok,
+  SeededRandom,
+  type Result,
+} from '@turmericmill/utils';
 import type {MemberRecord, Message} from '@turmericmill/wire';
 import bunyan from 'bunyan';
 
 import {ConfigFollower} from '../../src/config/config-follower.js';
+import {StoreEra} from '../../src/store-era.js';
+
+const SILENT = bunyan.createLogger({name: 'test', level: bunyan.FATAL + 1});
 
 export const NODES = ['n-0', 'n-1', 'n-2', 'n-3'];
 export const BOUND_MS = 2_000;
@@ -47,13 +56,22 @@
     return Promise.resolve(Ok({records, endOffset: records.length}));
   }
 
-  override read(): Promise<Result<KeyedPage, StoreError>> {
+  override read(
+    unusedTopic?: string,
+    unusedFrom?: number,
+    unusedWaitMs?: number,
+    signal?: AbortSignal,
+  ): Promise<Result<KeyedPage, StoreError>> {
     this.calls.push('read');
     if (!this.waits) {
       return Promise.resolve(Ok({records: [], endOffset: this.endOffset}));
     }
     return new Promise(resolve => {
       this.waiting = page => resolve(Ok(page));
+      signal?.addEventListener('abort', () => {
+        this.waiting = undefined;
+        resolve(Err({code: 'unknown', message: 'aborted'}));
+      });
     });
   }
 
@@ -82,6 +100,7 @@
 export class FollowerNode {
   readonly bus = new Bus();
   readonly store = new ScriptedStore();
+  readonly storeEra = new StoreEra(SILENT);
   readonly sent: Sent[] = [];
   readonly follower: ConfigFollower;
   readonly clock = new ManualClock(1_000);
@@ -95,10 +114,11 @@
       dataCentre: 'a',
       configInForceMs: BOUND_MS,
       store: this.store,
+      storeEra: this.storeEra,
       bus: this.bus,
       clock: this.clock,
       random: new SeededRandom(1),
-      logger: bunyan.createLogger({name: 'test', level: bunyan.FATAL + 1}),
+      logger: SILENT,
     });
     this.setStatus();
   }
--- a/packages/sidecar/tests/config/simulated-data-centre.ts
+++ b/packages/sidecar/tests/config/simulated-data-centre.ts
@@ -1,29 +1,25 @@
 /**
- * Followers of one data centre on links of limited bandwidth, in simulated
+ * Followers of data centres on links of limited bandwidth, in simulated
  * time. A link passes on one message after the other; the messages between two
  * nodes arrive in the order in which they were sent.
  */
 
 import {install, type Clock as FakeTimers} from '@sinonjs/fake-timers';
 import {Bus} from '@turmericmill/node';
-import {
-  CONFIG_KEY,
-  Store,
-  type KeyedPage,
-  type StoreError,
-} from '@turmericmill/platform-adapter';
-import {Ok, SeededRandom, sleep, type Result} from '@turmericmill/utils';
+import {SeededRandom} from '@turmericmill/utils';
 import {encodeFrame, type MemberRecord, type Message} from '@turmericmill/wire';
 import bunyan from 'bunyan';
 
 import {ConfigFollower} from '../../src/config/config-follower.js';
+import {StoreEra} from '../../src/store-era.js';
+import {
+  LinkedStore,
+  SimulatedTopic,
+  TRANSIT_MS,
+  windowWaitMs,
+} from './simulated-store.js';
 
-/** Delay in ms of a message and of a call of the store. */
-const TRANSIT_MS = 2;
-/** Bytes that a connection carries until the receiver acknowledges them. */
-const CONNECTION_WINDOW_BYTES = 64 * 1024;
-/** Growth of a document in the answer to `newest`, where it is in base64. */
-const BASE64_GROWTH = 4 / 3;
+const SILENT = bunyan.createLogger({name: 'test', level: bunyan.FATAL + 1});
 
 export interface DataCentreOptions {
   nodeIds: readonly string[];
@@ -34,96 +30,8 @@
   queueMs?: Readonly<Record<string, number>>;
   /** Nodes that are in the views of these nodes alone. */
   newIds?: readonly string[];
-}
-
-/** The topic of the store, with the documents of all versions. */
-class SimulatedTopic {
-  private readonly documents: Uint8Array[] = [];
-  private waiting: (() => void)[] = [];
-
-  get endOffset(): number {
-    return this.documents.length;
-  }
-
-  publish(document: Uint8Array): void {
-    this.documents.push(document);
-    for (const wake of this.waiting.splice(0)) wake();
-  }
-
-  pageFrom(offset: number): KeyedPage {
-    const {documents, endOffset} = this;
-    const records = documents.slice(offset).map((value, index) => ({
-      key: CONFIG_KEY,
-      value,
-      offset: offset + index,
-    }));
-    return {records, endOffset};
-  }
-
-  async waitForRecord(offset: number, waitMs: number): Promise<void> {
-    if (this.endOffset > offset) return;
-    const record = new Promise<void>(resolve => this.waiting.push(resolve));
-    await Promise.race([record, sleep(waitMs)]);
-  }
-}
-
-/** Calls of the store over the link of one node. */
-class LinkedStore extends Store {
-  calls = 0;
-
-  constructor(
-    private readonly topic: SimulatedTopic,
-    private readonly bytesPerMs: number,
-    private readonly queueMs: number,
-  ) {
-    super();
-  }
-
-  override async newest(): Promise<Result<KeyedPage, StoreError>> {
-    await this.request();
-    const page = this.topic.pageFrom(Math.max(0, this.topic.endOffset - 1));
-    return this.receive(page, BASE64_GROWTH);
-  }
-
-  override async read(
-    unusedTopic: string,
-    from: number,
-    waitMs: number,
-  ): Promise<Result<KeyedPage, StoreError>> {
-    await this.request();
-    await this.topic.waitForRecord(from, waitMs);
-    return this.receive(this.topic.pageFrom(from), 1);
-  }
-
-  override put(): Promise<Result<void, StoreError>> {
-    return Promise.resolve(Ok(undefined));
-  }
-
-  override close(): void {
-    return;
-  }
-
-  private async request(): Promise<void> {
-    this.calls += 1;
-    await sleep(TRANSIT_MS + this.queueMs);
-  }
-
-  private async receive(
-    page: KeyedPage,
-    growth: number,
-  ): Promise<Result<KeyedPage, StoreError>> {
-    const bytes =
-      growth * page.records.reduce((sum, {value}) => sum + value.length, 0);
-    await sleep(
-      TRANSIT_MS + bytes / this.bytesPerMs + windowWaitMs(bytes, this.queueMs),
-    );
-    return Ok(page);
-  }
-}
-
-/** Time in ms for which a sender waits for acknowledgements of its receiver. */
-function windowWaitMs(bytes: number, receiverQueueMs: number): number {
-  return Math.floor(bytes / CONNECTION_WINDOW_BYTES) * receiverQueueMs;
+  /** Returns the data centre of a node; all are in one by default. */
+  dataCentreOf?: (nodeId: string) => string;
 }
 
 interface SimulatedNode {
@@ -140,7 +48,7 @@
   private readonly timers: FakeTimers = install({
     toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval'],
   });
-  private readonly topic = new SimulatedTopic();
+  readonly topic = new SimulatedTopic();
   private readonly heldBackMs = new Map<string, number>();
   private readonly nodes = new Map<string, SimulatedNode>();
 
@@ -174,10 +82,30 @@
     }
   }
 
+  /** Starts a node that has been killed. */
+  restart(nodeId: string): void {
+    const node = this.createNode(nodeId, this.options.nodeIds.indexOf(nodeId));
+    this.nodes.set(nodeId, node);
+    node.follower.start();
+  }
+
+  /** Whether calls of a node reach the store. */
+  setCut(nodeId: string, isCut: boolean): void {
+    const node = this.nodes.get(nodeId);
+    if (node) node.store.isCut = isCut;
+  }
+
   publish(document: Uint8Array): void {
     this.topic.publish(document);
   }
 
+  /** Versions in force at the running nodes, by id. */
+  get versions(): Map<string, number> {
+    return new Map(
+      [...this.nodes].map(([id, {follower}]) => [id, follower.version]),
+    );
+  }
+
   async pass(ms: number): Promise<void> {
     await this.timers.tickAsync(ms);
   }
@@ -199,16 +127,23 @@
   private createNode(nodeId: string, index: number): SimulatedNode {
     const {configInForceMs, bytesPerMs, queueMs = {}} = this.options;
     const bus = new Bus();
-    const store = new LinkedStore(this.topic, bytesPerMs, queueMs[nodeId] ?? 0);
+    const storeEra = new StoreEra(SILENT);
+    const store = new LinkedStore({
+      topic: this.topic,
+      storeEra,
+      bytesPerMs,
+      queueMs: queueMs[nodeId] ?? 0,
+    });
     const follower = new ConfigFollower({
       nodeId,
-      dataCentre: 'a',
+      dataCentre: this.dataCentreOf(nodeId),
       configInForceMs,
       store,
+      storeEra,
       bus,
       clock: {now: () => this.timers.now},
       random: new SeededRandom(index),
-      logger: bunyan.createLogger({name: 'test', level: bunyan.FATAL + 1}),
+      logger: SILENT,
     });
     const node = {
       bus,
@@ -224,12 +159,20 @@
     return node;
   }
 
+  private dataCentreOf(nodeId: string): string {
+    return this.options.dataCentreOf?.(nodeId) ?? 'a';
+  }
+
   private viewOf(nodeId: string): MemberRecord[] {
     const {nodeIds, newIds = []} = this.options;
     const ids = newIds.includes(nodeId)
       ? nodeIds
       : nodeIds.filter(id => !newIds.includes(id));
-    const members = ids.map(id => ({id, dataCentre: 'a', status: 'alive'}));
+    const members = ids.map(id => ({
+      id,
+      dataCentre: this.dataCentreOf(id),
+      status: 'alive',
+    }));
     return members as unknown as MemberRecord[];
   }
 
--- a/packages/wire/src/message-shapes.ts
+++ b/packages/wire/src/message-shapes.ts
@@ -127,6 +127,7 @@
     version: integer,
     ageMs: age,
     sentMs: optional(number),
+    storeEra: optional(integer),
     document: optional(bytes),
     change: optional(change),
   },
--- a/packages/wire/src/messages/configuration.ts
+++ b/packages/wire/src/messages/configuration.ts
@@ -80,6 +80,11 @@
   ageMs: number;
   /** Time in ms by the sender's clock; absent from nodes of earlier releases. */
   sentMs?: number;
+  /**
+   * Highest era of the store that the sender knows; absent while it knows none,
+   * and from nodes of earlier releases.
+   */
+  storeEra?: number;
   /** The published document, deflated; absent if only announced. */
   document?: Uint8Array;
   /** Sent in place of `document` to nodes that have the previous version. */
