sidecar: write a node's entry again once the store has returned from a copy

What operators saw: after the store's return, the departure of a server that it had acknowledged stayed lost, so that a restarted node depends on the word of the server's health answer alone, which may be false (DRAIN); nodes that start found no endpoints of those that were written since the copy. Cause: an entry was written once, and nothing looked whether the store still had it. Few hosts call the store, so most could not know.

A node keeps the era in which the store had its entry.

--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -88,7 +88,8 @@
   private readonly metricsServer: MetricsServer;
   private readonly processMonitor: ProcessMonitor;
   private candidates = new CandidateIndex();
-  private hasPeers = false;
+  /** Number of hosts in the view of the membership, with this one. */
+  private hostCount = 1;
   private isStopping = false;
   private stopped: Promise<void> | undefined;
 
@@ -144,7 +145,7 @@
     this.readiness = new ReadinessServer(readiness, () => this.isReady);
     bus.subscribe('view-changed', ({members}) => {
       this.candidates = new CandidateIndex(members);
-      this.hasPeers = members.some(({id}) => id !== nodeId);
+      this.hostCount = 1 + members.filter(({id}) => id !== nodeId).length;
     });
   }
 
@@ -202,7 +203,7 @@
   get isReady(): boolean {
     if (this.isStopping || this.config.version === 0) return false;
     const ageMs = this.clock.now() - this.startedMs;
-    return this.hasPeers || ageMs > JOIN_TIMEOUT_MS;
+    return this.hostCount > 1 || ageMs > JOIN_TIMEOUT_MS;
   }
 
   private async shutDown(): Promise<void> {
@@ -287,17 +288,18 @@
   }
 
   private createSeeds(): StoreSeeds {
-    const {clock, random, logger, store, endpoint: own} = this;
+    const {clock, random, logger, store, storeEra, endpoint: own} = this;
     const {nodeId, isFirstStart} = this.settings;
     return new StoreSeeds({
       nodeId,
       own,
       isFirstStart,
       store,
+      storeEra,
       clock,
       random,
       logger,
-      hasPeers: () => this.hasPeers,
+      hostCount: () => this.hostCount,
       onDeparted: departed => this.reports.restoreDeparted(departed),
     });
   }
--- a/packages/sidecar/src/tasks/store-seeds.ts
+++ b/packages/sidecar/src/tasks/store-seeds.ts
@@ -6,6 +6,8 @@
 import {sleep, type Clock, type RandomSource} from '@turmericmill/utils';
 import type Logger from 'bunyan';
 
+import {isOutdated, type Era, type StoreEra} from '../store-era.js';
+import {restoreAtMs} from './entry-restore.js';
 import {encodeNodeEntry, parseNodeEntry, type NodeEntry} from './node-entry.js';
 
 const NODES_TOPIC = 'keyed.nodes';
@@ -23,11 +25,12 @@
   /** True if no node of the fleet has started before. */
   isFirstStart: boolean;
   store: Store;
+  storeEra: StoreEra;
   clock: Clock;
   random: RandomSource;
   logger: Logger;
-  /** True once this node knows another one. */
-  hasPeers(): boolean;
+  /** Number of live hosts that this node knows, with its own. */
+  hostCount(): number;
   /** Called once with the departed starts that the entry of this node names. */
   onDeparted(departed: readonly ServerStart[]): void;
 }
@@ -35,7 +38,8 @@
 /**
  * Reads the entries of all nodes at the start, and again only while this node
  * is alone. Each call of the store has a price, so the entry of this node is
- * written only if the store does not have it: a restart takes one call.
+ * written only if the store does not have it: a restart takes one call. It is
+ * written again once the store has returned from a copy, which may lack it.
  */
 export class StoreSeeds extends SeedDirectory {
   /** Set when the reads end; departures are still written. */
@@ -46,9 +50,15 @@
   /** Epoch of the last write of the entry. */
   private epoch = 0;
   private lastWrite: Promise<boolean> = Promise.resolve(true);
+  /** Era in which the store had the entry; unset before its first answer. */
+  private storedIn: {era: Era} | undefined;
+  /** Era that was known when the entries were read. */
+  private readIn: Era;
+  private restoreTimer: NodeJS.Timeout | undefined;
 
   constructor(private readonly parts: StoreSeedsParts) {
     super();
+    parts.storeEra.onRise(() => this.scheduleRestore());
   }
 
   /**
@@ -57,15 +67,12 @@
    */
   saveDeparted(departed: readonly ServerStart[]): Promise<boolean> {
     this.departed = departed;
-    // Writes follow one another, so that a late one does not undo a newer one.
-    this.lastWrite = this.lastWrite.then(() =>
-      this.writeUntilDone(() => this.closed),
-    );
-    return this.lastWrite;
+    return this.writeInOrder();
   }
 
   /** Waits until all departures are stored or `deadlineMs`, then closes. */
   async flush(deadlineMs: number): Promise<void> {
+    if (this.isLost && this.departed.length > 0) void this.writeInOrder();
     const remainingMs = Math.max(0, deadlineMs - this.parts.clock.now());
     await Promise.race([this.lastWrite, sleep(remainingMs)]);
     this.close();
@@ -75,6 +82,7 @@
   close(): void {
     this.stopped = true;
     this.closed = true;
+    clearTimeout(this.restoreTimer);
   }
 
   override start(onSeeds: (endpoints: Endpoint[]) => void): void {
@@ -103,10 +111,12 @@
     this.restore(own);
     if (!own || !this.isAtOwnEndpoint(own)) {
       await this.writeUntilDone(() => this.stopped);
+    } else {
+      this.recordStored(this.readIn);
     }
     for (;;) {
       await sleep(REREAD_DELAY_MS);
-      if (this.stopped || this.parts.hasPeers()) return;
+      if (this.stopped || this.parts.hostCount() > 1) return;
       await this.readUntilDone(onSeeds);
     }
   }
@@ -120,6 +130,45 @@
     this.parts.onDeparted(departed);
   }
 
+  /** True if the store has returned from a copy since it had the entry. */
+  private get isLost(): boolean {
+    const {current} = this.parts.storeEra;
+    return (
+      this.storedIn !== undefined && isOutdated(this.storedIn.era, current)
+    );
+  }
+
+  /** Records that the store had the entry in `era`, or in the first one known. */
+  private recordStored(era: Era): void {
+    this.storedIn = {era: era ?? this.parts.storeEra.current};
+    this.scheduleRestore();
+  }
+
+  private scheduleRestore(): void {
+    if (!this.isLost || this.closed || this.restoreTimer) return;
+    const {clock, random, hostCount} = this.parts;
+    const hasDepartures = this.departed.length > 0;
+    const now = clock.now();
+    const entry = {hostCount: hostCount(), hasDepartures};
+    const delayMs = restoreAtMs(entry, random, now) - now;
+    this.restoreTimer = setTimeout(() => this.restoreEntry(), delayMs);
+  }
+
+  private restoreEntry(): void {
+    this.restoreTimer = undefined;
+    if (!this.isLost) return;
+    this.parts.logger.info({departed: this.departed}, 'entry written again');
+    void this.writeInOrder();
+  }
+
+  /** Writes follow one another, so that a late one does not undo a newer one. */
+  private writeInOrder(): Promise<boolean> {
+    this.lastWrite = this.lastWrite.then(() =>
+      this.writeUntilDone(() => this.closed),
+    );
+    return this.lastWrite;
+  }
+
   private writeUntilDone(isOver: () => boolean): Promise<boolean> {
     return this.retryUntilDone(() => {
       this.epoch = Math.max(this.epoch + 1, this.parts.clock.now());
@@ -170,15 +219,20 @@
     const {nodeId, own: endpoint, store, logger} = this.parts;
     const value = encodeNodeEntry({nodeId, endpoint, departed, epoch});
     const fence = {producer: nodeId, epoch};
+    const era = this.parts.storeEra.current;
     const put = await store.put(NODES_TOPIC, nodeId, value, fence);
-    if (put.isOk() || put.error.code === 'fenced') return true;
+    if (put.isOk() || put.error.code === 'fenced') {
+      this.recordStored(era);
+      return true;
+    }
     logger.info({err: put.error}, 'endpoint not written');
     return false;
   }
 
   /** Returns undefined if the store does not answer. */
   private async readEntries(): Promise<NodeEntry[] | undefined> {
-    const {store, logger} = this.parts;
+    const {store, storeEra, logger} = this.parts;
+    this.readIn = storeEra.current;
     const page = await store.newest(NODES_TOPIC);
     if (page.isErr()) {
       logger.info(
--- a/packages/sidecar/tests/tasks/store-seeds.test.ts
+++ b/packages/sidecar/tests/tasks/store-seeds.test.ts
@@ -1,9 +1,16 @@
 import type {Endpoint, ServerStart} from '@turmericmill/membership';
 import {Store, type KeyedRecord} from '@turmericmill/platform-adapter';
-import {Err, ManualClock, Ok, SeededRandom} from '@turmericmill/utils';
+import {
+  Err,
+  ManualClock,
+  Ok,
+  SeededRandom,
+  type Clock,
+} from '@turmericmill/utils';
 import bunyan from 'bunyan';
 import {expect} from 'chai';
 
+import {StoreEra} from '../../src/store-era.js';
 import {StoreSeeds} from '../../src/tasks/store-seeds.js';
 
 const SILENT = bunyan.createLogger({name: 'test', level: bunyan.FATAL + 1});
@@ -88,7 +95,9 @@
 
 interface StartOptions {
   isFirstStart?: boolean;
-  hasPeers?: boolean;
+  hostCount?: number;
+  storeEra?: StoreEra;
+  clock?: Clock;
   onDeparted?: (departed: readonly ServerStart[]) => void;
 }
 
@@ -96,7 +105,9 @@
   store: Store,
   {
     isFirstStart = false,
-    hasPeers = true,
+    hostCount = 2,
+    storeEra = new StoreEra(SILENT),
+    clock = new ManualClock(1_000),
     onDeparted = () => undefined,
   }: StartOptions = {},
 ): StoreSeeds {
@@ -105,10 +116,11 @@
     own: OWN,
     isFirstStart,
     store,
-    clock: new ManualClock(1_000),
+    storeEra,
+    clock,
     random: new SeededRandom(1),
     logger: SILENT,
-    hasPeers: () => hasPeers,
+    hostCount: () => hostCount,
     onDeparted,
   });
 }
@@ -137,7 +149,7 @@
     },
     'a node that is alone reads again': {
       entries: KNOWN,
-      hasPeers: false,
+      hostCount: 1,
       calls: ['newest', 'newest'],
     },
   };
