sidecar, node: an answer whose status is not of HTTP ends its request at once

In the product's node, 600 to 999 were passed on too.

A status is three digits from 100 to 599 (RFC 9110, 15). Any other makes the answer malformed: the connection ends, the request is repeated if it may be, else it ends as 502 at once. A node does not pass on such a status from a node of an earlier release.

RawServerHost moves out of endless-answers.test.

--- a/packages/node/src/calls/server-exchange.ts
+++ b/packages/node/src/calls/server-exchange.ts
@@ -16,6 +16,7 @@
   type InitialBody,
 } from './call-leg.js';
 import {endToEndHeaders, toFlatHeaders, replaceHeaders} from './headers.js';
+import {isHttpStatus} from './http-status.js';
 
 /** Time in ms after which an answer without progress is aborted. */
 const STALL_TIMEOUT_MS = 30_000;
@@ -127,7 +128,13 @@
   }
 
   private answerStart(controller: Controller, status: number): void {
-    if (this.done || status < 200) return;
+    if (this.done) return;
+    if (!isHttpStatus(status)) {
+      this.fail(new Error(`status ${status} is not of HTTP`));
+      this.abort('status is not of HTTP');
+      return;
+    }
+    if (status < 200) return;
     this.status = status;
     this.timer.set(STALL_TIMEOUT_MS, () => this.expire());
     const raw = controller.rawHeaders as Buffer[];
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -19,6 +19,7 @@
   headerOf,
   replaceHeaders,
 } from './calls/headers.js';
+export {isHttpStatus} from './calls/http-status.js';
 export {IncomingCalls} from './calls/incoming-calls.js';
 export {RemoteRunner} from './calls/remote-runner.js';
 export * from './calls/attempt-end.js';
--- a/packages/node/tests/calls/admitted-server.test.ts
+++ b/packages/node/tests/calls/admitted-server.test.ts
@@ -12,6 +12,9 @@
 /** Remaining time in ms of a call whose deadline passes during a standstill. */
 const REMAINING_MS = 150;
 
+/** Time in ms within which a call ends whose answer is none; far less than its time. */
+const AT_ONCE_MS = 1_000;
+
 const clock = new SystemClock();
 
 class Recorder extends EventEmitter implements CallEvents {
@@ -161,4 +164,16 @@
     server.close();
     expect(await run().ended).to.equal('not-run server-unreachable');
   });
+
+  for (const status of ['000', '099', '600', '999']) {
+    it(`fails at once when the server answers with status ${status}`, async () => {
+      await start(req => {
+        const lines = `HTTP/1.1 ${status} Odd\r\nContent-Length: 0\r\n\r\n`;
+        req.socket.write(lines);
+      });
+      const startedMs = performance.now();
+      expect(await run().ended).to.equal('unknown server-failed');
+      expect(performance.now() - startedMs).to.be.below(AT_ONCE_MS);
+    });
+  }
 });
--- a/packages/sidecar/src/ingress/server-attempt.ts
+++ b/packages/sidecar/src/ingress/server-attempt.ts
@@ -2,6 +2,7 @@
 
 import {
   deadlinePassed,
+  isHttpStatus,
   NO_LOAD,
   type CallEvents,
   type CallFailure,
@@ -58,7 +59,10 @@
     if (!this.settle) return;
     this.lastFrameMs = this.clock.now();
     this.load = load;
-    this.passOn(() => this.answer.start(status, headers));
+    this.passOn(() => {
+      if (!isHttpStatus(status)) throw new Error(`status ${status}`);
+      this.answer.start(status, headers);
+    });
   }
 
   answerData(chunk: Uint8Array): void {
--- a/packages/sidecar/src/server/answer-lines.ts
+++ b/packages/sidecar/src/server/answer-lines.ts
@@ -1,11 +1,14 @@
 /**
  * Checks the lines of an answer that are not its body. The parser skips a line
  * that is no header field, and so joins a head that breaks off with the answer
- * that follows on the connection.
+ * that follows on the connection. Of a status it reads the first three digits,
+ * whatever they are.
  */
 
 /** A header field; no folding over lines (RFC 9112, 5.2). */
 const HEADER_FIELD = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+:/;
+/** A status line; its code is three digits from 100 to 599 (RFC 9110, 15). */
+const STATUS_LINE = /^HTTP\/\d\.\d [1-5]\d\d(?: |$)/;
 /** A status line that does not begin its line. */
 const INNER_STATUS_LINE = /.HTTP\/\d\.\d \d{3}/;
 
@@ -16,6 +19,9 @@
   if (INNER_STATUS_LINE.test(line)) {
     throw new Error('a status line within another line');
   }
+  if (!isField && line !== '' && !STATUS_LINE.test(line)) {
+    throw new Error('a line that is no status line');
+  }
   if (isField && line !== '' && !HEADER_FIELD.test(line)) {
     throw new Error('a line that is no header field');
   }
--- a/packages/sidecar/tests/ingress/server-attempt.test.ts
+++ b/packages/sidecar/tests/ingress/server-attempt.test.ts
@@ -67,6 +67,21 @@
     expect(seen).to.deep.equal(['200', 'whole', 'end']);
   });
 
+  for (const status of [-1, 0, 99, 600, 999, 1_000]) {
+    it(`fails at once when a node passes status ${status} on`, async () => {
+      const fixture = new Fixture(500);
+      fixture.attempt.answerStart(status, [], {...NO_LOAD});
+      const end = await fixture.end;
+      expect(end).to.have.nested.include({
+        kind: 'failed',
+        'failure.outcome': 'unknown',
+        'failure.reason': 'server-failed',
+      });
+      expect(fixture.seen).to.deep.equal([]);
+      expect(fixture.cancelled).to.equal(1);
+    });
+  }
+
   it('fails when the length of the answer is not its content-length', async () => {
     const {attempt, seen, end} = new Fixture(500);
     attempt.answerStart(200, ['content-length', '9'], {...NO_LOAD});
--- a/packages/testkit/tests/platform/endless-answers.test.ts
+++ b/packages/testkit/tests/platform/endless-answers.test.ts
@@ -1,23 +1,17 @@
 import type {ChildProcess} from 'node:child_process';
-import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
-import {createServer, type Server, type Socket} from 'node:net';
-import {tmpdir} from 'node:os';
-import {join} from 'node:path';
+import {readFileSync} from 'node:fs';
+import type {Socket} from 'node:net';
 import {Readable} from 'node:stream';
 
 import {expect} from 'chai';
 
-import {waitUntil} from '../../src/mesh/wait-until.js';
-import {AppServer} from '../../src/platform/app-server.js';
-import {StoreServer} from '../../src/platform/store-server.js';
-import {CONFIG, get, launch, MEMORY_MB, settings} from './smallest-host.js';
+import {RawServerHost, SEAL} from './raw-server-host.js';
+import {get, MEMORY_MB} from './smallest-host.js';
 
 const SLOTS = 13;
 /** Number of requests for each path with an endless answer. */
 const ROUNDS = 5;
-const SEAL = 'X-Turmericmill-Response-Seal: s';
 const CHUNKED = `HTTP/1.1 200 OK\r\n${SEAL}\r\nTransfer-Encoding: chunked\r\n\r\n`;
-const ID = 'X-Turmericmill-Request-Id';
 
 /** Endless answers: a prefix that is sent once, and a block that repeats. */
 const ENDLESS: readonly (readonly [prefix: string, block: string])[] = [
@@ -31,27 +25,16 @@
   ['', 'HTTP/1.1 103 Early Hints\r\n\r\n'.repeat(2_000)],
 ];
 
-/** Answers a request with its id, as servers do. */
-function wholeAnswer(request: string): string {
-  const [, id = ''] = new RegExp(`^${ID}: (.*)\r$`, 'im').exec(request) ?? [];
-  return `HTTP/1.1 200 OK\r\n${SEAL}\r\n${ID}: ${id}\r\nContent-Length: 5\r\n\r\nwhole`;
-}
-
-/** Sends a complete answer for `/d/whole`, the Nth endless one for `/d/N`. */
-function handleConnection(socket: Socket): void {
-  socket.on('error', () => socket.destroy());
-  socket.on('data', chunk => {
-    const text = chunk.toString('latin1');
-    const [, name] = /^GET \/d\/(\w+) /.exec(text) ?? [];
-    if (name === 'whole') socket.write(wholeAnswer(text));
-    const [prefix, block] = ENDLESS[Number(name) % ENDLESS.length] ?? [];
-    if (prefix === undefined || block === undefined) return;
-    socket.write(prefix);
-    const endless = function* () {
-      for (;;) yield Buffer.from(block);
-    };
-    Readable.from(endless()).pipe(socket);
-  });
+/** Sends the Nth endless answer for `/d/N`. */
+function answerEndlessly(socket: Socket, request: string): void {
+  const [, name] = /^GET \/d\/(\w+) /.exec(request) ?? [];
+  const [prefix, block] = ENDLESS[Number(name) % ENDLESS.length] ?? [];
+  if (prefix === undefined || block === undefined) return;
+  socket.write(prefix);
+  const endless = function* () {
+    for (;;) yield Buffer.from(block);
+  };
+  Readable.from(endless()).pipe(socket);
 }
 
 /** Peak resident memory of a process, in MB. */
@@ -63,60 +46,17 @@
 
 describe('a sidecar whose backend server sends endless answers', function () {
   this.timeout(20_000);
-  const ip = `127.${220 + (process.pid % 30)}.0.1`;
-  let folder: string;
-  let store: StoreServer;
-  let server: Server;
-  let sockets: Set<Socket>;
-  let node: ChildProcess;
+  let host: RawServerHost;
 
   beforeEach(async () => {
-    folder = mkdtempSync(join(tmpdir(), 'turmericmill-'));
-    store = new StoreServer();
-    store.put('keyed.op', 'config', CONFIG);
-    sockets = new Set();
-    server = createServer(socket => {
-      sockets.add(socket);
-      handleConnection(socket);
-    });
-    await new Promise<void>(resolve => server.listen(8147, ip, resolve));
-    const path = join(folder, 'settings.json');
-    writeFileSync(path, settings(ip, await store.listen()));
-    node = launch(path);
-    const app = new AppServer({
-      id: 'i-1',
-      service: 'desk',
-      address: ip,
-      port: 8147,
-      control: {address: ip, port: 8146},
-      workMs: 0,
-      slots: SLOTS,
-    });
-    const isReported = async () => {
-      try {
-        return (await app.report('ready')) === 200;
-      } catch {
-        // The connection is refused until the node listens.
-        return false;
-      }
-    };
-    await waitUntil(isReported, 10_000);
-    await waitUntil(async () => (await get(ip, '/d/whole')) === 200, 10_000);
+    host = new RawServerHost(answerEndlessly);
+    await host.start(SLOTS);
   });
 
-  afterEach(async () => {
-    const ended = new Promise(resolve => node.once('exit', resolve));
-    if (node.exitCode === null && node.signalCode === null) {
-      node.kill('SIGKILL');
-      await ended;
-    }
-    for (const socket of sockets) socket.destroy();
-    server.close();
-    await store.close();
-    rmSync(folder, {recursive: true, force: true});
-  });
+  afterEach(() => host.stop());
 
   it('answers every request within the memory of the smallest host', async () => {
+    const {ip, node} = host;
     const paths = [...Array(SLOTS - 1).keys()].map(i => `/d/${i}`);
     const requestRepeatedly = async (path: string) => {
       const statuses: number[] = [];
