--- a/packages/sidecar/src/index.ts
+++ b/packages/sidecar/src/index.ts
@@ -2,3 +2,4 @@
 export {LogDestination} from './observe/log-destination.js';
 export {Sidecar} from './sidecar.js';
 export {readSettingsFile, SettingsFile} from './settings-file.js';
+export {ENDPOINT_SPREAD_MS} from './tasks/entry-restore.js';
--- a/packages/sidecar/src/tasks/entry-restore.ts
+++ b/packages/sidecar/src/tasks/entry-restore.ts
@@ -9,7 +9,7 @@
 import type {RandomSource} from '@turmericmill/utils';
 
 /** Time in ms for each host of the fleet over which entries are spread. */
-const ENDPOINT_SPREAD_MS = 20;
+export const ENDPOINT_SPREAD_MS = 20;
 /** The same for entries that name departures. */
 const DEPARTURE_SPREAD_MS = 5;
 
--- a/packages/testkit/src/capacity/failures.ts
+++ b/packages/testkit/src/capacity/failures.ts
@@ -1,5 +1,7 @@
 /** Cost of the failures expected at the design size, from measured slopes. */
 
+import {ENDPOINT_SPREAD_MS} from '@turmericmill/sidecar';
+
 import {DERIVED, DESIGN_SIZE} from './design-size.js';
 import {formatFigure, type Figure, type FigureCalculator} from './figures.js';
 
@@ -25,6 +27,7 @@
     dataCentreFailure(calculator),
     dataCentreReturn(calculator),
     regionPartition(),
+    storeReturn(),
   ];
 }
 
@@ -111,6 +114,18 @@
   };
 }
 
+function storeReturn(): FailureRow {
+  const {membersPerRegion} = DERIVED;
+  const spreadS = (membersPerRegion * ENDPOINT_SPREAD_MS) / 1000;
+  return {
+    failure: "the platform's store returns from an older copy",
+    rate: 'in drills',
+    cost: `one write of its entry by each of ${membersPerRegion} nodes of a region, over ${Math.round(spreadS)} s`,
+    verdict:
+      'carried; the calls are simulated for 12 to 195 nodes, not at this size',
+  };
+}
+
 function massFailureTime(calculator: FigureCalculator): Figure {
   return calculator.derive(['membership.worstHerdMs'], 'ms', ([ms = 0]) => ms);
 }
