tests: one builder of configuration documents for the path through sidecars

sidecar-path.test had the same columns and limits as the builder that came with the tests of the store's return; its cases and checks are as they were.

--- a/packages/testkit/src/platform/config-document.ts
+++ b/packages/testkit/src/platform/config-document.ts
@@ -18,10 +18,14 @@
 /** Host name of all routes. */
 export const ROUTE_HOST = 'shop.example';
 
-/** Returns a configuration; `routes` has the service of each path prefix. */
+/**
+ * Returns a configuration; `routes` has the service of each path prefix. The
+ * services are those of the routes unless they are named.
+ */
 export function configDocument(
   version: number,
   routes: Readonly<Record<string, string>>,
+  services: readonly string[] = [...new Set(Object.values(routes))],
 ): string {
   const rows = Object.entries(routes).map(([prefix, service]) => [
     `r-${prefix}`,
@@ -35,7 +39,6 @@
     2,
     null,
   ]);
-  const services = [...new Set(Object.values(routes))];
   return JSON.stringify({
     version: `r${version}`,
     routes: {columns: ROUTE_COLUMNS, rows},
--- a/packages/testkit/tests/platform/sidecar-path.test.ts
+++ b/packages/testkit/tests/platform/sidecar-path.test.ts
@@ -2,56 +2,19 @@
 
 import {expect} from 'chai';
 
+import {configDocument} from '../../src/platform/config-document.js';
 import {
   SidecarMesh,
   type SidecarHost,
 } from '../../src/platform/sidecar-mesh.js';
 import {waitUntil} from '../../src/mesh/wait-until.js';
 
-const ROUTE_COLUMNS = [
-  'name',
-  'host',
-  'path_prefix',
-  'kind',
-  'timeout',
-  'target_latency',
-  'priority',
-  'service',
-  'max_attempts',
-  'traffic_split',
-];
-
 /** Services of the hosts; a configuration names all that exist. */
 const SERVICES = ['desk', 'vault'];
 
 /** Builds a configuration; `routes` maps path prefixes to services. */
 function buildConfig(version: number, routes: Record<string, string>): string {
-  const rows = Object.entries(routes).map(([prefix, service]) => [
-    `r-${prefix}`,
-    'shop.example',
-    `/${prefix}/`,
-    'safe',
-    '800ms',
-    '400ms',
-    1,
-    service,
-    2,
-    null,
-  ]);
-  return JSON.stringify({
-    version: `r${version}`,
-    routes: {columns: ROUTE_COLUMNS, rows},
-    services: {
-      columns: ['name', 'health_check_path', 'max_connections'],
-      rows: SERVICES.map(name => [name, '/health', 100]),
-    },
-    limits: {
-      max_header_bytes: 16_384,
-      max_body_bytes: 100_000,
-      header_timeout: '3000ms',
-      idle_timeout: '15000ms',
-    },
-  });
+  return configDocument(version, routes, SERVICES);
 }
 
 interface Answer {
