--- a/packages/sidecar/tests/tasks/store-seeds-returned.test.ts
+++ b/packages/sidecar/tests/tasks/store-seeds-returned.test.ts
@@ -36,6 +36,7 @@
     toFake: ['setTimeout', 'clearTimeout'],
   });
   readonly topic = new ReturningTopic();
+  private readonly random = new SeededRandom(1);
   private readonly nodes = new Map<
     string,
     {seeds: StoreSeeds; storeEra: StoreEra}
@@ -63,7 +64,7 @@
       store: new ReturningStore(this.topic, storeEra, now),
       storeEra,
       clock: {now},
-      random: new SeededRandom(index),
+      random: this.random,
       logger: SILENT,
       hostCount: () => this.hostCount,
       onDeparted: departed => this.restored.set(nodeId, departed),
