tests: clients of the soak keep their connections until the node closes them

Each probe opened a connection of its own, so that no request met the close of a kept one beside a restart.

--- a/packages/testkit/src/platform/process-host.ts
+++ b/packages/testkit/src/platform/process-host.ts
@@ -1,6 +1,6 @@
 /** A host on loopback whose node is a process. */
 
-import {request} from 'node:http';
+import {request, type Agent} from 'node:http';
 
 import type {HostSettings} from '@turmericmill/platform-adapter';
 
@@ -65,8 +65,11 @@
     this.node = new SidecarProcess(this.settings);
   }
 
-  /** Sends a request; resolves with the status, 0 without an answer. */
-  call(path: string): Promise<number> {
+  /**
+   * Sends a request, on a connection of its own unless there is an agent;
+   * resolves with the status, 0 without an answer.
+   */
+  call(path: string, agent: Agent | false = false): Promise<number> {
     lastRequest += 1;
     const {address: host, port} = this.settings.listen.callers;
     const headers = {
@@ -75,7 +78,7 @@
       'x-turmericmill-request-deadline': String(REMAINING_MS),
     };
     return new Promise(resolve => {
-      const options = {host, port, path, agent: false, headers};
+      const options = {host, port, path, agent, headers};
       const req = request(options, res => {
         res.resume();
         res.once('end', () => resolve(res.statusCode ?? 0));
--- a/packages/testkit/tests/platform/store-return-soak.test.ts
+++ b/packages/testkit/tests/platform/store-return-soak.test.ts
@@ -1,3 +1,4 @@
+import {Agent} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 
 import {SeededRandom} from '@turmericmill/utils';
@@ -200,14 +201,18 @@
     await waitUntil(isUp, START_TIMEOUT_MS);
   }
 
-  /** Calls the routes of the greatest version served, and of the newest. */
+  /**
+   * Calls the routes of the greatest version served, and of the newest, on
+   * connections that are kept until the node closes them.
+   */
   private async probe(one: SoakHost): Promise<void> {
+    const agent = new Agent({keepAlive: true});
     while (!this.isOver) {
       const {boot, served} = one;
       const {version} = this;
       const [again, newest] = await Promise.all([
-        served > 0 ? one.host.call(this.pathOf(served)) : 200,
-        one.host.call(this.pathOf(version)),
+        served > 0 ? one.host.call(this.pathOf(served), agent) : 200,
+        one.host.call(this.pathOf(version), agent),
       ]);
       if (one.boot === boot && again === 404) {
         this.regressions.push(`${one.host.nodeId}: version ${served}`);
@@ -217,6 +222,7 @@
       }
       await sleep(PROBE_INTERVAL_MS);
     }
+    agent.destroy();
   }
 
   /** Nodes whose entries are not back. */
