sidecar: log lines and counts for a full link

`link busy` names the share of the link that messages to other nodes take, the bytes that sockets have not taken and the delay of the event loop; `notice late` names notices that were held back, and by how much; turmericmill_peer_bytes_sent_total counts bytes by kind.

--- a/packages/node/src/transport/transport-task.ts
+++ b/packages/node/src/transport/transport-task.ts
@@ -25,6 +25,7 @@
   type ConnectionEvents,
   type TrafficCounts,
 } from './peer-connection.js';
+import {whenClosed, whenSent} from './socket-events.js';
 
 const DEFAULT_ACCEPTS_PER_SECOND = 200;
 /** Number of connections to one node at which no further one is opened. */
@@ -194,6 +195,11 @@
     if (nodeId !== undefined) this.bus.publish('peer-drained', {nodeId});
   }
 
+  /** Bytes of all messages to other nodes since the start. */
+  get sentBytes(): number {
+    return this.counts.controlBytesOut + this.counts.callBytesOut;
+  }
+
   /** Bytes buffered for a message's call, or in all connections without one. */
   unsentBytes(peer?: Peer, message?: Message): number {
     const {connections} = this;
@@ -384,16 +390,3 @@
 function addressKey(address: string, port: number): string {
   return `${address}:${port}`;
 }
-
-/** Resolves once all written data has been sent, or the socket has closed. */
-function whenSent(socket: Socket): Promise<void> {
-  if (socket.writableFinished) return Promise.resolve();
-  return new Promise(resolve => {
-    socket.once('finish', resolve);
-    socket.once('close', () => resolve());
-  });
-}
-
-function whenClosed(socket: Socket): Promise<void> {
-  return new Promise(resolve => socket.once('close', () => resolve()));
-}
--- a/packages/sidecar/src/config/config-confirmation.ts
+++ b/packages/sidecar/src/config/config-confirmation.ts
@@ -162,6 +162,11 @@
   return isUnchanged && receivedMs - sentMs >= waitMs ? waitMs : 0;
 }
 
+/** True for the regular notice of a node that forwards what it reads. */
+export function isBeacon({document, change}: ConfigNotice): boolean {
+  return !document && !change;
+}
+
 /** True for an answer that only confirms the version of the node that asked. */
 export function isConfirmation(notice: ConfigNotice): boolean {
   const {nonce, document, change} = notice;
--- a/packages/sidecar/src/config/config-follower.ts
+++ b/packages/sidecar/src/config/config-follower.ts
@@ -17,24 +17,24 @@
 import type {RolloutView} from '../rollout/rollout-view.js';
 import type {EraSource, StoreEra} from '../store-era.js';
 import {
+  isBeacon,
   isConfirmation,
   type ConfigConfirmation,
 } from './config-confirmation.js';
 import {ConfigPeers} from './config-peers.js';
 import {DocumentExchange} from './document-exchange.js';
+import {LateNoticeLog} from './late-notice-log.js';
 import {NoticeDelays} from './notice-delays.js';
 import {
   BEACON_INTERVAL_MS,
-  confirmedByReadMs,
   maySendToAll,
   NOTICE_GAP_MS,
-  readTransitMs,
   retryCapMs,
   sourceTimes,
   takeoverMs,
   type SourceTimes,
-  type StoreRead,
 } from './source-choice.js';
+import {SourceAge} from './source-age.js';
 import {TopicReader, type TopicRead} from './topic-reader.js';
 
 /** Base in ms of the jittered delay after a failed read. */
@@ -73,13 +73,9 @@
   private readonly documents: DocumentExchange;
   private readonly keyDigests = new KeyDigests();
   private readonly delays = new NoticeDelays();
+  private readonly lateNotices: LateNoticeLog;
   private readonly topic: TopicReader;
-  /** Time in ms at which the store had this version, read here or by a peer. */
-  private confirmedMs = -Infinity;
-  /** The same by the last read of this node. */
-  private ownReadMs = -Infinity;
-  /** Time in ms that messages to and from the store have taken lately. */
-  private transitMs = 0;
+  private readonly age = new SourceAge();
   /**
    * Time in ms of the last fresh beacon of a node of a lower rank; at first that
    * of the start, as beacons arrive only once other nodes know this one.
@@ -98,6 +94,7 @@
     super();
     const {bus, clock, configInForceMs, store, storeEra, logger} = parts;
     this.peers = new ConfigPeers(parts);
+    this.lateNotices = new LateNoticeLog(logger);
     this.lowerRankNoticeMs = clock.now();
     this.nextAskMs = clock.now() + NOTICE_GAP_MS;
     this.times = sourceTimes(configInForceMs);
@@ -151,7 +148,8 @@
 
   /** Time in ms until this node has to read the store itself. */
   private get untilTakeoverMs(): number {
-    const {isActing, confirmedMs, times} = this;
+    const {isActing, times} = this;
+    const {confirmedMs} = this.age;
     const {rank} = this.peers;
     const dueMs = takeoverMs({rank, isActing, confirmedMs}, times);
     return dueMs - this.parts.clock.now();
@@ -189,7 +187,7 @@
     const startMs = confirmation.now();
     const read = await this.topic.read();
     if (read.result === 'changed' || read.result === 'unchanged') {
-      this.recordRead(read.timing);
+      this.age.recordRead(read.timing);
       const found = this.applyPage(read.page);
       confirmation.recordRead(read.timing, startMs, found);
       this.startActing();
@@ -205,20 +203,15 @@
     if (source === 'store' && this.inForce) this.announce(this.createNotice());
   }
 
-  private recordRead(read: StoreRead): void {
-    this.transitMs = readTransitMs(read, this.transitMs);
-    this.ownReadMs = confirmedByReadMs(read, this.transitMs);
-    this.confirmedMs = Math.max(this.confirmedMs, this.ownReadMs);
-  }
-
   /** From now on forwards what it reads, as no node of a lower rank does. */
   private startActing(): void {
     const sinceNoticeMs = this.parts.clock.now() - this.lowerRankNoticeMs;
     const hasLowerRank = sinceNoticeMs <= this.times.staleAfterMs;
     if (this.isForwarding || hasLowerRank || !this.inForce) return;
     this.isActing = true;
-    const {version, transitMs} = this;
-    const {rank} = this.peers;
+    const {version, age, peers} = this;
+    const {transitMs} = age;
+    const {rank} = peers;
     this.parts.logger.info(
       {rank, version, sinceNoticeMs, transitMs},
       'reader: takes over',
@@ -252,7 +245,7 @@
   private forward(before: number): void {
     const content = this.documents.contentFor(before);
     const {length} = content.change?.delta ?? content.document ?? [];
-    const maySend = maySendToAll(length, this.transitMs);
+    const maySend = maySendToAll(length, this.age.transitMs);
     this.announce(this.createNotice(maySend ? content : {}));
   }
 
@@ -281,6 +274,7 @@
   }
 
   private onNotice(notice: ConfigNotice, peer: Peer): void {
+    const {nodeId: peerId} = peer;
     const {version, sentMs, storeEra} = notice;
     if (storeEra !== undefined) this.parts.storeEra.observe(storeEra, 'peer');
     if (isConfirmation(notice)) {
@@ -292,23 +286,24 @@
       sentMs === undefined ? 0 : this.delays.record(peer, sentMs, now);
     const ageMs = notice.ageMs + delayMs;
     this.parts.rollouts?.applyNotices(notice.rollouts ?? [], delayMs);
+    this.lateNotices.record({peerId, version, delayMs, ageMs}, now);
     if (delayMs <= BEACON_INTERVAL_MS) this.nextAskMs = now + NOTICE_GAP_MS;
     if (version > this.version) {
       const document = this.documents.documentOf(notice);
       const form = notice.change ? 'change' : 'whole';
       if (document) {
-        this.adopt(document, {source: peer.nodeId, form});
-      } else if (this.documents.startRequest(peer.nodeId, now)) {
-        this.ask(peer.nodeId, version);
+        this.adopt(document, {source: peerId, form});
+      } else if (this.documents.startRequest(peerId, now)) {
+        this.ask(peerId, version);
       }
     }
     // A version that was not adopted does not confirm that the source works.
     if (version !== this.version) return;
-    this.confirmedMs = Math.max(this.confirmedMs, now - ageMs);
+    this.age.recordConfirmed(now - ageMs);
     this.parts.confirmation.recordNotice(notice);
-    this.parts.confirmation.askSource(peer.nodeId);
-    if (this.peers.isOfLowerRank(peer.nodeId) && isBeacon(notice)) {
-      this.onLowerRankBeacon(peer.nodeId, ageMs);
+    this.parts.confirmation.askSource(peerId);
+    if (this.peers.isOfLowerRank(peerId) && isBeacon(notice)) {
+      this.onLowerRankBeacon(peerId, ageMs);
     }
   }
 
@@ -336,14 +331,14 @@
   /** Announces the version in force while the reads of this node succeed. */
   private sendBeacon(): void {
     if (!this.inForce || !this.isForwarding) return;
-    const ageMs = this.ageOnArrivalMs(this.ownReadMs);
+    const ageMs = this.ageOnArrivalMs(this.age.ownReadMs);
     if (ageMs > this.times.staleAfterMs) return;
     this.announce(this.createNotice({ageMs}));
   }
 
   /** Age in ms that a message has on its arrival, behind the link of this node. */
   private ageOnArrivalMs(confirmedMs: number): number {
-    return this.parts.clock.now() - confirmedMs + this.transitMs;
+    return this.parts.clock.now() - confirmedMs + this.age.transitMs;
   }
 
   private announce(notice: Message): void {
@@ -372,7 +367,7 @@
 
   private createNotice(content: Partial<ConfigNotice> = {}): Message {
     const sentMs = this.parts.clock.now();
-    const ageMs = this.ageOnArrivalMs(this.confirmedMs);
+    const ageMs = this.ageOnArrivalMs(this.age.confirmedMs);
     const {version} = this;
     const body: ConfigNotice = {version, ageMs, sentMs, ...content};
     const rollouts = this.parts.rollouts?.notices() ?? [];
@@ -387,14 +382,10 @@
   }
 
   private retryDelayMs(): number {
-    const {failures} = this.topic;
+    const {random} = this.parts;
     const capMs = retryCapMs(this.peers.rank);
-    const jitterMs = this.parts.random.jitter(RETRY_BASE_MS, failures, capMs);
-    return RETRY_BASE_MS + jitterMs;
+    return (
+      RETRY_BASE_MS + random.jitter(RETRY_BASE_MS, this.topic.failures, capMs)
+    );
   }
 }
-
-/** True for the regular notice of a node that forwards what it reads. */
-function isBeacon({document, change}: ConfigNotice): boolean {
-  return !document && !change;
-}
--- a/packages/sidecar/src/observe/process-monitor.ts
+++ b/packages/sidecar/src/observe/process-monitor.ts
@@ -1,8 +1,9 @@
-/** Monitors two resources of the process: CPU time and memory. */
+/** Monitors the resources of the process: CPU time, memory and link. */
 
 import type {Clock} from '@turmericmill/utils';
 import type Logger from 'bunyan';
 
+import {LinkMonitor, type LinkMonitorParts} from './link-monitor.js';
 import {LogBudget, type LineRate} from './log-budget.js';
 
 /** Interval in ms between checks. */
@@ -20,22 +21,26 @@
   residentBytes(): number;
   /** Called at each check with the event loop delay in ms. */
   onDelay(delayMs: number): void;
+  link: Omit<LinkMonitorParts, 'logger'>;
 }
 
 /**
  * Load pattern: a node that is starved of CPU time, or about to be killed for
  * its memory, cannot log this afterwards. The number of lines is limited: one
  * whenever resident memory reaches a step for the first time, and a rate
- * limit for event loop delay.
+ * limit for event loop delay and for the link.
  */
 export class ProcessMonitor {
   private readonly budget = new LogBudget();
+  private readonly link: LinkMonitor;
   private lastTickMs: number;
   private maxSteps = 0;
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly parts: ProcessMonitorParts) {
-    this.lastTickMs = parts.clock.now();
+    const {clock, link, logger} = parts;
+    this.lastTickMs = clock.now();
+    this.link = new LinkMonitor({...link, logger}, this.lastTickMs);
   }
 
   start(): void {
@@ -55,6 +60,7 @@
     this.parts.onDelay(delayMs);
     this.checkDelay(delayMs, now);
     this.checkMemory();
+    this.link.check(delayMs, now);
   }
 
   private checkDelay(delayMs: number, now: number): void {
--- a/packages/sidecar/src/observe/sidecar-metrics.ts
+++ b/packages/sidecar/src/observe/sidecar-metrics.ts
@@ -36,6 +36,8 @@
   /** Number of closed connections to other nodes, by cause. */
   connectionsClosed(): Readonly<Record<string, number>>;
   residentBytes(): number;
+  /** Bytes of messages to other nodes, of calls and of all else. */
+  peerBytesSent(): {callBytesOut: number; controlBytesOut: number};
   /** What the process holds for others. */
   held: {
     bytesOf(kind: HeldKind): number;
@@ -120,6 +122,7 @@
     });
     this.addRolloutGauges(sources);
     this.registerHeld(sources);
+    this.registerPeerBytes(sources);
     this.gauge('config_version', 'Version in force.', sources.configVersion);
     this.gauge(
       'config_age_seconds',
@@ -176,6 +179,21 @@
     });
   }
 
+  private registerPeerBytes(sources: MetricSources): void {
+    new Counter({
+      name: 'turmericmill_peer_bytes_sent_total',
+      help: 'Bytes of messages to other nodes: of calls, and control.',
+      labelNames: ['kind'],
+      registers: [this.registry],
+      collect() {
+        const {callBytesOut, controlBytesOut} = sources.peerBytesSent();
+        this.reset();
+        this.inc({kind: 'call'}, callBytesOut);
+        this.inc({kind: 'control'}, controlBytesOut);
+      },
+    });
+  }
+
   recordEnd(request: RoutedRequest, end: RequestEnd, latencyMs: number): void {
     const {route, service, tenant} = request;
     const {kind} = route;
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -27,7 +27,8 @@
 import {HeldMemory} from './memory/held-memory.js';
 import type {LogDestination} from './observe/log-destination.js';
 import {MetricsServer} from './observe/metrics-server.js';
-import {ProcessMonitor} from './observe/process-monitor.js';
+import {createProcessMonitor} from './observe/create-process-monitor.js';
+import type {ProcessMonitor} from './observe/process-monitor.js';
 import {RequestLog} from './observe/request-log.js';
 import {createRequestObserver} from './observe/request-observer.js';
 import {ShutdownLog, type WorkLeft} from './observe/shutdown-log.js';
@@ -130,12 +131,9 @@
     this.incoming = new IncomingCalls(bus, this.server, clock, this.memory);
     this.requestLog = new RequestLog(clock, logger);
     this.metrics = this.createMetrics(destination);
-    this.processMonitor = new ProcessMonitor({
-      clock,
-      logger,
-      residentBytes: () => process.memoryUsage.rss(),
-      onDelay: delayMs => this.metrics.recordLoopDelay(delayMs),
-    });
+    const {metrics} = this;
+    const monitored = {clock, logger, transport, metrics};
+    this.processMonitor = createProcessMonitor(settings, monitored);
     this.metricsServer = new MetricsServer(settings.ip, this.metrics);
     this.ingress = this.createIngress();
     this.reports = this.createReports();
@@ -361,6 +359,7 @@
       logLinesLeftOut: () => this.requestLog.budget.leftOutTotal,
       logLinesDropped: () => destination.dropped,
       connectionsClosed: () => this.transport.closedCounts,
+      peerBytesSent: () => this.transport.counts,
       residentBytes: () => process.memoryUsage.rss(),
       held: this.memory,
     });
--- a/packages/sidecar/tests/observe/process-monitor.test.ts
+++ b/packages/sidecar/tests/observe/process-monitor.test.ts
@@ -17,6 +17,7 @@
     logger,
     residentBytes: () => memory.bytes,
     onDelay: delayMs => delays.push(delayMs),
+    link: {bytesPerMs: 1_000, sentBytes: () => 0, unsentBytes: () => 0},
   });
   const check = (afterMs: number) => {
     clock.advance(afterMs);
--- a/packages/sidecar/tests/observe/sidecar-metrics.test.ts
+++ b/packages/sidecar/tests/observe/sidecar-metrics.test.ts
@@ -25,6 +25,7 @@
       {service: 'till'},
     ],
     connectionsClosed: () => closed,
+    peerBytesSent: () => ({callBytesOut: 900, controlBytesOut: 100}),
     held: {bytesOf: () => 7, callersClosed: 8},
   });
 }
