--- a/packages/sidecar/tests/config/config-links.test.ts
+++ b/packages/sidecar/tests/config/config-links.test.ts
@@ -14,6 +14,9 @@
 const NEXT_CHANGE_MS = 2_000;
 /** Time in ms for which connections hold messages back. */
 const HELD_BACK_MS = 3_000;
+const CONFIG_AIM_MS = CONFIG_IN_FORCE_MS / 2;
+/** Time in ms between the changes of a series. */
+const SERIES_INTERVAL_MS = 250;
 const ROUTES = 1_100;
 const MANY_ROUTES = 3_000;
 
@@ -84,6 +87,20 @@
     expect(dataCentre.behind(2)).to.deep.equal([]);
   });
 
+  it('puts each change of a series in force at a host that has missed one', async () => {
+    await start({queueMs: {[LAST_ID]: 1_600}});
+    dataCentre.setUnreachable(LAST_ID, true);
+    dataCentre.publish(publishedDocument(2, ROUTES + 1));
+    await dataCentre.pass(SERIES_INTERVAL_MS);
+    dataCentre.setUnreachable(LAST_ID, false);
+    for (let version = 3; version < 12; version++) {
+      dataCentre.publish(publishedDocument(version, ROUTES + version));
+      await dataCentre.pass(SERIES_INTERVAL_MS);
+      const dueVersion = version - CONFIG_AIM_MS / SERIES_INTERVAL_MS;
+      expect(dataCentre.behind(dueVersion)).to.deep.equal([]);
+    }
+  });
+
   it('reads the store in one node while nothing changes', async () => {
     await start({});
     const before = dataCentre.storeCalls;
--- a/packages/sidecar/tests/config/simulated-data-centre.ts
+++ b/packages/sidecar/tests/config/simulated-data-centre.ts
@@ -55,6 +55,7 @@
   });
   readonly topic = new SimulatedTopic();
   private readonly heldBackMs = new Map<string, number>();
+  private readonly unreachableIds = new Set<string>();
   private readonly nodes = new Map<string, SimulatedNode>();
 
   constructor(private readonly options: DataCentreOptions) {
@@ -79,6 +80,12 @@
     this.heldBackMs.set(nodeId, ms);
   }
 
+  /** Whether messages to a node are lost, as while its connections are reset. */
+  setUnreachable(nodeId: string, isUnreachable: boolean): void {
+    if (isUnreachable) this.unreachableIds.add(nodeId);
+    else this.unreachableIds.delete(nodeId);
+  }
+
   /** Ends nodes without any message; they stay in the views of the others. */
   kill(nodeIds: readonly string[]): void {
     for (const id of nodeIds) {
@@ -204,6 +211,7 @@
   ): void {
     const receiver = this.nodes.get(to);
     if (!receiver || !this.nodes.has(from)) return;
+    if (this.unreachableIds.has(to)) return;
     const {bytesPerMs, queueMs = {}} = this.options;
     const {now} = this.timers;
     const bytes = encodeFrame(message).length;
