sidecar: answers to other nodes wait in the process while the link is full

Callers saw 404 for a route of a version confirmed over 2.5 s before. Notices, questions and calls of the store of hosts beside servers of long answers were late by one to two seconds: answers went to the sockets of up to 60 peers as they came, each connection took a window of them, and the link worked off a second of bytes before any short message.

LinkPace counts the bytes of all messages against the link's bandwidth from the settings. While over 50 ms of them are on their way, frames of over 4 kB wait in PeerOutbox, which has their order, their budget of memory and drops those that are cancelled; short messages go at once. A connection's buffer takes what a thin link carries in a tenth of a second instead of a MiB. Links of 1,000 Mbit/s are not limited in practice. Frames that still wait when a planned stop has no more time are passed on before the connections close.

full-link.test failed before: notices took 1.88 s at 1.1 times the load of the link. It holds now, as do slow-readers, large-transfers and sidecar-shutdown with real processes.

--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -23,6 +23,7 @@
 export {IncomingCalls, type IncomingLimits} from './calls/incoming-calls.js';
 export {
   PeerOutbox,
+  type LinkRoom,
   type BytesHolder,
   type HolderBudget,
 } from './calls/peer-outbox.js';
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -79,6 +79,7 @@
   type HeartbeatState,
   type HeartbeatTimes,
 } from './connections/heartbeat.js';
+export {LinkPace} from './connections/link-pace.js';
 export {RoundTripEstimator} from './connections/round-trip.js';
 export {TransitDelay} from './connections/transit-delay.js';
 export {
--- /dev/null
+++ b/packages/sidecar/src/link-room.ts
@@ -0,0 +1,34 @@
+/** Room at the link of this host, from its settings and what was sent. */
+
+import type {LinkRoom, TransportTask} from '@turmericmill/node';
+import type {HostSettings} from '@turmericmill/platform-adapter';
+import {LinkPace} from '@turmericmill/routing';
+import type {Clock} from '@turmericmill/utils';
+
+import {linkBytesPerMs} from './link-bandwidth.js';
+
+/**
+ * Limits on the bytes in a connection's buffer from which long answers wait. On a
+ * thin link they are what it carries in a tenth of a second.
+ */
+const MIN_UNSENT_BYTES = 64 * 1024;
+const MAX_UNSENT_BYTES = 1024 * 1024;
+const UNSENT_MS = 100;
+
+export function createLinkRoom(
+  settings: Pick<HostSettings, 'linkMbps'>,
+  transport: Pick<TransportTask, 'sentBytes'>,
+  clock: Clock,
+): LinkRoom {
+  const bytesPerMs = linkBytesPerMs(settings);
+  const pace = new LinkPace(bytesPerMs, clock.now());
+  const unsentBytes = Math.max(MIN_UNSENT_BYTES, UNSENT_MS * bytesPerMs);
+  return {
+    maxUnsentBytes: Math.min(MAX_UNSENT_BYTES, unsentBytes),
+    untilRoomMs: () => {
+      const now = clock.now();
+      pace.update(transport.sentBytes, now);
+      return Math.max(0, pace.roomAtMs - now);
+    },
+  };
+}
--- a/packages/sidecar/src/memory/held-memory.ts
+++ b/packages/sidecar/src/memory/held-memory.ts
@@ -11,7 +11,9 @@
 import type Logger from 'bunyan';
 
 import {createAnswerBudget, type AnswerBudget} from '../answer-budget.js';
+
 import {BodyBudget} from '../ingress/body-budget.js';
+import {createLinkRoom} from '../link-room.js';
 import {LogBudget, type LineRate} from '../observe/log-budget.js';
 import {CallerOutput, type ClosedCaller} from './caller-output.js';
 import {MemoryAccount, type HeldKind} from './memory-account.js';
@@ -21,9 +23,9 @@
 const CLOSED_RATE: LineRate = {perSecond: 5, burst: 20};
 
 export interface HeldMemoryParts {
-  settings: Pick<HostSettings, 'memoryMb' | 'memory'>;
+  settings: Pick<HostSettings, 'memoryMb' | 'memory' | 'linkMbps'>;
   bus: Bus;
-  transport: Pick<TransportTask, 'unsentBytes'>;
+  transport: Pick<TransportTask, 'unsentBytes' | 'sentBytes'>;
   clock: Clock;
   logger: Logger;
 }
@@ -56,6 +58,7 @@
       bus,
       budget: this.answers,
       unsentBytes: (peer, message) => transport.unsentBytes(peer, message),
+      link: createLinkRoom(settings, transport, clock),
     });
   }
 
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -219,6 +219,7 @@
     // A departure that was acknowledged from now on could not be stored.
     await this.reports.stop();
     await this.ingress.stop();
+    this.memory.outbox.sendAll();
     const {exitMs} = times;
     await Promise.all([this.transport.stop(exitMs), this.seeds.flush(exitMs)]);
     this.server.close();
