--- a/packages/node/tests/calls/peer-outbox.test.ts
+++ b/packages/node/tests/calls/peer-outbox.test.ts
@@ -1,10 +1,15 @@
 import {ByteBudget} from '@turmericmill/utils';
+import {install, type Clock as FakeTimers} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 
 import {Bus, type Peer} from '../../src/bus.js';
 import {AnswerSender} from '../../src/calls/answer-sender.js';
 import {NO_LOAD} from '../../src/calls/call-leg.js';
-import {PeerOutbox, type BytesHolder} from '../../src/calls/peer-outbox.js';
+import {
+  PeerOutbox,
+  type BytesHolder,
+  type LinkRoom,
+} from '../../src/calls/peer-outbox.js';
 
 const PEER: Peer = {
   nodeId: 'n-2',
@@ -23,13 +28,15 @@
   readonly budget = new ByteBudget<BytesHolder>(MAX_WAITING_BYTES);
   private readonly bus = new Bus();
   private unsentBytes = 0;
-  private readonly outbox = new PeerOutbox({
-    bus: this.bus,
-    budget: this.budget,
-    unsentBytes: () => this.unsentBytes,
-  });
+  readonly outbox: PeerOutbox;
 
-  constructor() {
+  constructor(link?: LinkRoom) {
+    this.outbox = new PeerOutbox({
+      bus: this.bus,
+      budget: this.budget,
+      unsentBytes: () => this.unsentBytes,
+      ...(link && {link}),
+    });
     this.bus.subscribe('send-peer', ({message: {type, body}}) => {
       const {
         callId,
@@ -124,4 +131,43 @@
     expect(peer.sent).to.deep.equal(['1 answerStart']);
     expect(peer.budget.reservedBytes).to.equal(0);
   });
+
+  describe('while the link is full', () => {
+    const FULL_MS = 80;
+    let timers: FakeTimers;
+    let peer: SlowPeer;
+
+    beforeEach(() => {
+      timers = install({toFake: ['setTimeout', 'clearTimeout']});
+      const untilRoomMs = () => Math.max(0, FULL_MS - timers.now);
+      peer = new SlowPeer({maxUnsentBytes: 2 * MB, untilRoomMs});
+    });
+
+    afterEach(() => timers.uninstall());
+
+    it('keeps long frames until it has room', () => {
+      peer.answer(1, 1);
+      timers.tick(FULL_MS - 1);
+      expect(peer.sent).to.deep.equal([]);
+      timers.tick(1);
+      expect(peer.sent).to.deep.equal(['1 answerStart', '1 answerData']);
+      expect(peer.ended).to.deep.equal(['1']);
+    });
+
+    // Guards against short answers that wait for long ones.
+    it('sends short frames at once', () => {
+      peer.answer(1, 1);
+      peer.answer(2, 0);
+      expect(peer.sent).to.deep.equal(['2 answerStart']);
+    });
+
+    it('passes all frames on before the process ends', () => {
+      peer.answer(1, 3);
+      expect(peer.sent).to.deep.equal([]);
+      peer.outbox.sendAll();
+      expect(peer.sent).to.have.length(4);
+      expect(peer.ended).to.deep.equal(['1']);
+      expect(peer.budget.reservedBytes).to.equal(0);
+    });
+  });
 });
