testkit: the soak fetches long answers, over thin links with every second seed

Long answers wait in the process while a link is full; a restart, a stop or a lost connection in the meantime must not let a part of one pass for the whole. A call of the stand-in host also counts an answer that breaks off as none, where it never resolved before.

--- a/packages/testkit/src/platform/app-server.ts
+++ b/packages/testkit/src/platform/app-server.ts
@@ -9,6 +9,9 @@
 
 /** Path of the health check, to be named by the configurations of tests. */
 export const HEALTH_PATH = '/health';
+/** Paths that end so are answered with a body of `LONG_ANSWER_BYTES`. */
+export const LONG_PATH_END = '/long';
+export const LONG_ANSWER_BYTES = 200 * 1024;
 
 /** A request that the server has started to run. */
 export interface AppRun {
@@ -153,7 +156,10 @@
         'x-turmericmill-request-id': requestId,
         'x-turmericmill-response-seal': `seal-${requestId}`,
       });
-      res.end(`${id} ${requestId}`);
+      const isLong = req.url?.endsWith(LONG_PATH_END);
+      res.end(
+        isLong ? Buffer.alloc(LONG_ANSWER_BYTES, 'a') : `${id} ${requestId}`,
+      );
     }, workMs);
     res.once('close', () => {
       clearTimeout(timer);
--- a/packages/testkit/src/platform/process-host.ts
+++ b/packages/testkit/src/platform/process-host.ts
@@ -28,6 +28,12 @@
   settings?: Partial<HostSettings>;
 }
 
+/** An answer; the status is 0 if it is not complete. */
+export interface FetchedAnswer {
+  status: number;
+  bytes: number;
+}
+
 export class ProcessHost {
   readonly app: AppServer;
   private settings: HostSettings;
@@ -67,9 +73,14 @@
 
   /**
    * Sends a request, on a connection of its own unless there is an agent;
-   * resolves with the status, 0 without an answer.
+   * resolves with the status, 0 without a complete answer.
    */
-  call(path: string, agent: Agent | false = false): Promise<number> {
+  async call(path: string, agent: Agent | false = false): Promise<number> {
+    return (await this.fetch(path, agent)).status;
+  }
+
+  /** The same, with the bytes of the answer's body. */
+  fetch(path: string, agent: Agent | false = false): Promise<FetchedAnswer> {
     lastRequest += 1;
     const {address: host, port} = this.settings.listen.callers;
     const headers = {
@@ -80,10 +91,14 @@
     return new Promise(resolve => {
       const options = {host, port, path, agent, headers};
       const req = request(options, res => {
-        res.resume();
-        res.once('end', () => resolve(res.statusCode ?? 0));
+        let bytes = 0;
+        res.on('data', (chunk: Buffer) => (bytes += chunk.length));
+        res.once('close', () => {
+          const status = res.complete ? (res.statusCode ?? 0) : 0;
+          resolve({status, bytes});
+        });
       });
-      req.once('error', () => resolve(0));
+      req.once('error', () => resolve({status: 0, bytes: 0}));
       req.end();
     });
   }
--- a/packages/testkit/tests/platform/store-return-soak.test.ts
+++ b/packages/testkit/tests/platform/store-return-soak.test.ts
@@ -5,6 +5,10 @@
 import {expect} from 'chai';
 
 import {waitUntil} from '../../src/mesh/wait-until.js';
+import {
+  LONG_ANSWER_BYTES,
+  LONG_PATH_END,
+} from '../../src/platform/app-server.js';
 import {configDocument} from '../../src/platform/config-document.js';
 import {nextNetwork, ProcessHost} from '../../src/platform/process-host.js';
 import {
@@ -27,6 +31,9 @@
 const MAX_PAUSE_MS = 900;
 const MAX_AWAY_MS = 700;
 const PROBE_INTERVAL_MS = 50;
+/** Bandwidth of thin links, which long answers fill, and of others. */
+const THIN_LINK_MBPS = 8;
+const LINK_MBPS = 1_000;
 /**
  * Time in ms in which a restarted node joins, reads and has all notices: the
  * `stability_window` of the platform.
@@ -60,6 +67,8 @@
   private isOver = false;
   /** Versions that a node did not serve any more after it had in this boot. */
   readonly regressions: string[] = [];
+  /** Long answers that looked complete, and lacked bytes or had too many. */
+  readonly wrongAnswers: string[] = [];
 
   constructor(readonly seed: number) {
     this.random = new SeededRandom(seed);
@@ -67,7 +76,10 @@
 
   async run(): Promise<string[]> {
     await this.start();
-    const probes = this.hosts.map(host => this.probe(host));
+    const probes = this.hosts.flatMap(host => [
+      this.probe(host),
+      this.transfer(host),
+    ]);
     try {
       for (let i = 0; i < STEPS; i++) {
         await this.perform();
@@ -97,6 +109,7 @@
         dataCentre: index % 2 === 0 ? 'a' : 'b',
         configInForceMs: CONFIG_IN_FORCE_MS,
         shutdownGraceMs: GRACE_MS,
+        linkMbps: this.seed % 2 === 0 ? THIN_LINK_MBPS : LINK_MBPS,
       };
       const host = new ProcessHost({network, index, storePort, settings});
       this.hosts.push({host, boot: 0, served: 0});
@@ -225,6 +238,20 @@
     agent.destroy();
   }
 
+  /** Requests long answers, one after the other, on a connection that is kept. */
+  private async transfer({host}: SoakHost): Promise<void> {
+    const agent = new Agent({keepAlive: true});
+    const path = this.pathOf(this.version) + LONG_PATH_END;
+    while (!this.isOver) {
+      const {status, bytes} = await host.fetch(path, agent);
+      if (status === 200 && bytes !== LONG_ANSWER_BYTES) {
+        this.wrongAnswers.push(`${host.nodeId}: ${bytes} bytes`);
+      }
+      if (status !== 200) await sleep(PROBE_INTERVAL_MS);
+    }
+    agent.destroy();
+  }
+
   /** Nodes whose entries are not back. */
   private async missingEntries(): Promise<string[]> {
     const missing = () =>
@@ -259,12 +286,18 @@
     it(`keeps each version in force and puts the last one in force: seeds ${some.join(', ')}`, async () => {
       const soaks = some.map(seed => new Soak(seed));
       const late = await Promise.all(soaks.map(soak => soak.run()));
-      const seen = soaks.map(({seed, regressions}, index) => ({
+      const seen = soaks.map(({seed, regressions, wrongAnswers}, index) => ({
         seed,
         late: late[index],
         regressions,
+        wrongAnswers,
+      }));
+      const held = some.map(seed => ({
+        seed,
+        late: [],
+        regressions: [],
+        wrongAnswers: [],
       }));
-      const held = some.map(seed => ({seed, late: [], regressions: []}));
       expect(seen).to.deep.equal(held);
     });
   }
