routing: a call whose answer would leave its host too late is refused at once

ReturnForecast knows how many bytes wait for the link, and expects those of the calls that run. SlotQueue refuses a call, as not run, if its answer would be back after its target, or for a late call after the share of its time that late calls may take. Calls of the same host, and classes of short answers, do not cross or wait for the link.

--- a/packages/node/src/calls/call-leg.ts
+++ b/packages/node/src/calls/call-leg.ts
@@ -18,6 +18,8 @@
 export interface CallHead extends CallRequest {
   /** Deadline in ms since the epoch, by this host's clock. */
   deadlineMs: number;
+  /** True if the answer leaves this host over its link. */
+  crossesLink?: boolean;
 }
 
 /** Why an attempt got no answer, and whether the request may have run. */
--- a/packages/node/src/calls/incoming-calls.ts
+++ b/packages/node/src/calls/incoming-calls.ts
@@ -103,7 +103,8 @@
       call,
       delayMs,
     );
-    const head: CallHead = {...rest, deadlineMs: now + remainingMs};
+    const deadlineMs = now + remainingMs;
+    const head: CallHead = {...rest, deadlineMs, crossesLink: true};
     const answer = new AnswerSender(
       this.bus,
       peer,
--- a/packages/node/src/calls/peer-outbox.ts
+++ b/packages/node/src/calls/peer-outbox.ts
@@ -10,7 +10,7 @@
  */
 const MAX_UNSENT_BYTES = 1024 * 1024;
 /** Frames up to this size do not wait for the link. */
-const SHORT_FRAME_BYTES = 4 * 1024;
+export const SHORT_FRAME_BYTES = 4 * 1024;
 
 /** Holder of bytes that a budget may take away. */
 export interface BytesHolder {
@@ -123,6 +123,15 @@
     this.remove(queue);
   }
 
+  /** Bytes of all frames that wait. */
+  get waitingBytes(): number {
+    let sum = 0;
+    for (const queues of this.waiting.values()) {
+      for (const {bytes} of queues) sum += bytes;
+    }
+    return sum;
+  }
+
   /** Time in ms until the link has room for a long frame. */
   private get untilRoomMs(): number {
     return this.parts.link?.untilRoomMs() ?? 0;
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -23,6 +23,7 @@
 export {IncomingCalls, type IncomingLimits} from './calls/incoming-calls.js';
 export {
   PeerOutbox,
+  SHORT_FRAME_BYTES,
   type LinkRoom,
   type BytesHolder,
   type HolderBudget,
--- a/packages/routing/src/admission/slot-queue.ts
+++ b/packages/routing/src/admission/slot-queue.ts
@@ -39,6 +39,11 @@
   deadlineMs: number;
   /** True if an answer after the target is wanted rather than a refusal. */
   acceptsLate: boolean;
+  /**
+   * Time in ms that the answer takes to the caller, if it is long; a call that
+   * would be too late for that reason is refused though a slot is free.
+   */
+  returnMs?: number;
   /** True if the call may crash the server: only one suspect runs at a time. */
   suspect: boolean;
   /** Tenant whose share the call counts towards. */
@@ -107,6 +112,7 @@
     }
     if (this.closedReason) return [refuse(call, this.closedReason)];
     if (this.isExpired(call, nowMs)) return [refuse(call, 'deadline')];
+    if (this.isBackTooLate(call, nowMs)) return [refuse(call, 'overload')];
     if (this.hasSlot(call) && this.waiting.length === 0) {
       return [this.start(call, nowMs)];
     }
@@ -255,11 +261,20 @@
   }
 
   private latestEndMs(call: QueuedCall, nowMs: number): number {
-    if (!call.acceptsLate) return call.targetMs - RETURN_MS;
+    const returnMs = Math.max(RETURN_MS, call.returnMs ?? 0);
+    if (!call.acceptsLate) return call.targetMs - returnMs;
     const minMs = MIN_LATE_WAIT_MS + this.serviceTimes.meanMs(call.class);
     const shareMs = (call.deadlineMs - nowMs) * LATE_CALL_TIME_SHARE;
-    const latestMs = nowMs + Math.max(minMs, shareMs);
-    return Math.min(latestMs, call.deadlineMs - RETURN_MS);
+    const backMs = nowMs + Math.max(minMs, shareMs);
+    const latestMs = backMs - (call.returnMs ?? 0);
+    return Math.min(latestMs, call.deadlineMs - returnMs);
+  }
+
+  /** True if the answer would be too late because of its way to the caller. */
+  private isBackTooLate(call: QueuedCall, nowMs: number): boolean {
+    if (!call.returnMs || call.returnMs <= RETURN_MS) return false;
+    const endMs = nowMs + this.serviceTimes.meanMs(call.class);
+    return endMs > this.latestEndMs(call, nowMs);
   }
 
   private isExpired(call: QueuedCall, nowMs: number): boolean {
--- a/packages/routing/src/connections/link-pace.ts
+++ b/packages/routing/src/connections/link-pace.ts
@@ -11,7 +11,8 @@
 const MAX_BACKLOG_MS = 50;
 
 export class LinkPace {
-  private readonly bytesPerMs: number;
+  /** Bytes that the link passes on in a ms, without the headers of packets. */
+  readonly bytesPerMs: number;
   private sentBytes = 0;
   private updatedMs: number;
   /** Time in ms at which the link has passed on all that was sent. */
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -12,6 +12,7 @@
   type AdmissionEffect,
   type LoadTraits,
 } from './admission/admission.js';
+export {AnswerLink, ReturnForecast} from './admission/return-forecast.js';
 export {ServiceTimes} from './admission/service-times.js';
 export {
   SlotQueue,
--- a/packages/sidecar/src/link-room.ts
+++ b/packages/sidecar/src/link-room.ts
@@ -1,8 +1,13 @@
 /** Room at the link of this host, from its settings and what was sent. */
 
-import type {LinkRoom, TransportTask} from '@turmericmill/node';
+import {
+  SHORT_FRAME_BYTES,
+  type LinkRoom,
+  type PeerOutbox,
+  type TransportTask,
+} from '@turmericmill/node';
 import type {HostSettings} from '@turmericmill/platform-adapter';
-import {LinkPace} from '@turmericmill/routing';
+import {AnswerLink, LinkPace} from '@turmericmill/routing';
 import type {Clock} from '@turmericmill/utils';
 
 import {linkBytesPerMs} from './link-bandwidth.js';
@@ -19,11 +24,12 @@
   settings: Pick<HostSettings, 'linkMbps'>,
   transport: Pick<TransportTask, 'sentBytes'>,
   clock: Clock,
-): LinkRoom {
+): LinkRoom & Pick<AnswerLink, 'bytesPerMs'> {
   const bytesPerMs = linkBytesPerMs(settings);
   const pace = new LinkPace(bytesPerMs, clock.now());
   const unsentBytes = Math.max(MIN_UNSENT_BYTES, UNSENT_MS * bytesPerMs);
   return {
+    bytesPerMs: pace.bytesPerMs,
     maxUnsentBytes: Math.min(MAX_UNSENT_BYTES, unsentBytes),
     untilRoomMs: () => {
       const now = clock.now();
@@ -32,3 +38,19 @@
     },
   };
 }
+
+/** The answers that wait for the link are those of an outbox. */
+export class OutboxLink extends AnswerLink {
+  override readonly shortBytes = SHORT_FRAME_BYTES;
+
+  constructor(
+    private readonly outbox: PeerOutbox,
+    override readonly bytesPerMs: number,
+  ) {
+    super();
+  }
+
+  override waitingBytes(): number {
+    return this.outbox.waitingBytes;
+  }
+}
--- a/packages/sidecar/src/memory/held-memory.ts
+++ b/packages/sidecar/src/memory/held-memory.ts
@@ -7,13 +7,14 @@
   type TransportTask,
 } from '@turmericmill/node';
 import type {HostSettings} from '@turmericmill/platform-adapter';
+import {ReturnForecast} from '@turmericmill/routing';
 import type {Clock} from '@turmericmill/utils';
 import type Logger from 'bunyan';
 
 import {createAnswerBudget, type AnswerBudget} from '../answer-budget.js';
 
 import {BodyBudget} from '../ingress/body-budget.js';
-import {createLinkRoom} from '../link-room.js';
+import {createLinkRoom, OutboxLink} from '../link-room.js';
 import {LogBudget, type LineRate} from '../observe/log-budget.js';
 import {CallerOutput, type ClosedCaller} from './caller-output.js';
 import {MemoryAccount, type HeldKind} from './memory-account.js';
@@ -35,6 +36,8 @@
   readonly bodies: BodyBudget;
   readonly callers: CallerOutput;
   readonly outbox: PeerOutbox;
+  /** How long answers wait in the outbox. */
+  readonly returnForecast: ReturnForecast;
   /** Callers' connections that were closed to make room. */
   callersClosed = 0;
   private readonly account: MemoryAccount;
@@ -44,6 +47,7 @@
     const {settings, bus, transport, clock} = parts;
     const {memoryMb, memory} = settings;
     const limits = memoryLimits(memoryMb, memory);
+    const link = createLinkRoom(settings, transport, clock);
     const account = new MemoryAccount(limits.heldBytes);
     account.peerBytes = () => transport.unsentBytes();
     this.account = account;
@@ -58,8 +62,11 @@
       bus,
       budget: this.answers,
       unsentBytes: (peer, message) => transport.unsentBytes(peer, message),
-      link: createLinkRoom(settings, transport, clock),
+      link,
     });
+    this.returnForecast = new ReturnForecast(
+      new OutboxLink(this.outbox, link.bytesPerMs),
+    );
   }
 
   /** Bytes held for one purpose. */
--- a/packages/sidecar/src/server/server-runner.ts
+++ b/packages/sidecar/src/server/server-runner.ts
@@ -14,6 +14,7 @@
   type QuarantineTask,
 } from '@turmericmill/node';
 import type {HostAddress} from '@turmericmill/platform-adapter';
+import type {ReturnForecast} from '@turmericmill/routing';
 import type {Clock} from '@turmericmill/utils';
 import type Logger from 'bunyan';
 
@@ -31,6 +32,7 @@
   logger: Logger;
   quarantine: QuarantineTask;
   answerBudget: AnswerBudget;
+  returnForecast: ReturnForecast;
   tenants: TenantDirectory;
   /** True if a server that has just started is announced with few slots. */
   hasStartPace: boolean;
--- a/packages/sidecar/src/server/server-session.ts
+++ b/packages/sidecar/src/server/server-session.ts
@@ -21,6 +21,7 @@
 import {checkAnswer} from './answer-check.js';
 import type {ServerAnswer} from './answer-parser.js';
 import {ExpectedTimes} from './expected-times.js';
+import {REFUSAL_DETAILS} from './refusal-details.js';
 import {ServerCall} from './server-call.js';
 import type {ExchangeEnd} from './server-connection.js';
 import {ServerPool} from './server-pool.js';
@@ -38,15 +39,6 @@
 /** Time in ms within which all calls lost in a crash have been recorded. */
 const CRASH_SETTLE_MS = 50;
 
-const REFUSAL_DETAILS: Partial<Record<FailureReason, string>> = {
-  overload: 'The server has no slot in time.',
-  deadline: 'The deadline is too near.',
-  draining: 'The server is leaving.',
-  'server-failed': 'The server cannot be reached.',
-  quarantined: 'The request has crashed servers.',
-  'stale-config': 'The tenant cannot be confirmed here.',
-};
-
 export class ServerSession {
   private readonly queue: SlotQueue;
   private readonly pace: StartPace | undefined;
@@ -175,6 +167,7 @@
       rank: urgency?.rank ?? 0,
       targetMs: now + (urgency?.targetRemainingMs ?? Infinity),
       deadlineMs: head.deadlineMs,
+      returnMs: this.returnMs(head),
       acceptsLate: urgency?.acceptsLate ?? true,
       suspect: status === 'suspect',
       tenant: head.tenant,
@@ -182,6 +175,16 @@
     this.apply(this.queue.offer(offer, now));
   }
 
+  /** Expected time in ms of the answer's way over the link of this host. */
+  private returnMs({class: cls, crossesLink}: CallHead): number {
+    if (!crossesLink) return 0;
+    const serviceMs = this.queue.serviceTimes.meanMs(cls);
+    const running = [...this.calls.values()]
+      .filter(({exchange}) => exchange)
+      .map(({head}) => head.class);
+    return this.parts.returnForecast.returnMs(cls, running, serviceMs);
+  }
+
   private apply(effects: readonly SlotEffect[]): void {
     for (const effect of effects) {
       if (effect.type === 'run') this.startExchange(effect.id);
@@ -246,6 +249,8 @@
   private deliver({events, head}: ServerCall, answer: ServerAnswer): void {
     events.answerStart(answer.status, answer.headers, this.load(head));
     for (const block of answer.body) events.answerData(block);
+    const bytes = answer.body.reduce((sum, {length}) => sum + length, 0);
+    this.parts.returnForecast.recordAnswer(head.class, bytes);
     events.answerEnd([]);
   }
 
--- a/packages/sidecar/src/sidecar.ts
+++ b/packages/sidecar/src/sidecar.ts
@@ -121,6 +121,7 @@
       logger,
       quarantine,
       answerBudget: this.memory.answers,
+      returnForecast: this.memory.returnForecast,
       tenants: this.tenants,
       hasStartPace: settings.hasStartPace ?? false,
       expectedServiceMs: cls => this.balancer.expectedServiceMs(cls),
--- a/packages/sidecar/tests/rollout/server-gate.test.ts
+++ b/packages/sidecar/tests/rollout/server-gate.test.ts
@@ -3,6 +3,7 @@
 
 import type {CurrentServer} from '@turmericmill/membership';
 import {Bus, type CallHead, type QuarantineTask} from '@turmericmill/node';
+import {ReturnForecast} from '@turmericmill/routing';
 import {ANSWER_PROOF_HEADER} from '@turmericmill/platform-adapter';
 import {ByteBudget, SystemClock} from '@turmericmill/utils';
 import type {RolloutPhaseName, RolloutState} from '@turmericmill/wire';
@@ -14,6 +15,7 @@
 import {ViewedServerRollout} from '../../src/rollout/server-rollout.js';
 import {TenantDirectory} from '../../src/tenants/tenant-directory.js';
 import {ServerRunner} from '../../src/server/server-runner.js';
+import {FreeLink} from '../server/free-link.js';
 
 const SILENT = bunyan.createLogger({name: 'test', level: bunyan.FATAL + 1});
 const HEAD: CallHead = {
@@ -67,6 +69,7 @@
       quarantine: quarantine as unknown as QuarantineTask,
       answerBudget: new ByteBudget<AnswerHolder>(1024 * 1024),
       tenants: new TenantDirectory(new Bus(), () => true),
+      returnForecast: new ReturnForecast(new FreeLink()),
       hasStartPace: false,
       expectedServiceMs: () => undefined,
       address: () => ({address: '127.0.0.1', port}),
--- a/packages/sidecar/tests/server/server-session.test.ts
+++ b/packages/sidecar/tests/server/server-session.test.ts
@@ -7,6 +7,7 @@
   type CallHead,
   type QuarantineTask,
 } from '@turmericmill/node';
+import {ReturnForecast} from '@turmericmill/routing';
 import {ANSWER_PROOF_HEADER} from '@turmericmill/platform-adapter';
 import {ByteBudget, blockEventLoop, SystemClock} from '@turmericmill/utils';
 import bunyan from 'bunyan';
@@ -15,6 +16,7 @@
 import type {AnswerHolder} from '../../src/answer-budget.js';
 import {ServerSession} from '../../src/server/server-session.js';
 import {TenantDirectory} from '../../src/tenants/tenant-directory.js';
+import {FreeLink} from './free-link.js';
 
 const DEADLINE_MS = 150;
 /** Time in ms after the deadline within which a call has to end. */
@@ -107,6 +109,7 @@
         logger: bunyan.createLogger({name: 'test', level: bunyan.FATAL + 1}),
         quarantine: quarantine as unknown as QuarantineTask,
         answerBudget: new ByteBudget<AnswerHolder>(1024 * 1024),
+        returnForecast: new ReturnForecast(new FreeLink()),
         hasStartPace: false,
         expectedServiceMs: () => undefined,
         tenants: new TenantDirectory(bus, () => isFresh),
