--- a/packages/node/src/calls/peer-outbox.ts
+++ b/packages/node/src/calls/peer-outbox.ts
@@ -110,6 +110,7 @@
   /** Passes all frames to their connections, as the process is about to end. */
   sendAll(): void {
     clearTimeout(this.linkTimer);
+    this.linkTimer = undefined;
     for (const queue of [...this.waiting.values()].flatMap(set => [...set])) {
       while (queue.frames.length > 0) this.passNext(queue);
     }
--- a/packages/routing/src/admission/slot-queue.ts
+++ b/packages/routing/src/admission/slot-queue.ts
@@ -112,7 +112,7 @@
     }
     if (this.closedReason) return [refuse(call, this.closedReason)];
     if (this.isExpired(call, nowMs)) return [refuse(call, 'deadline')];
-    if (this.isBackTooLate(call, nowMs)) return [refuse(call, 'overload')];
+    if (this.wouldReturnLate(call, nowMs)) return [refuse(call, 'overload')];
     if (this.hasSlot(call) && this.waiting.length === 0) {
       return [this.start(call, nowMs)];
     }
@@ -265,13 +265,13 @@
     if (!call.acceptsLate) return call.targetMs - returnMs;
     const minMs = MIN_LATE_WAIT_MS + this.serviceTimes.meanMs(call.class);
     const shareMs = (call.deadlineMs - nowMs) * LATE_CALL_TIME_SHARE;
-    const backMs = nowMs + Math.max(minMs, shareMs);
-    const latestMs = backMs - (call.returnMs ?? 0);
+    const returnByMs = nowMs + Math.max(minMs, shareMs);
+    const latestMs = returnByMs - (call.returnMs ?? 0);
     return Math.min(latestMs, call.deadlineMs - returnMs);
   }
 
   /** True if the answer would be too late because of its way to the caller. */
-  private isBackTooLate(call: QueuedCall, nowMs: number): boolean {
+  private wouldReturnLate(call: QueuedCall, nowMs: number): boolean {
     if (!call.returnMs || call.returnMs <= RETURN_MS) return false;
     const endMs = nowMs + this.serviceTimes.meanMs(call.class);
     return endMs > this.latestEndMs(call, nowMs);
--- a/packages/routing/tests/admission/slot-queue.test.ts
+++ b/packages/routing/tests/admission/slot-queue.test.ts
@@ -39,6 +39,21 @@
     ]);
   });
 
+  // With a free slot; the target is at 400 ms, and late calls have 600 ms.
+  for (const [acceptsLate, returnMs, expected] of [
+    [false, 290, 'run'],
+    [false, 310, 'refuse overload'],
+    [true, 490, 'run'],
+    [true, 510, 'refuse overload'],
+  ] as const) {
+    const kind = acceptsLate ? 'late call' : 'call';
+    it(`answers "${expected}" to a ${kind} whose answer takes ${returnMs} ms back`, () => {
+      const offered = call({acceptsLate, returnMs});
+      const effects = trainedQueue(1).offer(offered, 0);
+      expect(summarize(effects)).to.deep.equal([expected]);
+    });
+  }
+
   it('lets a call wait while it can be on time', () => {
     const queue = trainedQueue(1);
     queue.offer(call(), 0);
--- a/packages/sidecar/src/link-room.ts
+++ b/packages/sidecar/src/host-link.ts
@@ -1,4 +1,4 @@
-/** Room at the link of this host, from its settings and what was sent. */
+/** The link of this host: its bandwidth, and its room for answers. */
 
 import {
   SHORT_FRAME_BYTES,
@@ -10,8 +10,6 @@
 import {AnswerLink, LinkPace} from '@turmericmill/routing';
 import type {Clock} from '@turmericmill/utils';
 
-import {linkBytesPerMs} from './link-bandwidth.js';
-
 /**
  * Limits on the bytes in a connection's buffer from which long answers wait. On a
  * thin link they are what it carries in a tenth of a second.
@@ -19,12 +17,26 @@
 const MIN_UNSENT_BYTES = 64 * 1024;
 const MAX_UNSENT_BYTES = 1024 * 1024;
 const UNSENT_MS = 100;
+/** Bytes per ms in one Mbit/s. */
+const BYTES_PER_MS_PER_MBPS = 125;
+
+/** Returns the bytes that the link of a host carries in a ms. */
+export function linkBytesPerMs({
+  linkMbps,
+}: Pick<HostSettings, 'linkMbps'>): number {
+  return linkMbps * BYTES_PER_MS_PER_MBPS;
+}
+
+/** Room at the link, and the bytes that it passes on in a ms. */
+export interface HostLink extends LinkRoom {
+  bytesPerMs: number;
+}
 
-export function createLinkRoom(
+export function createHostLink(
   settings: Pick<HostSettings, 'linkMbps'>,
   transport: Pick<TransportTask, 'sentBytes'>,
   clock: Clock,
-): LinkRoom & Pick<AnswerLink, 'bytesPerMs'> {
+): HostLink {
   const bytesPerMs = linkBytesPerMs(settings);
   const pace = new LinkPace(bytesPerMs, clock.now());
   const unsentBytes = Math.max(MIN_UNSENT_BYTES, UNSENT_MS * bytesPerMs);
--- a/packages/sidecar/src/memory/held-memory.ts
+++ b/packages/sidecar/src/memory/held-memory.ts
@@ -14,7 +14,7 @@
 import {createAnswerBudget, type AnswerBudget} from '../answer-budget.js';
 
 import {BodyBudget} from '../ingress/body-budget.js';
-import {createLinkRoom, OutboxLink} from '../link-room.js';
+import {createHostLink, OutboxLink} from '../host-link.js';
 import {LogBudget, type LineRate} from '../observe/log-budget.js';
 import {CallerOutput, type ClosedCaller} from './caller-output.js';
 import {MemoryAccount, type HeldKind} from './memory-account.js';
@@ -47,7 +47,7 @@
     const {settings, bus, transport, clock} = parts;
     const {memoryMb, memory} = settings;
     const limits = memoryLimits(memoryMb, memory);
-    const link = createLinkRoom(settings, transport, clock);
+    const link = createHostLink(settings, transport, clock);
     const account = new MemoryAccount(limits.heldBytes);
     account.peerBytes = () => transport.unsentBytes();
     this.account = account;
--- a/packages/sidecar/src/observe/create-process-monitor.ts
+++ b/packages/sidecar/src/observe/create-process-monitor.ts
@@ -5,7 +5,7 @@
 import type {Clock} from '@turmericmill/utils';
 import type Logger from 'bunyan';
 
-import {linkBytesPerMs} from '../link-bandwidth.js';
+import {linkBytesPerMs} from '../host-link.js';
 import {ProcessMonitor} from './process-monitor.js';
 import type {SidecarMetrics} from './sidecar-metrics.js';
 
