sidecar: a hanging read of the store ends when the version in force is stale

Logs of the test: shortly after a start each host reads the store by itself, as it knows no other one yet; all four long polls hang, and end 2.0 s later, 1.5 s after their wait.

An answer that has begun may take its time as before.

--- a/packages/sidecar/src/config/config-follower.ts
+++ b/packages/sidecar/src/config/config-follower.ts
@@ -103,8 +103,8 @@
     this.lowerRankNoticeMs = clock.now();
     this.nextAskMs = clock.now() + NOTICE_GAP_MS;
     this.times = sourceTimes(configInForceMs);
-    const waitMs = this.times.readWaitMs;
-    this.topic = new TopicReader({store, storeEra, clock, logger, waitMs});
+    const {times} = this;
+    this.topic = new TopicReader({store, storeEra, clock, logger, times});
     this.documents = new DocumentExchange(configInForceMs, logger);
     bus.subscribe('view-changed', ({members}) => this.peers.update(members));
     bus.onPeerMessage('configNotice', ({body, peer}) => {
--- a/packages/sidecar/src/config/source-choice.ts
+++ b/packages/sidecar/src/config/source-choice.ts
@@ -57,17 +57,23 @@
   promptAgeMs: number;
   /** Time for which a read waits at the store for a change; an integer. */
   readWaitMs: number;
+  /** Time after that wait at which its answer, and the version, are stale. */
+  readOverdueMs: number;
 }
 
 /** Returns times with which a change is in force within `configInForceMs`. */
 export function sourceTimes(configInForceMs: number): SourceTimes {
   const staleAfterMs = configInForceMs * STALE_SHARE;
+  const readWaitMs = Math.floor(
+    staleAfterMs - BEACON_INTERVAL_MS - MAX_TRANSIT_MS,
+  );
   return {
     staleAfterMs,
     takeoverStepMs: configInForceMs * TAKEOVER_STEP_SHARE,
     lastTakeoverMs: configInForceMs * LAST_TAKEOVER_SHARE,
     promptAgeMs: staleAfterMs / 2,
-    readWaitMs: Math.floor(staleAfterMs - BEACON_INTERVAL_MS - MAX_TRANSIT_MS),
+    readWaitMs,
+    readOverdueMs: staleAfterMs - readWaitMs,
   };
 }
 
--- a/packages/sidecar/src/config/topic-reader.ts
+++ b/packages/sidecar/src/config/topic-reader.ts
@@ -13,15 +13,18 @@
 import type Logger from 'bunyan';
 
 import {isOutdated, type Era, type StoreEra} from '../store-era.js';
-import type {StoreRead} from './source-choice.js';
+import type {SourceTimes, StoreRead} from './source-choice.js';
 
 export interface TopicReaderParts {
   store: Store;
   storeEra: StoreEra;
   clock: Clock;
   logger: Logger;
-  /** Time in ms for which a read waits at the store for a change; an integer. */
-  waitMs: number;
+  /**
+   * A read that hangs must end in time for another one: until then this node
+   * learns of no change, and takes over from no other.
+   */
+  times: Pick<SourceTimes, 'readWaitMs' | 'readOverdueMs'>;
 }
 
 /**
@@ -60,7 +63,7 @@
     const {clock, storeEra} = this.parts;
     const era = storeEra.current;
     const offset = this.offsetIn(era);
-    const waitMs = offset === undefined ? 0 : this.parts.waitMs;
+    const waitMs = offset === undefined ? 0 : this.parts.times.readWaitMs;
     const sentMs = clock.now();
     const page = await this.request(offset);
     this.position = undefined;
@@ -90,12 +93,14 @@
   private async request(
     offset: number | undefined,
   ): Promise<Result<KeyedPage, StoreError>> {
-    const {store, storeEra, waitMs} = this.parts;
+    const {store, storeEra, times} = this.parts;
+    const {readWaitMs, readOverdueMs: overdueMs} = times;
     if (offset === undefined) return store.newest(CONFIG_TOPIC);
     const abort = new AbortController();
     const unsubscribe = storeEra.onRise(() => abort.abort());
     try {
-      return await store.read(CONFIG_TOPIC, offset, waitMs, abort.signal);
+      const options = {signal: abort.signal, overdueMs};
+      return await store.read(CONFIG_TOPIC, offset, readWaitMs, options);
     } finally {
       unsubscribe();
     }
--- a/packages/sidecar/tests/config/follower-node.ts
+++ b/packages/sidecar/tests/config/follower-node.ts
@@ -5,6 +5,7 @@
   CONFIG_KEY,
   Store,
   type KeyedPage,
+  type PollOptions,
   type StoreError,
 } from '@turmericmill/platform-adapter';
 import {ConfigFreshness} from '@turmericmill/routing';
@@ -64,7 +65,7 @@
     unusedTopic?: string,
     unusedFrom?: number,
     unusedWaitMs?: number,
-    signal?: AbortSignal,
+    {signal}: PollOptions = {},
   ): Promise<Result<KeyedPage, StoreError>> {
     this.calls.push('read');
     if (!this.waits) {
--- a/packages/sidecar/tests/config/simulated-store.ts
+++ b/packages/sidecar/tests/config/simulated-store.ts
@@ -5,6 +5,7 @@
   Store,
   type KeyedPage,
   type KeyedRecord,
+  type PollOptions,
   type StoreError,
 } from '@turmericmill/platform-adapter';
 import {Err, Ok, sleep, type Result} from '@turmericmill/utils';
@@ -133,25 +134,26 @@
     unusedTopic: string,
     from: number,
     waitMs: number,
-    signal?: AbortSignal,
+    {signal, overdueMs = CALL_TIMEOUT_MS}: PollOptions = {},
   ): Promise<Result<KeyedPage, StoreError>> {
     const aborted = new Promise<Result<KeyedPage, StoreError>>(resolve => {
       const err = {code: 'unknown', message: 'aborted'} as const;
       signal?.addEventListener('abort', () => resolve(Err(err)));
     });
-    return Promise.race([aborted, this.poll(from, waitMs)]);
+    return Promise.race([aborted, this.poll(from, waitMs, overdueMs)]);
   }
 
   private async poll(
     from: number,
     waitMs: number,
+    overdueMs: number,
   ): Promise<Result<KeyedPage, StoreError>> {
     const {topic} = this.parts;
     const refused = await this.request();
     if (refused) return refused;
     const {era} = topic;
     const outcome = await topic.poll(from, waitMs);
-    if (outcome === 'hung') await sleep(waitMs + CALL_TIMEOUT_MS);
+    if (outcome === 'hung') await sleep(waitMs + overdueMs);
     if (outcome === 'hung' || outcome === 'ended') {
       return Err({code: 'unknown', message: outcome});
     }
--- a/packages/sidecar/tests/config/topic-reader.test.ts
+++ b/packages/sidecar/tests/config/topic-reader.test.ts
@@ -13,6 +13,7 @@
 
 const SILENT = bunyan.createLogger({name: 'test', level: bunyan.FATAL + 1});
 const WAIT_MS = 500;
+const OVERDUE_MS = 600;
 
 /** An answer of the store, and the eras that become known until it is here. */
 interface Answer {
@@ -138,7 +139,8 @@
     const storeEra = new StoreEra(SILENT);
     const store = new AnsweringStore(storeEra, [...answers]);
     const clock = new ManualClock(1_000);
-    const parts = {store, storeEra, clock, logger: SILENT, waitMs: WAIT_MS};
+    const times = {readWaitMs: WAIT_MS, readOverdueMs: OVERDUE_MS};
+    const parts = {store, storeEra, clock, logger: SILENT, times};
     return {store, storeEra, reader: new TopicReader(parts)};
   }
 
