sidecar: a change from a peer whose base is no earlier version is not passed on

Found by reading the change as a newcomer: a notice may carry a document and a change with any base, and the search for the changes before a version would have followed a base that is the version itself without end. One odd message would have hung a node. The test did not end on the code before.

--- a/packages/sidecar/src/config/document-history.ts
+++ b/packages/sidecar/src/config/document-history.ts
@@ -92,7 +92,8 @@
     let bytes = 0;
     for (let to = version; ;) {
       const change = this.documents.find(one => one.version === to)?.change;
-      if (!change) return changes;
+      // A peer may have sent a change with any base.
+      if (!change || change.baseVersion >= to) return changes;
       bytes += change.delta.length;
       if (bytes > MAX_EARLIER_BYTES) return changes;
       changes.unshift(change);
--- a/packages/sidecar/tests/config/document-history.test.ts
+++ b/packages/sidecar/tests/config/document-history.test.ts
@@ -81,6 +81,15 @@
       expect(content).to.not.have.property('earlierChanges');
     });
 
+    // Guards against an endless search for the changes before it.
+    it('leaves out a received change whose base is no earlier version', () => {
+      const history = historyOf([3]);
+      const change = {baseVersion: 5, delta: Buffer.alloc(0)};
+      history.add(5, publishedDocument(5), change);
+      history.add(9, publishedDocument(9));
+      expect(history.contentForAll(5)).to.not.have.property('earlierChanges');
+    });
+
     it('passes on a change with which a version was received', () => {
       const sender = new DocumentHistory();
       sender.add(3, publishedDocument(3));
