http: answers are read in a package of their own

What callers saw: nothing; the code moves. Cause: the two programs read answers with two libraries, so that each decides by itself how the body of an answer ends, and a check in one is missing in the other. Change: AnswerReader and the decision about the framing move from the sidecar's parser into packages/http, below node and sidecar. The sidecar keeps what buffers an answer.

--- a/packages/sidecar/src/server/answer-lines.ts
+++ b/packages/http/src/answer-lines.ts
@@ -26,17 +26,3 @@
     throw new Error('a line that is no header field');
   }
 }
-
-/** Throws if the fields, names and values in turn, state no single length. */
-export function checkFraming(headers: readonly string[]): void {
-  let lengths = 0;
-  let codings = 0;
-  for (let i = 0; i + 1 < headers.length; i += 2) {
-    const name = headers[i]?.toLowerCase();
-    if (name === 'content-length') lengths += 1;
-    if (name === 'transfer-encoding') codings += 1;
-  }
-  if (lengths + codings > 1) {
-    throw new Error('more than one length or transfer coding');
-  }
-}
--- /dev/null
+++ b/packages/http/src/answer-reader.ts
@@ -0,0 +1,169 @@
+/** Reads the answers that arrive on one connection. */
+
+import {validateHeaderName, validateHeaderValue} from 'node:http';
+
+import {HTTPParser} from 'http-parser-js';
+
+import {decideFraming, type AnswerFraming} from './answer-framing.js';
+import {AnswerLineLimits} from './answer-line-limits.js';
+import {checkAnswerLine} from './answer-lines.js';
+
+/** Callbacks of the reader; an exception ends the reading as malformed. */
+export interface AnswerEvents {
+  /** The head of an answer that is not informational. */
+  head(status: number, headers: string[], keepAlive: boolean): void;
+  /** A piece of the body; the buffer may be overwritten afterwards. */
+  body(piece: Buffer): void;
+  /** The answer is complete; `hasMoreBytes`: another one has begun. */
+  end(hasMoreBytes: boolean): void;
+  /** Bytes that are not a valid HTTP answer; no other event follows. */
+  malformed(detail: string): void;
+  /** Bytes of lines have been kept. */
+  lines?(bytes: number): void;
+}
+
+const CHUNK_SIZE = /^[0-9a-fA-F]{1,16}[ \t]*(?:;.*)?$/;
+const SKIP_BODY = 1;
+/** Most headers of an answer; the parser of Node.js has the same limit. */
+const MAX_HEADERS = 2_000;
+
+/** Members of the library's parser that its types do not declare. */
+interface ParserInternals {
+  offset: number;
+  end: number;
+  /** Returns undefined until the whole line has arrived. */
+  consumeLine(): string | undefined;
+  // The library chose these names.
+  /* eslint-disable @typescript-eslint/naming-convention */
+  body_bytes: number;
+  state: string;
+  info: {headers: string[]};
+  BODY_CHUNKHEAD: (this: ParserInternals) => void;
+  /* eslint-enable @typescript-eslint/naming-convention */
+}
+
+/** Replaces the library's step, which ends the body at a malformed size. */
+function readChunkSize(this: ParserInternals): void {
+  const line = this.consumeLine();
+  if (line === undefined) return;
+  if (!CHUNK_SIZE.test(line)) throw new Error('malformed chunk size');
+  this.body_bytes = Number.parseInt(line, 16);
+  this.state = this.body_bytes > 0 ? 'BODY_CHUNK' : 'BODY_CHUNKTRAILERS';
+}
+
+HTTPParser.encoding = 'latin1';
+
+export class AnswerReader {
+  private readonly parser = new HTTPParser('RESPONSE');
+  private status = 0;
+  private framing: AnswerFraming = 'none';
+  private lineLimits = new AnswerLineLimits();
+  private stopped = false;
+  /** True while part of an answer has arrived. */
+  private hasPartialAnswer = false;
+  private isBodyless = false;
+
+  constructor(private readonly events: AnswerEvents) {
+    const {parser, internals} = this;
+    const {consumeLine} = internals;
+    internals.BODY_CHUNKHEAD = readChunkSize;
+    internals.consumeLine = () => this.readLine(consumeLine);
+    parser[HTTPParser.kOnHeadersComplete] = info => {
+      this.status = info.statusCode;
+      const httpVersion = `${info.versionMajor}.${info.versionMinor}`;
+      this.framing = this.checkHead(httpVersion, info.headers);
+      if (this.status >= 200) {
+        events.head(info.statusCode, info.headers, info.shouldKeepAlive);
+      }
+      return this.framing === 'none' ? SKIP_BODY : undefined;
+    };
+    parser[HTTPParser.kOnBody] = (piece: Buffer) => this.readBody(piece);
+    parser[HTTPParser.kOnMessageComplete] = () => this.complete();
+  }
+
+  /** Starts an exchange; `isBodyless` for HEAD, whose answers have no body. */
+  begin(isBodyless: boolean): void {
+    this.isBodyless = isBodyless;
+    this.lineLimits = new AnswerLineLimits();
+  }
+
+  /** Ignores further bytes. */
+  stop(): void {
+    this.stopped = true;
+  }
+
+  /** Reads received bytes. */
+  push(chunk: Buffer): void {
+    if (this.stopped) return;
+    this.hasPartialAnswer = true;
+    try {
+      const result: unknown = this.parser.execute(chunk);
+      if (result instanceof Error) this.fail(result.message);
+    } catch (err) {
+      this.fail(err instanceof Error ? err.message : String(err));
+    }
+  }
+
+  /** True while an answer arrives that ends with the connection. */
+  get endsWithConnection(): boolean {
+    return this.hasPartialAnswer && this.internals.state === 'BODY_RAW';
+  }
+
+  /** Completes an answer without a length, as the server closed its side. */
+  end(): void {
+    if (this.stopped || !this.hasPartialAnswer) return;
+    this.parser.finish();
+  }
+
+  private readBody(piece: Buffer): void {
+    this.lineLimits.recordBody(piece.length);
+    this.events.body(piece);
+  }
+
+  /** Reads a line as the library does, and checks it and its part's limits. */
+  private readLine(
+    consumeLine: ParserInternals['consumeLine'],
+  ): string | undefined {
+    const {internals} = this;
+    const {offset, state} = internals;
+    const line = consumeLine.call(internals);
+    const bytes = internals.offset - offset;
+    this.lineLimits.recordLine(state, bytes);
+    if (line !== undefined) checkAnswerLine(state, line);
+    if (internals.info.headers.length > 2 * MAX_HEADERS) {
+      throw new Error('the answer has too many headers');
+    }
+    this.events.lines?.(bytes);
+    return line;
+  }
+
+  private complete(): void {
+    this.hasPartialAnswer = false;
+    if (this.status < 200) return;
+    const {offset, end} = this.internals;
+    this.events.end(offset < end);
+  }
+
+  private get internals(): ParserInternals {
+    return this.parser as unknown as ParserInternals;
+  }
+
+  /** Throws on a head that cannot be forwarded or states no sound framing. */
+  private checkHead(httpVersion: string, headers: string[]): AnswerFraming {
+    for (let i = 0; i + 1 < headers.length; i += 2) {
+      const name = headers[i] ?? '';
+      validateHeaderName(name);
+      validateHeaderValue(name, headers[i + 1] ?? '');
+    }
+    const head = {status: this.status, httpVersion, headers};
+    const framing = decideFraming(head, this.isBodyless);
+    if (framing.isErr()) throw new Error(framing.error);
+    return framing.value;
+  }
+
+  private fail(detail: string): void {
+    if (this.stopped) return;
+    this.stopped = true;
+    this.events.malformed(detail);
+  }
+}
--- a/packages/sidecar/tests/server/answer-line-limits.test.ts
+++ b/packages/http/tests/answer-line-limits.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 
-import {AnswerLineLimits} from '../../src/server/answer-line-limits.js';
+import {AnswerLineLimits} from '../src/answer-line-limits.js';
 
 const KIB = 1024;
 /** A number of bytes and the parser state; `body`: bytes of the body. */
