http: a body is read only by a framing that the head states soundly

What callers saw: a complete 200 whose body was the server's with its chunk sizes, or the rest of its head (MIXED), at near and far hosts, on safe, unsafe and download routes. Change: the one coding is 'chunked' in any case; a head with neither is believed only if it states that the connection ends (Connection: close, or HTTP/1.0), as a server that ends it has to (RFC 9112, 9.3 and 9.6). All else loses the exchange as soon as the head is read: 502, or a repeat where that is allowed. As the framing is now decided in one place, answers that have no body are too: a 304 with a length was waited for until its deadline, a 204 with a length was read with a body.

--- a/packages/http/src/answer-framing.ts
+++ b/packages/http/src/answer-framing.ts
@@ -18,14 +18,20 @@
 export type AnswerFraming = 'none' | 'length' | 'chunks' | 'connection-end';
 
 const LENGTH = /^\d+$/;
+/** Coding names are compared without case (RFC 9112, 7). */
+const CHUNKED = /^chunked$/i;
+const NOT_MODIFIED = 304;
 
 /**
- * Returns how the body ends, or why the head states no valid end.
+ * Returns how the body ends (RFC 9112, 6.3), or why the head states no sound
+ * end. A coding other than `chunked` and a missing length are refused where the
+ * RFC would read until the connection ends: a head that was spoilt on the way
+ * looks the same, and its body would be another than the server's.
  *
  * `isBodyless`: the request was a HEAD, whose answers have no body.
  */
 export function decideFraming(
-  {headers}: AnswerHead,
+  {status, httpVersion, headers}: AnswerHead,
   isBodyless: boolean,
 ): Result<AnswerFraming, string> {
   const lengths = valuesOf(headers, 'content-length');
@@ -38,9 +44,31 @@
   if (length !== undefined && !LENGTH.test(length)) {
     return Err('malformed content-length');
   }
-  if (isBodyless) return Ok('none');
+  if (coding !== undefined && !CHUNKED.test(coding)) {
+    return Err('a transfer coding other than chunked');
+  }
+  if (isBodyless || status === NOT_MODIFIED) return Ok('none');
+  if (status < 200 || status === 204) {
+    const hasBody = coding !== undefined || Number(length ?? 0) > 0;
+    return hasBody ? Err(`a body with status ${status}`) : Ok('none');
+  }
   if (length !== undefined) return Ok('length');
-  return Ok(coding?.toLowerCase() === 'chunked' ? 'chunks' : 'connection-end');
+  if (coding !== undefined) return Ok('chunks');
+  return endsConnection(httpVersion, headers)
+    ? Ok('connection-end')
+    : Err('no length, and the connection is not stated to end');
+}
+
+/** True if the server has to end the connection (RFC 9112, 9.3). */
+function endsConnection(
+  httpVersion: string,
+  headers: readonly string[],
+): boolean {
+  const options = valuesOf(headers, 'connection')
+    .flatMap(value => value.split(','))
+    .map(option => option.trim().toLowerCase());
+  if (options.includes('close')) return true;
+  return httpVersion === '1.0' && !options.includes('keep-alive');
 }
 
 /** Returns the values of the fields with this lower-case name. */
