http: bytes behind an answer that begin no other show a spoilt length

What callers saw: a complete 200 with the start of the server's body, or with the rest of its head (MIXED). Cause: a length spoilt to a smaller one, or an empty line behind it in the middle of the head, ends the answer too early. What follows in the same read was dropped; it only kept the connection from being used again. Answers to HEAD have no body that could be another. A line that cannot become a status line is refused when its first bytes arrive, not at its end. Ruled out: a wait for bytes of a later read.

--- a/packages/http/src/answer-reader.ts
+++ b/packages/http/src/answer-reader.ts
@@ -6,7 +6,11 @@
 
 import {decideFraming, type AnswerFraming} from './answer-framing.js';
 import {AnswerLineLimits} from './answer-line-limits.js';
-import {checkAnswerLine} from './answer-lines.js';
+import {
+  checkAnswerLine,
+  checkStatusLineStart,
+  mayBeginAnswer,
+} from './answer-lines.js';
 
 /** Callbacks of the reader; an exception ends the reading as malformed. */
 export interface AnswerEvents {
@@ -29,8 +33,11 @@
 
 /** Members of the library's parser that its types do not declare. */
 interface ParserInternals {
+  chunk: Buffer | null;
   offset: number;
   end: number;
+  /** The beginning of a line whose end has not arrived. */
+  line: string;
   /** Returns undefined until the whole line has arrived. */
   consumeLine(): string | undefined;
   // The library chose these names.
@@ -130,6 +137,7 @@
     const bytes = internals.offset - offset;
     this.lineLimits.recordLine(state, bytes);
     if (line !== undefined) checkAnswerLine(state, line);
+    else if (state === 'RESPONSE_LINE') checkStatusLineStart(internals.line);
     if (internals.info.headers.length > 2 * MAX_HEADERS) {
       throw new Error('the answer has too many headers');
     }
@@ -140,8 +148,12 @@
   private complete(): void {
     this.hasPartialAnswer = false;
     if (this.status < 200) return;
-    const {offset, end} = this.internals;
-    this.events.end(offset < end);
+    const {chunk, offset, end} = this.internals;
+    const rest = chunk?.subarray(offset, end) ?? Buffer.of();
+    if (!this.isBodyless && !mayBeginAnswer(rest.toString('latin1'))) {
+      throw new Error('bytes behind the answer that begin no other');
+    }
+    this.events.end(rest.length > 0);
   }
 
   private get internals(): ParserInternals {
--- a/packages/testkit/tests/platform/spoilt-heads.test.ts
+++ b/packages/testkit/tests/platform/spoilt-heads.test.ts
@@ -56,6 +56,10 @@
 
 /** Answers whose server keeps the connection open. */
 const KEPT: Record<string, Rest> = {
+  'a length of 0': withBody('Content-Length: 0\r\n'),
+  'a length without its last digit': withBody('Content-Length: 1\r\n'),
+  'a length without its first digit': withBody('Content-Length: 2\r\n'),
+  'an empty line after the length': withBody(`${LENGTH}\r\nX-A: b\r\n`),
   'a length that is a word': withBody('Content-Length: twelve\r\n'),
   'a length with a sign': withBody('Content-Length: +12\r\n'),
   'a hexadecimal length': withBody('Content-Length: 0xc\r\n'),
