http: a body that ends with its connection and is framed itself is refused

Cause: the name of the coding is spoilt by a byte, or an empty line stands before the length. The head is then that of a sound answer that ends with its connection; nothing in it tells the two apart. Change: the body tells. One that is as a whole a body in chunks, or the fields of a head and the body that they frame, is the rest of such an answer. Ruled out: names that resemble the coding's; a colon within the name makes it another field.

--- a/packages/http/src/answer-reader.ts
+++ b/packages/http/src/answer-reader.ts
@@ -69,6 +69,7 @@
   /** True while part of an answer has arrived. */
   private hasPartialAnswer = false;
   private isBodyless = false;
+  private rawBody: RawBodyCheck | undefined;
 
   constructor(private readonly events: AnswerEvents) {
     const {parser, internals} = this;
@@ -79,6 +80,7 @@
       this.status = info.statusCode;
       const httpVersion = `${info.versionMajor}.${info.versionMinor}`;
       this.framing = this.checkHead(httpVersion, info.headers);
+      this.rawBody = undefined;
       if (this.status >= 200) {
         events.head(info.statusCode, info.headers, info.shouldKeepAlive);
       }
@@ -119,11 +121,21 @@
   /** Completes an answer without a length, as the server closed its side. */
   end(): void {
     if (this.stopped || !this.hasPartialAnswer) return;
+    if (this.rawBody?.isFramed) {
+      this.fail(
+        'a body that ends with the connection has a framing of its own',
+      );
+      return;
+    }
     this.parser.finish();
   }
 
   private readBody(piece: Buffer): void {
     this.lineLimits.recordBody(piece.length);
+    if (this.framing === 'connection-end') {
+      this.rawBody ??= new RawBodyCheck();
+      this.rawBody.push(piece);
+    }
     this.events.body(piece);
   }
 
@@ -179,3 +191,45 @@
     this.events.malformed(detail);
   }
 }
+
+/**
+ * Tells a body that ends with the connection from the rest of an answer whose
+ * head was spoilt: one whose coding is not stated any more, so that its chunks
+ * are read as the body, or one that an empty line ends too early.
+ */
+class RawBodyCheck {
+  private readonly readers = [
+    'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+    'HTTP/1.1 200 OK\r\n',
+  ].map(head => new FramedBodyReader(head));
+
+  push(piece: Buffer): void {
+    for (const reader of this.readers) reader.push(piece);
+  }
+
+  /** True if the whole body is a body in chunks, or fields and their body. */
+  get isFramed(): boolean {
+    return this.readers.some(({isComplete}) => isComplete);
+  }
+}
+
+/** Reads a body as if it came after the given start of a head. */
+class FramedBodyReader {
+  /** True if the bytes so far are one whole answer. */
+  isComplete = false;
+  private readonly reader = new AnswerReader({
+    head: () => undefined,
+    body: () => undefined,
+    end: hasMoreBytes => (this.isComplete = !hasMoreBytes),
+    malformed: () => (this.isComplete = false),
+  });
+
+  constructor(head: string) {
+    this.reader.push(Buffer.from(head));
+  }
+
+  push(piece: Buffer): void {
+    this.isComplete = false;
+    this.reader.push(piece);
+  }
+}
