--- a/packages/sidecar/src/server/answer-check.ts
+++ b/packages/sidecar/src/server/answer-check.ts
@@ -31,7 +31,5 @@
   if (status >= 300) return 'complete';
   const proof = headerOf(headers, ANSWER_PROOF_HEADER);
   const encoding = headerOf(headers, 'content-encoding');
-  return proof === undefined || encoding !== undefined
-    ? 'unproven'
-    : 'complete';
+  return !proof || encoding !== undefined ? 'unproven' : 'complete';
 }
--- a/packages/sidecar/tests/server/answer-check.test.ts
+++ b/packages/sidecar/tests/server/answer-check.test.ts
@@ -11,6 +11,11 @@
 > = {
   'a proven success': {status: 200, headers: PROOF, verdict: 'complete'},
   'a success without proof': {status: 200, headers: [], verdict: 'unproven'},
+  'a success with an empty proof': {
+    status: 200,
+    headers: ['X-Turmericmill-Response-Seal', ''],
+    verdict: 'unproven',
+  },
   'an encoded success': {
     status: 200,
     headers: [...PROOF, 'Content-Encoding', 'gzip'],
