node: answers of backend servers are checked before the HTTP client reads them

What callers saw: on the product's own nodes the same as on the platform's: a complete 200 with chunk sizes in the body, with the rest of the head, or with the start of the body. Cause: the HTTP client reads a coding that it does not know, and a head with neither a length nor a coding, until the connection ends, and hands out an answer before it finds bytes behind it. Change: each connection's bytes pass through the AnswerReader of packages/http; what it refuses never reaches the client, whose request fails as after a lost connection. Ruled out: checks of the client's callbacks; they tell neither the version of HTTP nor bytes behind an answer.

--- a/packages/node/src/calls/admitted-server.ts
+++ b/packages/node/src/calls/admitted-server.ts
@@ -14,6 +14,7 @@
 
 import type {LocalServer} from '../bus.js';
 import {AdmittedCall} from './admitted-call.js';
+import {GatedClient} from './answer-gate.js';
 import type {CallEvents, CallHead, CallLeg, InitialBody} from './call-leg.js';
 import {ServerExchange} from './server-exchange.js';
 
@@ -78,6 +79,7 @@
       connectTimeout: CONNECT_TIMEOUT_MS,
       headersTimeout: 0,
       bodyTimeout: 0,
+      factory: (origin, options) => new GatedClient(origin, options),
     });
     if (current.state === 'draining') this.admission.drain();
   }
--- a/packages/node/tests/calls/admitted-server.test.ts
+++ b/packages/node/tests/calls/admitted-server.test.ts
@@ -59,6 +59,65 @@
   };
 }
 
+const BODY = 'hello world!';
+const CHUNKS = `c;a=b\r\n${BODY}\r\n0\r\nX-T: d\r\n\r\n`;
+const LENGTH = 'Content-Length: 12\r\n';
+const CODING = 'Transfer-Encoding: chunked\r\n';
+const CLOSE = 'Connection: close\r\n';
+
+/** What follows the status line, and whether the server then closes. */
+type Rest = readonly [rest: string, isClosed: boolean, method?: string];
+
+const SPOILT: Record<string, Rest> = {
+  'a byte less in the coding': [
+    `Transfer-Encoding: chunke\r\n\r\n${CHUNKS}`,
+    true,
+  ],
+  'a byte more in the coding, after a stated close': [
+    `${CLOSE}Transfer-Encoding: chunkedd\r\n\r\n${CHUNKS}`,
+    true,
+  ],
+  'an empty coding': [`Transfer-Encoding:\r\n\r\n${CHUNKS}`, true],
+  'chunked not last': [
+    `Transfer-Encoding: chunked, gzip\r\n\r\n${CHUNKS}`,
+    true,
+  ],
+  'the name of the coding': [
+    `Transfer-Encodin: chunked\r\n\r\n${CHUNKS}`,
+    true,
+  ],
+  'the name of the coding, after a stated close': [
+    `${CLOSE}Transfer-Encodin: chunked\r\n\r\n${CHUNKS}`,
+    true,
+  ],
+  'a smaller length': [`Content-Length: 1\r\n\r\n${BODY}`, false],
+  'a length of 0': [`Content-Length: 0\r\n\r\n${BODY}`, false],
+  'a larger length': [`Content-Length: 120\r\n\r\n${BODY}`, true],
+  'an empty line before the length': [
+    `X-A: b\r\n\r\n${LENGTH}\r\n${BODY}`,
+    true,
+  ],
+  'an empty line before the length, after a stated close': [
+    `${CLOSE}\r\n${LENGTH}\r\n${BODY}`,
+    true,
+  ],
+  'an empty line after the length': [
+    `${LENGTH}\r\nX-A: b\r\n\r\n${BODY}`,
+    false,
+  ],
+};
+
+const SOUND: Record<string, Rest> = {
+  'with a length': [`${LENGTH}\r\n${BODY}`, false],
+  'in chunks': [`${CODING}\r\n${CHUNKS}`, false],
+  'in chunks, in another case': [
+    `TRANSFER-ENCODING: Chunked\r\n\r\n${CHUNKS}`,
+    false,
+  ],
+  'that ends with the connection': [`${CLOSE}\r\n${BODY}`, true],
+  'to HEAD': [`${LENGTH}\r\n`, false, 'HEAD'],
+};
+
 describe('AdmittedServer', () => {
   let server: Server;
   let target: AdmittedServer;
@@ -176,4 +235,30 @@
       expect(performance.now() - startedMs).to.be.below(AT_ONCE_MS);
     });
   }
+
+  /** Answers with what follows the status line. */
+  function answerWith(rest: string, isClosed: boolean): RequestListener {
+    return ({socket}) => {
+      socket.write(`HTTP/1.1 200 OK\r\n${rest}`, 'latin1');
+      if (isClosed) socket.end();
+    };
+  }
+
+  // The caller got a whole 200 with a body that was not the server's.
+  for (const [name, [rest, isClosed]] of Object.entries(SPOILT)) {
+    it(`fails at once when the head of the answer is spoilt: ${name}`, async () => {
+      await start(answerWith(rest, isClosed));
+      const startedMs = performance.now();
+      expect(await run().ended).to.equal('unknown server-failed');
+      expect(performance.now() - startedMs).to.be.below(AT_ONCE_MS);
+    });
+  }
+
+  for (const [name, [rest, isClosed, method]] of Object.entries(SOUND)) {
+    it(`takes a sound answer: ${name}`, async () => {
+      await start(answerWith(rest, isClosed));
+      const body = method === 'HEAD' ? '' : BODY;
+      expect(await run({method: method ?? 'GET'}).ended).to.equal(body);
+    });
+  }
 });
