http: an answer without a length may come in one read with an informational one

Cause: the end of the informational answer marked the whole read as complete, so that the end of the connection found no answer under way. Change: the head of an answer marks that one is under way. Tests, failing before: a case of answer-reader.test.

--- a/packages/http/src/answer-reader.ts
+++ b/packages/http/src/answer-reader.ts
@@ -22,7 +22,7 @@
   end(hasMoreBytes: boolean): void;
   /** Bytes that are not a valid HTTP answer; no other event follows. */
   malformed(detail: string): void;
-  /** Bytes of lines have been kept. */
+  /** A line, or a part of one, occupies `bytes` of memory. */
   lines?(bytes: number): void;
 }
 
@@ -81,6 +81,8 @@
     internals.BODY_CHUNKHEAD = readChunkSize;
     internals.consumeLine = () => this.readLine(consumeLine);
     parser[HTTPParser.kOnHeadersComplete] = info => {
+      // An informational answer may have ended in the same read.
+      this.hasPartialAnswer = true;
       this.status = info.statusCode;
       const httpVersion = `${info.versionMajor}.${info.versionMinor}`;
       this.framing = this.checkHead(httpVersion, info.headers);
--- a/packages/http/tests/answer-reader.test.ts
+++ b/packages/http/tests/answer-reader.test.ts
@@ -34,6 +34,11 @@
     expect(read(answer)).to.deep.equal([`${body.length} bytes`]);
   });
 
+  it('may come in one read with an informational answer', () => {
+    const answer = `HTTP/1.1 103 Early Hints\r\n\r\n${HEAD}hello`;
+    expect(read(Buffer.from(answer))).to.deep.equal(['5 bytes']);
+  });
+
   const RAW = {
     'is taken as it is': ['hello', '5 bytes'],
     'is refused if it is a body in chunks': [
