testkit: sound answers without a body, and behind informational ones

HEAD, 204 and 304 at two processes beside the spoilt heads; each sound answer with a body comes behind an informational one.

--- a/packages/sidecar/tests/server/spoilt-heads.test.ts
+++ b/packages/sidecar/tests/server/spoilt-heads.test.ts
@@ -60,7 +60,7 @@
 /**
  * Heads from the proof on that are sound, though spoilt: they state that the
  * body ends with the connection, and an empty line ends them too early. Their
- * body begins with the rest of the head, which no sound body is known not to do.
+ * body begins with the rest of the head, as that of a sound answer may.
  */
 const UNTOLD: Record<string, readonly string[]> = {
   'with a close, then a length': [
--- a/packages/testkit/tests/platform/spoilt-heads.test.ts
+++ b/packages/testkit/tests/platform/spoilt-heads.test.ts
@@ -101,6 +101,20 @@
   'in chunks with a second answer behind': inChunks(CODING) + EXTRA,
 };
 
+/** Sound answers without a body. */
+const BODYLESS: Record<
+  string,
+  {method: string; status: number; lines: string}
+> = {
+  'to HEAD': {method: 'HEAD', status: 200, lines: LENGTH},
+  'to HEAD, in chunks': {method: 'HEAD', status: 200, lines: CODING},
+  'with status 204': {method: 'GET', status: 204, lines: ''},
+  'with status 304': {method: 'GET', status: 304, lines: ''},
+  'with status 304 and a length': {method: 'GET', status: 304, lines: LENGTH},
+};
+
+const INFORMATION = 'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n';
+
 const WHOLE: CompleteAnswer = {status: 200, body: BODY};
 const PLACES = ['near', 'far'] as const;
 const PREFIXES = {unsafe: 'd', safe: 'safe', download: 'download'};
@@ -113,13 +127,20 @@
   return decodeURIComponent(name);
 }
 
-function headOf(request: string): string {
-  return `HTTP/1.1 200 OK\r\n${SEAL}\r\n${idLine(request)}\r\n`;
+function headOf(request: string, status = 200): string {
+  return `HTTP/1.1 ${status} Reason\r\n${SEAL}\r\n${idLine(request)}\r\n`;
 }
 
 /** Sends the answer that the path names. */
 function writeAnswer(socket: Socket, request: string): void {
   const name = nameIn(request);
+  const bodyless = BODYLESS[name];
+  if (bodyless) {
+    const {status, lines} = bodyless;
+    socket.write(`${headOf(request, status)}${lines}\r\n`);
+    return;
+  }
+  if (name in SOUND) socket.write(INFORMATION);
   const rest = SPOILT[name] ?? SOUND[name] ?? '';
   socket.write(headOf(request) + rest, 'latin1');
   if (!(name in KEPT)) socket.end();
@@ -130,10 +151,11 @@
   place: Place,
   kind: Kind,
   name: string,
+  method = 'GET',
 ) {
   const path = `/${PREFIXES[kind]}/${place}/${encodeURIComponent(name)}`;
   const startedMs = performance.now();
-  const answer = await fetchAnswer(place === 'near' ? ip : farIp, path);
+  const answer = await fetchAnswer(place === 'near' ? ip : farIp, path, method);
   const isAtOnce = performance.now() - startedMs < AT_ONCE_MS;
   return {...answer, isAtOnce};
 }
@@ -176,6 +198,14 @@
           expect(runs).to.equal(1);
         });
       }
+
+      for (const [name, {method, status}] of Object.entries(BODYLESS)) {
+        it(`does not concern one ${name}, ${kind}, ${place}`, async () => {
+          const got = await fetchAt(host, place, kind, name, method);
+          expect(got).to.deep.equal({status, body: '', isAtOnce: true});
+          expect(runs).to.equal(1);
+        });
+      }
     }
   }
 });
